Add the whole path as separate processes, kept thin

Change: a workspace of five packages; stand-ins in one process, six instances, callers with tickets, a streamed model call, a trainer's step whose manifest is one compare-and-swap, a command line that checks and applies an inventory.

Not there yet: leases, deltas, probes, retries under load, swaps of weights, planned stops, fault tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint format
+
+setup: $(STAMP)
+
+$(STAMP): requirements-dev.txt constraints.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements-dev.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	BIN=$(BIN) bash tools/demo.sh
+
+test: $(STAMP)
+	$(BIN)/python tools/run_tests.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages tools
+	$(BIN)/flake8 packages tools
+	$(BIN)/mypy -p yuccarill.core -p yuccarill.wire
+
+format: $(STAMP)
+	$(BIN)/ruff format packages tools
--- /dev/null
+++ b/packages/yuccarill-cli/src/yuccarill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
--- /dev/null
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one a module."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts for a rollout service."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/blackboard.py
@@ -0,0 +1,28 @@
+"""The shared state of one process, in typed sections."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccarill.core.config.head import Head
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.membership.instances import Instance
+
+
+@dataclasses.dataclass
+class Blackboard:
+    """Hold what controllers read and write."""
+
+    me: Instance
+    head: Head | None = None
+    instances_by_id: dict[InstanceId, Instance] = dataclasses.field(
+        default_factory=dict
+    )
+    in_flight_by_id: collections.Counter[TargetId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    is_leaving: bool = False
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on callers' requests."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/config/__init__.py
@@ -0,0 +1,1 @@
+"""The inventory and rules that operators apply."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -0,0 +1,223 @@
+"""The exception tree, with a numbered result code for each leaf."""
+
+from __future__ import annotations
+
+import enum
+import functools
+
+
+class ResultCode(enum.IntEnum):
+    """Number every outcome that a caller or an operator may see."""
+
+    OK = 0
+    BAD_REQUEST = 1001
+    BODY_TOO_LONG = 1002
+    UNKNOWN_SERVICE = 1003
+    UNKNOWN_TRAINER = 1004
+    UNKNOWN_STEP = 1005
+    UNKNOWN_CODE = 1006
+    TICKET_INVALID = 1101
+    TICKET_EXPIRED = 1102
+    NOT_RUN = 1201
+    OVERLOADED = 1202
+    DEADLINE_PASSED = 1203
+    NO_TARGET = 1204
+    OUTCOME_UNKNOWN = 1301
+    ANSWER_CUT = 1302
+    INVENTORY_INVALID = 2001
+    REVISION_CONFLICT = 2002
+    NO_CONFIGURATION = 2003
+    APPLY_OUTCOME_UNKNOWN = 2004
+    STORE_UNAVAILABLE = 3001
+    STORE_CONFLICT = 3002
+    PEER_UNAVAILABLE = 3101
+    FRAME_INVALID = 3102
+    STEP_CONFLICT = 4001
+    STEP_PENDING = 4002
+    GROUP_FAILED = 4003
+    SETTINGS_INVALID = 5001
+    INTERNAL = 9001
+
+
+class YuccarillError(Exception):
+    """Root of all errors that carry a result code."""
+
+    code = ResultCode.INTERNAL
+    http_status = 500
+    # Tells a caller that no byte of its request can have reached a target.
+    not_run = False
+
+    def __init__(self, message: str, retry_after: float | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        # Seconds after which another try is worth its cost.
+        self.retry_after = retry_after
+
+
+class RequestError(YuccarillError):
+    """Refuse a request for what it says."""
+
+    code = ResultCode.BAD_REQUEST
+    http_status = 400
+    not_run = True
+
+
+class BodyTooLong(RequestError):
+    code = ResultCode.BODY_TOO_LONG
+    http_status = 413
+
+
+class UnknownService(RequestError):
+    code = ResultCode.UNKNOWN_SERVICE
+    http_status = 404
+
+
+class UnknownTrainer(RequestError):
+    code = ResultCode.UNKNOWN_TRAINER
+    http_status = 404
+
+
+class UnknownStep(RequestError):
+    code = ResultCode.UNKNOWN_STEP
+    http_status = 404
+
+
+class TicketError(YuccarillError):
+    """Refuse a ticket, with no promise about earlier tries under it."""
+
+    code = ResultCode.TICKET_INVALID
+    http_status = 409
+
+
+class TicketExpired(TicketError):
+    code = ResultCode.TICKET_EXPIRED
+
+
+class NotRun(YuccarillError):
+    """Tell a caller that its request has not run and will not."""
+
+    code = ResultCode.NOT_RUN
+    http_status = 503
+    not_run = True
+
+
+class Overloaded(NotRun):
+    code = ResultCode.OVERLOADED
+
+
+class DeadlinePassed(NotRun):
+    code = ResultCode.DEADLINE_PASSED
+    http_status = 504
+
+
+class NoTarget(NotRun):
+    code = ResultCode.NO_TARGET
+
+
+class OutcomeUnknown(YuccarillError):
+    """Tell a caller that its request may or may not have run."""
+
+    code = ResultCode.OUTCOME_UNKNOWN
+    http_status = 502
+
+
+class AnswerCut(OutcomeUnknown):
+    code = ResultCode.ANSWER_CUT
+
+
+class ConfigurationError(YuccarillError):
+    """Refuse a change of configuration."""
+
+    code = ResultCode.INVENTORY_INVALID
+    http_status = 422
+
+
+class InventoryInvalid(ConfigurationError):
+    """Refuse an inventory, naming every fault found, one a line."""
+
+
+class RevisionConflict(ConfigurationError):
+    code = ResultCode.REVISION_CONFLICT
+    http_status = 409
+
+
+class NoConfiguration(ConfigurationError):
+    code = ResultCode.NO_CONFIGURATION
+    http_status = 503
+    not_run = True
+
+
+class ApplyOutcomeUnknown(ConfigurationError):
+    code = ResultCode.APPLY_OUTCOME_UNKNOWN
+    http_status = 502
+
+
+class PlatformError(YuccarillError):
+    """Report a fault of the platform or of a peer."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+    http_status = 503
+
+
+class StoreUnavailable(PlatformError):
+    """Report a store that did not answer; a write may have taken effect."""
+
+
+class StoreConflict(PlatformError):
+    """Report a compare-and-swap that lost; nothing was written."""
+
+    code = ResultCode.STORE_CONFLICT
+    http_status = 409
+
+
+class PeerUnavailable(PlatformError):
+    code = ResultCode.PEER_UNAVAILABLE
+
+
+class FrameInvalid(PlatformError):
+    code = ResultCode.FRAME_INVALID
+    http_status = 400
+
+
+class RolloutError(YuccarillError):
+    """Report a trainer's step that can't go on as asked."""
+
+    code = ResultCode.STEP_CONFLICT
+    http_status = 409
+
+
+class StepConflict(RolloutError):
+    pass
+
+
+class StepPending(RolloutError):
+    code = ResultCode.STEP_PENDING
+    http_status = 202
+
+
+class GroupFailed(RolloutError):
+    code = ResultCode.GROUP_FAILED
+    http_status = 502
+
+
+class SettingsInvalid(YuccarillError):
+    """Refuse settings, naming every fault found, one a line."""
+
+    code = ResultCode.SETTINGS_INVALID
+
+
+def by_code(code: int) -> type[YuccarillError]:
+    """Return the class whose errors carry a code."""
+    return _classes_by_code().get(code, YuccarillError)
+
+
+@functools.cache
+def _classes_by_code() -> dict[int, type[YuccarillError]]:
+    found: dict[int, type[YuccarillError]] = {}
+    waiting: list[type[YuccarillError]] = [YuccarillError]
+    while waiting:
+        error_class = waiting.pop(0)
+        # The class nearest to the root stands for a shared code.
+        found.setdefault(int(error_class.code), error_class)
+        waiting.extend(error_class.__subclasses__())
+    return found
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/ids.py
@@ -0,0 +1,30 @@
+"""Identifiers and instants used by every part."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+InstanceId = NewType('InstanceId', str)
+# One start of an instance; a restart under the same id is another one.
+Incarnation = NewType('Incarnation', str)
+DataCentreId = NewType('DataCentreId', str)
+CallerId = NewType('CallerId', str)
+TargetId = NewType('TargetId', str)
+ServiceName = NewType('ServiceName', str)
+ModelName = NewType('ModelName', str)
+TrainerId = NewType('TrainerId', str)
+ScorerId = NewType('ScorerId', str)
+StepNumber = NewType('StepNumber', int)
+GroupNumber = NewType('GroupNumber', int)
+SampleId = NewType('SampleId', str)
+RequestId = NewType('RequestId', str)
+ChangeId = NewType('ChangeId', str)
+ShardNumber = NewType('ShardNumber', int)
+# Grows at each change of a shard's holder; the fencing number of its orders.
+Epoch = NewType('Epoch', int)
+Revision = NewType('Revision', int)
+WeightVersion = NewType('WeightVersion', int)
+# Seconds on a monotonic clock of this process.
+Instant = NewType('Instant', float)
+# Seconds since the epoch, on the wall clock, as shown to people and peers.
+WallTime = NewType('WallTime', float)
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances there are and which to use."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/membership/placement.py
@@ -0,0 +1,21 @@
+"""Place duties on instances so that few move when one comes or goes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccarill.core.ids import InstanceId
+
+
+def rank(duty: str, instances: Iterable[InstanceId]) -> list[InstanceId]:
+    """Order instances by their weight for a duty, the highest first."""
+    return sorted(
+        instances,
+        key=lambda i: (xxhash.xxh3_64_intdigest(f'{duty}|{i}'.encode()), i),
+        reverse=True,
+    )
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on trainers' steps and their samples."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process of one instance."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the systems around an instance."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
@@ -0,0 +1,93 @@
+"""Reach the platform's key-value service over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core import errors
+from yuccarill.daemon.adapters import http
+
+if TYPE_CHECKING:
+    from typing import Any
+
+CALL_SECONDS = 2.0
+WATCH_SECONDS = 10.0
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """Hold a value and the version that a later swap must name."""
+
+    version: int
+    value: bytes
+
+    @property
+    def is_absent(self) -> bool:
+        return self.version == 0
+
+
+class KeyValueAdapter:
+    """Read, compare-and-swap and watch keys."""
+
+    def __init__(self, client: http.HttpClient, address: str) -> None:
+        self._client = client
+        self._base = f'http://{address}/v1/keys/'
+
+    async def get(self, key: str) -> Entry:
+        """Read a key.
+
+        Raises StoreUnavailable.
+        """
+        return await self._read(self._base + key, CALL_SECONDS)
+
+    async def watch(self, key: str, after: int) -> Entry:
+        """Read a key once its version passes the given one.
+
+        Returns the same version if nothing changed for some seconds.
+        Raises StoreUnavailable.
+        """
+        url = f'{self._base}{key}?after={after}&wait={WATCH_SECONDS}'
+        return await self._read(url, WATCH_SECONDS + CALL_SECONDS)
+
+    async def swap(self, key: str, value: bytes, expected: int) -> int:
+        """Write a key whose version is the expected one, 0 for absent.
+
+        Returns the new version. Raises StoreConflict if nothing was
+        written, StoreUnavailable if the write may have taken effect.
+        """
+        try:
+            response = await self._client.request(
+                'PUT',
+                self._base + key,
+                seconds=CALL_SECONDS,
+                data=value,
+                headers={'X-Expected-Version': str(expected)},
+            )
+            content = await http.body(response, CALL_SECONDS)
+        except Exception as error:
+            raise _unavailable(error) from error
+        if response.code == 412:
+            raise errors.StoreConflict(f'Another write of {key} came first.')
+        if response.code != 200:
+            raise _unavailable(response.code)
+        version: int = msgspec.json.decode(content)['version']
+        return version
+
+    async def _read(self, url: str, seconds: float) -> Entry:
+        try:
+            response = await self._client.request('GET', url, seconds=seconds)
+            content = await http.body(response, CALL_SECONDS)
+        except Exception as error:
+            raise _unavailable(error) from error
+        if response.code not in (200, 404):
+            raise _unavailable(response.code)
+        version = int(response.headers.getRawHeaders('X-Version', ['0'])[0])
+        return Entry(version, content)
+
+
+def _unavailable(cause: Any) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        f'The key-value service did not answer ({cause}); try again.',
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/scorer.py
@@ -0,0 +1,44 @@
+"""Reach scoring services over HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccarill.core import errors
+from yuccarill.core.rollouts.sample import Sample
+from yuccarill.daemon.adapters import http
+
+CALL_SECONDS = 5.0
+
+
+class ScorerAdapter:
+    """Score samples."""
+
+    def __init__(self, client: http.HttpClient) -> None:
+        self._client = client
+
+    async def score(self, address: str, sample: Sample) -> float:
+        """Return a sample's score.
+
+        Raises AnswerCut.
+        """
+        tokens = [token for span in sample.spans for token in span.tokens]
+        try:
+            response = await self._client.request(
+                'POST',
+                f'http://{address}/v1/score',
+                seconds=CALL_SECONDS,
+                data=msgspec.json.encode(
+                    {'sample_id': sample.id, 'tokens': tokens}
+                ),
+            )
+            content = await http.body(response, CALL_SECONDS)
+            reply = msgspec.json.decode(content)
+            # A reply to another sample must not be taken for this one's.
+            if reply['sample_id'] != sample.id:
+                raise ValueError('it scored another sample')
+            return float(reply['score'])
+        except Exception as error:
+            raise errors.AnswerCut(
+                f'The scorer at {address} failed: {error}.'
+            ) from error
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interfaces of an instance."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -0,0 +1,147 @@
+"""The interface for callers."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import TYPE_CHECKING
+
+import klein
+import msgspec
+
+from yuccarill.core import errors
+from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import WallTime
+from yuccarill.daemon.api import replies
+from yuccarill.daemon.controllers.calls import Call
+
+if TYPE_CHECKING:
+    from twisted.web.iweb import IRequest
+
+    from yuccarill.daemon.adapters.engine import Chunk
+    from yuccarill.daemon.controllers.calls import CallController
+    from yuccarill.daemon.controllers.membership import MembershipController
+
+DEFAULT_SECONDS = 10.0
+MAX_SECONDS = 600.0
+
+
+class Addresses(msgspec.Struct, frozen=True):
+    """Tell a caller which instances to use, and until when."""
+
+    addresses: list[str]
+    valid_until: WallTime
+    ticket: str
+
+
+class GenerateRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Ask a model for tokens."""
+
+    prompt: str
+    max_tokens: int = 16
+
+
+class CallerApi:
+    """Answer callers."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        calls: CallController,
+        membership: MembershipController,
+        validity: float,
+    ) -> None:
+        self._calls = calls
+        self._membership = membership
+        self._validity = validity
+
+    @app.route('/addresses', methods=['GET'])
+    @replies.answering_errors
+    async def addresses(self, request: IRequest) -> bytes:
+        live = self._membership.live()
+        answer = Addresses(
+            [f'{instance.host}:{instance.http_port}' for instance in live],
+            WallTime(time.time() + self._validity),
+            str(self._calls.new_ticket()),
+        )
+        return replies.as_json(request, answer)
+
+    @app.route('/services/<service>/<path:path>', methods=['POST'])
+    @replies.answering_errors
+    async def call(self, request: IRequest, service: str, path: str) -> bytes:
+        call = Call(
+            request_id=_request_id(request),
+            service=ServiceName(service),
+            path=path,
+            content_type=_header(request, 'Content-Type', ''),
+            body=replies.body(request),
+            seconds=_seconds(request),
+            ticket=_header(request, 'Yuccarill-Ticket', '') or None,
+        )
+        answer = await self._calls.run(call)
+        request.setResponseCode(answer.status)
+        request.setHeader('Content-Type', answer.content_type)
+        return answer.body
+
+    @app.route('/models/<model>/generate', methods=['POST'])
+    @replies.answering_errors
+    async def generate(self, request: IRequest, model: str) -> bytes:
+        asked = replies.decode(request, GenerateRequest)
+        has_begun = False
+
+        def relay(chunk: Chunk) -> None:
+            nonlocal has_begun
+            if not has_begun:
+                request.setHeader('Content-Type', 'application/x-ndjson')
+                has_begun = True
+            request.write(msgspec.json.encode(chunk) + b'\n')
+
+        try:
+            await self._calls.generate(
+                ModelName(model),
+                {
+                    'request_id': _request_id(request),
+                    'prompt': asked.prompt,
+                    'max_tokens': asked.max_tokens,
+                },
+                _seconds(request),
+                relay,
+            )
+        except errors.YuccarillError as error:
+            if not has_begun:
+                raise
+            # The head is sent: the last line tells that the answer is cut,
+            # and no short answer ends with the line that says done.
+            line = {'error': error.code, 'message': error.message}
+            return msgspec.json.encode(line) + b'\n'
+        return b'{"done":true}\n'
+
+
+def _header(request: IRequest, name: str, default: str) -> str:
+    return request.getHeader(name) or default
+
+
+def _request_id(request: IRequest) -> RequestId:
+    value = _header(request, 'Yuccarill-Request-Id', '')
+    if not value:
+        raise errors.RequestError(
+            'The header Yuccarill-Request-Id is missing; number the request.'
+        )
+    return RequestId(value)
+
+
+def _seconds(request: IRequest) -> float:
+    text = _header(request, 'Yuccarill-Timeout', str(DEFAULT_SECONDS))
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds <= MAX_SECONDS:
+        raise errors.RequestError(
+            f'The header Yuccarill-Timeout is {text}; write seconds up to '
+            f'{MAX_SECONDS}.'
+        )
+    return seconds
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
@@ -0,0 +1,48 @@
+"""The interface for trainers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import klein
+
+from yuccarill.core.ids import StepNumber
+from yuccarill.core.ids import TrainerId
+from yuccarill.core.rollouts.step import StepRequest
+from yuccarill.daemon.api import replies
+
+if TYPE_CHECKING:
+    from twisted.web.iweb import IRequest
+
+    from yuccarill.daemon.controllers.step_routing import StepRouting
+
+
+class TrainerApi:
+    """Answer trainers."""
+
+    app = klein.Klein()
+
+    def __init__(self, steps: StepRouting) -> None:
+        self._steps = steps
+
+    @app.route('/<trainer>/steps', methods=['POST'])
+    @replies.answering_errors
+    async def submit(self, request: IRequest, trainer: str) -> bytes:
+        asked = replies.decode(request, StepRequest)
+        await self._steps.submit(TrainerId(trainer), asked)
+        return replies.as_json(request, {'step': asked.step}, 202)
+
+    @app.route('/<trainer>/steps/<int:step>', methods=['GET'])
+    @replies.answering_errors
+    async def fetch(self, request: IRequest, trainer: str, step: int) -> bytes:
+        body = await self._steps.fetch(TrainerId(trainer), StepNumber(step))
+        request.setHeader('Content-Type', 'application/json')
+        return body
+
+    @app.route('/<trainer>/steps/<int:step>/acknowledgement', methods=['PUT'])
+    @replies.answering_errors
+    async def acknowledge(
+        self, request: IRequest, trainer: str, step: int
+    ) -> bytes:
+        await self._steps.acknowledge(TrainerId(trainer), StepNumber(step))
+        return replies.as_json(request, {'step': step})
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that do I/O for the decisions of the core."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -0,0 +1,154 @@
+"""Compose the parts of one instance."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+import uuid
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.web import server
+
+from yuccarill.core.blackboard import Blackboard
+from yuccarill.core import errors
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Incarnation
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.membership.instances import Instance
+from yuccarill.daemon.adapters import engine
+from yuccarill.daemon.adapters import http
+from yuccarill.daemon.adapters import instance_list
+from yuccarill.daemon.adapters import key_value
+from yuccarill.daemon.adapters import scorer
+from yuccarill.daemon.adapters import target
+from yuccarill.daemon.api import callers
+from yuccarill.daemon.api import operators
+from yuccarill.daemon.api import root
+from yuccarill.daemon.api import trainers
+from yuccarill.daemon.controllers import calls
+from yuccarill.daemon.controllers import configuration
+from yuccarill.daemon.controllers import membership
+from yuccarill.daemon.controllers import rollouts
+from yuccarill.daemon.controllers import step_routing
+from yuccarill.daemon import logs
+from yuccarill.daemon.peers import peers
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from yuccarill.daemon.settings import Settings
+
+log = logs.for_part('instance')
+
+STOP_CHECK_SECONDS = 0.05
+
+
+class InstanceProcess:
+    """Run one instance."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._blackboard = Blackboard(
+            me=Instance(
+                id=InstanceId(settings.instance),
+                data_centre=DataCentreId(settings.data_centre),
+                host=settings.host,
+                http_port=settings.http_port,
+                peer_port=settings.peer_port,
+            )
+        )
+        incarnation = Incarnation(uuid.uuid4().hex[:12])
+        client = http.HttpClient()
+        store = key_value.KeyValueAdapter(client, settings.key_value)
+        self._peers = peers.Peers(self._handle)
+        self._configuration = configuration.ConfigurationController(
+            self._blackboard, store
+        )
+        self._membership = membership.MembershipController(
+            self._blackboard,
+            instance_list.InstanceListAdapter(client, settings.instance_list),
+        )
+        self._calls = calls.CallController(
+            self._blackboard,
+            incarnation,
+            target.TargetAdapter(client),
+            engine.EngineAdapter(client),
+            self._peers,
+        )
+        self._rollouts = rollouts.RolloutController(
+            self._blackboard,
+            self._calls,
+            scorer.ScorerAdapter(client),
+            store,
+        )
+        self._steps = step_routing.StepRouting(
+            self._blackboard, self._membership, self._rollouts, self._peers
+        )
+        self._site = server.Site(
+            root.build(
+                callers.CallerApi(
+                    self._calls, self._membership, settings.address_validity
+                ),
+                trainers.TrainerApi(self._steps),
+                operators.OperatorApi(
+                    self._blackboard, incarnation, self._configuration
+                ),
+            )
+        )
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        settings = self._settings
+        await self._peers.listen(settings.host, settings.peer_port)
+        for following in (self._configuration, self._membership):
+            defer.ensureDeferred(following.follow()).addErrback(self._broken)
+        endpoint = endpoints.TCP4ServerEndpoint(
+            reactor, settings.http_port, interface=settings.host, backlog=1024
+        )
+        await endpoint.listen(self._site)
+        log.info('Serving.', port=settings.http_port)
+
+    async def stop(self) -> None:
+        """Finish what is in flight, then end."""
+        self._blackboard.is_leaving = True
+        now = time.monotonic()
+        served_until = now + self._settings.address_validity
+        given_up_at = now + self._settings.stop_timeout
+        while time.monotonic() < given_up_at:
+            if time.monotonic() >= served_until and not self._calls.active:
+                break
+            await task.deferLater(reactor, STOP_CHECK_SECONDS, lambda: None)
+        log.info('Stopped.')
+
+    async def _handle(self, body: messages.Body) -> messages.Body:
+        match body:
+            case messages.CallRequest():
+                answer = await self._calls.run(
+                    calls.Call(
+                        request_id=body.request_id,
+                        service=body.service,
+                        path=body.path,
+                        content_type=body.content_type,
+                        body=body.body,
+                        seconds=body.time_left,
+                        ticket=body.ticket,
+                    )
+                )
+                return messages.CallAnswer(
+                    status=answer.status,
+                    content_type=answer.content_type,
+                    body=answer.body,
+                )
+            case (
+                messages.StepSubmit()
+                | messages.StepFetch()
+                | messages.StepAcknowledge()
+            ):
+                return self._steps.handle_here(body)
+            case _:
+                raise errors.FrameInvalid('This message is no request.')
+
+    def _broken(self, failure: object) -> None:
+        log.error('A controller ended.', cause=str(failure)[:500])
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between instances."""
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around yuccarill."""
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/server.py
@@ -0,0 +1,46 @@
+"""Serve klein applications on loopback."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.web import server
+
+if TYPE_CHECKING:
+    import klein
+    from twisted.web.iweb import IRequest
+
+LOOPBACK = '127.0.0.1'
+
+
+async def listen(app: klein.Klein, port: int = 0) -> int:
+    """Serve an application and return its port."""
+    endpoint = endpoints.TCP4ServerEndpoint(
+        reactor, port, interface=LOOPBACK, backlog=1024
+    )
+    site = server.Site(app.resource())
+    listening = await endpoint.listen(site)
+    return listening.getHost().port
+
+
+def read_json(request: IRequest) -> Any:
+    """Decode a request's body."""
+    return json.loads(request.content.read() or b'null')
+
+
+def reply_json(request: IRequest, value: Any, status: int = 200) -> bytes:
+    """Encode a reply's body."""
+    request.setResponseCode(status)
+    request.setHeader('Content-Type', 'application/json')
+    return json.dumps(value).encode()
+
+
+def sleep(seconds: float) -> defer.Deferred[None]:
+    """Wait on the reactor's clock."""
+    return task.deferLater(reactor, seconds, lambda: None)
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/site.py
@@ -0,0 +1,52 @@
+"""Start the stand-ins of one deployment's inventory."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from typing import TYPE_CHECKING
+
+from yuccarill.standins import engine
+from yuccarill.standins import instance_list
+from yuccarill.standins import key_value
+from yuccarill.standins import plain_target
+from yuccarill.standins import scorer
+from yuccarill.standins import server
+from yuccarill.standins import weight_store
+
+if TYPE_CHECKING:
+    import pathlib
+
+
+async def start(example: pathlib.Path, folder: pathlib.Path) -> None:
+    """Serve every part of an example inventory on loopback.
+
+    Writes inventory.json, with the addresses in use, and platform.json.
+    """
+    inventory = tomllib.loads(example.read_text())
+    for entry in inventory.get('engines', []):
+        app = engine.EngineStandIn(
+            entry['id'], entry.get('checks_fencing', False)
+        ).app
+        entry['address'] = await _address(app)
+    for entry in inventory.get('targets', []):
+        app = plain_target.PlainTargetStandIn(entry['id']).app
+        entry['address'] = await _address(app)
+    for entry in inventory.get('scorers', []):
+        entry['address'] = await _address(scorer.ScorerStandIn().app)
+    platform = {
+        'key_value': await _address(key_value.KeyValueStandIn().app),
+        'instance_list': await _address(
+            instance_list.InstanceListStandIn().app
+        ),
+        'weight_store': await _address(weight_store.WeightStoreStandIn().app),
+    }
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / 'inventory.json').write_text(json.dumps(inventory, indent=1))
+    # Written last: its presence tells a waiting script that all listen.
+    (folder / 'platform.json').write_text(json.dumps(platform, indent=1))
+
+
+async def _address(app: object) -> str:
+    port = await server.listen(app)
+    return f'{server.LOOPBACK}:{port}'
--- /dev/null
+++ b/packages/yuccarill-wire/src/yuccarill/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and their codecs."""
--- /dev/null
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -0,0 +1,122 @@
+"""Typed messages between instances."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Incarnation
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import StepNumber
+from yuccarill.core.ids import TrainerId
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field='kind'):
+    """Be one message of the instances' protocol."""
+
+
+class Hello(Message, frozen=True, tag='hello'):
+    """Open a stream and say who speaks."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    data_centre: DataCentreId
+
+
+class Done(Message, frozen=True, tag='done'):
+    """Confirm a request that has nothing to return."""
+
+
+class Refusal(Message, frozen=True, tag='refusal'):
+    """Return an error by its result code."""
+
+    code: int
+    text: str
+    retry_after: float | None = None
+
+
+class HeadOffer(Message, frozen=True, tag='head'):
+    """Pass on the newest head of the configuration."""
+
+    head: bytes
+
+
+class Leaving(Message, frozen=True, tag='leaving'):
+    """Tell that an instance takes no new work."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+
+
+class CallRequest(Message, frozen=True, tag='call'):
+    """Pass a non-repeatable call to its ticket's home."""
+
+    ticket: str
+    request_id: RequestId
+    service: ServiceName
+    path: str
+    content_type: str
+    body: bytes
+    # Seconds left to the caller's deadline when the message was sent.
+    time_left: float
+
+
+class CallAnswer(Message, frozen=True, tag='answer'):
+    """Return a whole answer of a target."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class StepSubmit(Message, frozen=True, tag='step'):
+    """Pass a trainer's step to the instance that works on it."""
+
+    trainer: TrainerId
+    request: bytes
+
+
+class StepFetch(Message, frozen=True, tag='fetch'):
+    """Ask for a delivered step."""
+
+    trainer: TrainerId
+    step: StepNumber
+
+
+class StepDelivery(Message, frozen=True, tag='delivery'):
+    """Return a step's manifest and samples, encoded once."""
+
+    body: bytes
+
+
+class StepAcknowledge(Message, frozen=True, tag='acknowledge'):
+    """Close a step that its trainer has taken."""
+
+    trainer: TrainerId
+    step: StepNumber
+
+
+Body = (
+    Hello
+    | Done
+    | Refusal
+    | HeadOffer
+    | Leaving
+    | CallRequest
+    | CallAnswer
+    | StepSubmit
+    | StepFetch
+    | StepDelivery
+    | StepAcknowledge
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one message, numbered where a reply is due."""
+
+    # Number of the request on its stream; replies repeat it.
+    number: int
+    is_reply: bool
+    body: Body
--- /dev/null
+++ b/packages/yuccarill-wire/tests/test_frames.py
@@ -0,0 +1,48 @@
+"""Test framing of messages."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies
+
+from yuccarill.core import errors
+from yuccarill.core.ids import InstanceId
+from yuccarill.wire import frames
+from yuccarill.wire import messages
+
+ENVELOPE = messages.Envelope(7, False, messages.HeadOffer(head=b'\x00\xff'))
+
+
+class FramesTest(unittest.TestCase):
+    def test_decodes_across_any_cut(self) -> None:
+        data = frames.encode(ENVELOPE) * 2
+        for cut in range(len(data)):
+            decoder = frames.Decoder()
+            found = [*decoder.feed(data[:cut]), *decoder.feed(data[cut:])]
+            self.assertEqual([ENVELOPE, ENVELOPE], found)
+
+    def test_refuses_an_over_long_frame(self) -> None:
+        # A peer never ends its frame; without a bound this process would
+        # buffer until it is out of memory.
+        decoder = frames.Decoder(max_bytes=64)
+        with self.assertRaises(errors.FrameInvalid):
+            for _ in range(10):
+                list(decoder.feed(b'\xc6\x00\xff\xff\xff' + b'x' * 16))
+
+    @seed(1)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(strategies.binary(max_size=64))
+    def test_garbage_raises_only_frame_invalid(self, data: bytes) -> None:
+        try:
+            list(frames.Decoder().feed(data))
+        except errors.FrameInvalid:
+            pass
+
+    def test_instance_ids_survive(self) -> None:
+        body = messages.Leaving(instance=InstanceId('i'), incarnation='x')
+        data = frames.encode(messages.Envelope(1, True, body))
+        self.assertEqual(body, next(frames.Decoder().feed(data)).body)
