Count and time requests through statsd

Nothing was counted. Controllers need one small port to count through, so that a metric is one line and a test holds its page to the code. A metric object passed to each controller was ruled out: it adds a parameter to every constructor for what is, like logging, one sink for the process.

The socket is non-blocking: the library drops what raises an OSError, so a full buffer costs a datagram and never holds the loop.

Removing a row of the page or the use of a metric fails test_page_lists_every_metric and test_every_metric_is_sent.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/replies.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/replies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 
 from yuccarill.core import errors
 from yuccarill.daemon import logs
+from yuccarill.daemon import metrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +42,7 @@
 
 def as_error(request: IRequest, error: errors.YuccarillError) -> bytes:
     """Encode an error as its reply."""
+    metrics.count(metrics.Metric.API_ERRORS)
     if error.retry_after is not None:
         seconds = max(1, round(error.retry_after))
         request.setHeader('Retry-After', str(seconds))
@@ -86,6 +89,8 @@
 
     @functools.wraps(function)
     async def answer(self: Any, request: IRequest, **places: str) -> Any:
+        metrics.count(metrics.Metric.API_REQUESTS)
+        begun_at = time.monotonic()
         try:
             return await function(self, request, **places)
         except errors.YuccarillError as error:
@@ -93,5 +98,9 @@
         except Exception as error:
             log.error('Request failed.', cause=repr(error))
             return as_error(request, errors.YuccarillError('Internal error.'))
+        finally:
+            metrics.timing(
+                metrics.Metric.API_TIME, time.monotonic() - begun_at
+            )
 
     return answer
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
@@ -13,6 +13,7 @@
 from yuccarill.core import errors
 from yuccarill.daemon import instance
 from yuccarill.daemon import logs
+from yuccarill.daemon import metrics
 from yuccarill.daemon import settings as settings_module
 
 
@@ -45,6 +46,7 @@
         click.echo('The settings are valid.')
         return
     logs.configure(settings.log_format)
+    metrics.configure(settings.statsd)
     process = instance.InstanceProcess(settings)
 
     def stop(*_: object) -> None:
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
@@ -0,0 +1,86 @@
+"""Send metrics to a statsd server, if the settings name one."""
+
+from __future__ import annotations
+
+import enum
+import ipaddress
+from typing import NamedTuple
+
+import statsd
+
+PREFIX = 'yuccarill'
+_MILLISECONDS = 1000.0
+
+
+class Kind(enum.Enum):
+    """Say how a statsd server sums up a metric."""
+
+    COUNT = 'count'
+    GAUGE = 'gauge'
+    TIMING = 'timing'
+
+
+class Meter(NamedTuple):
+    """Describe one metric as docs/metrics.md shows it."""
+
+    name: str
+    kind: Kind
+    unit: str
+    meaning: str
+
+
+class Metric(enum.Enum):
+    """List every metric; docs/metrics.md has a row for each."""
+
+    API_REQUESTS = Meter(
+        'api.requests', Kind.COUNT, 'requests', 'HTTP requests answered'
+    )
+    API_ERRORS = Meter(
+        'api.errors', Kind.COUNT, 'requests', 'HTTP requests refused or failed'
+    )
+    API_TIME = Meter(
+        'api.time', Kind.TIMING, 'ms', 'From an HTTP request to its answer'
+    )
+
+
+class _Client(statsd.StatsClient):
+    """Drop a datagram rather than wait for the socket's buffer."""
+
+    def __init__(self, host: str, port: int, is_ipv6: bool) -> None:
+        super().__init__(host, port, prefix=PREFIX, ipv6=is_ipv6)
+        # A full buffer would hold the loop, and with it every caller; the
+        # library already drops what raises an OSError.
+        self._sock.setblocking(False)
+
+
+_client: _Client | None = None
+
+
+def configure(address: str | None) -> None:
+    """Send to IP:PORT from now on, or nowhere."""
+    global _client
+    if _client is not None:
+        _client.close()
+    _client = None
+    if address is not None:
+        host, _, port = address.rpartition(':')
+        number = ipaddress.ip_address(host.strip('[]'))
+        _client = _Client(str(number), int(port), number.version == 6)
+
+
+def count(metric: Metric, value: int = 1) -> None:
+    """Add to a counter."""
+    if _client is not None:
+        _client.incr(metric.value.name, value)
+
+
+def gauge(metric: Metric, value: float) -> None:
+    """Set a gauge."""
+    if _client is not None:
+        _client.gauge(metric.value.name, value)
+
+
+def timing(metric: Metric, seconds: float) -> None:
+    """Record a duration, given in seconds and sent in milliseconds."""
+    if _client is not None:
+        _client.timing(metric.value.name, seconds * _MILLISECONDS)
