Spread versioned records over trees and index the configuration

Each instance held a watch of its own on the head, so the platform's calls grew with the instances.

A single tree was ruled out: one dead inner node cuts off its branch until the next exchange. DisseminationController offers publish, subscribe, watch and newest to other parts. Only a higher version is taken; with the comparison in RecordTable.take removed, test_takes_no_lower_version fails (and the trees never fall silent).

The configuration itself still goes the old way.

--- a/packages/yuccarill-core/src/yuccarill/core/blackboard.py
+++ b/packages/yuccarill-core/src/yuccarill/core/blackboard.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from yuccarill.core.config.head import Head
+    from yuccarill.core.config.snapshot import Snapshot
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import TargetId
     from yuccarill.core.membership.instances import Instance
@@ -18,7 +18,7 @@
     """Hold what controllers read and write."""
 
     me: Instance
-    head: Head | None = None
+    head: Snapshot | None = None
     instances_by_id: dict[InstanceId, Instance] = dataclasses.field(
         default_factory=dict
     )
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/config/snapshot.py
@@ -0,0 +1,101 @@
+"""The configuration in force, indexed for lookups."""
+
+from __future__ import annotations
+
+import collections
+import functools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from yuccarill.core.config.head import Head
+    from yuccarill.core.config import inventory as inventory_module
+    from yuccarill.core.ids import CallerId
+    from yuccarill.core.ids import ChangeId
+    from yuccarill.core.ids import ModelName
+    from yuccarill.core.ids import Revision
+    from yuccarill.core.ids import ScorerId
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.ids import TrainerId
+    from yuccarill.core.ids import WallTime
+
+
+class Snapshot:
+    """Hold one revision; never changed, replaced as a whole."""
+
+    def __init__(
+        self, head: Head, inventory: inventory_module.Inventory
+    ) -> None:
+        self.head = head
+        self.inventory = inventory
+
+    @property
+    def revision(self) -> Revision:
+        return self.head.revision
+
+    @property
+    def change_id(self) -> ChangeId:
+        return self.head.change_id
+
+    @property
+    def author(self) -> str:
+        return self.head.author
+
+    @property
+    def applied_at(self) -> WallTime:
+        return self.head.applied_at
+
+    @functools.cached_property
+    def callers_by_id(self) -> Mapping[CallerId, inventory_module.Caller]:
+        return {caller.id: caller for caller in self.inventory.callers}
+
+    @functools.cached_property
+    def models_by_name(self) -> Mapping[ModelName, inventory_module.Model]:
+        return {model.name: model for model in self.inventory.models}
+
+    @functools.cached_property
+    def services_by_name(
+        self,
+    ) -> Mapping[ServiceName, inventory_module.Service]:
+        return {service.name: service for service in self.inventory.services}
+
+    @functools.cached_property
+    def scorers_by_id(self) -> Mapping[ScorerId, inventory_module.Scorer]:
+        return {scorer.id: scorer for scorer in self.inventory.scorers}
+
+    @functools.cached_property
+    def trainers_by_id(self) -> Mapping[TrainerId, inventory_module.Trainer]:
+        return {trainer.id: trainer for trainer in self.inventory.trainers}
+
+    @functools.cached_property
+    def engines_by_id(self) -> Mapping[TargetId, inventory_module.Engine]:
+        return {engine.id: engine for engine in self.inventory.engines}
+
+    @functools.cached_property
+    def targets_by_id(
+        self,
+    ) -> Mapping[TargetId, inventory_module.Engine | inventory_module.Target]:
+        """Return engines and plain targets alike."""
+        plain = {target.id: target for target in self.inventory.targets}
+        return {**self.engines_by_id, **plain}
+
+    @functools.cached_property
+    def engines_by_model(
+        self,
+    ) -> Mapping[ModelName, Sequence[inventory_module.Engine]]:
+        found = collections.defaultdict(list)
+        for engine in self.inventory.engines:
+            found[engine.model].append(engine)
+        return dict(found)
+
+    @functools.cached_property
+    def targets_by_service(
+        self,
+    ) -> Mapping[ServiceName, Sequence[inventory_module.Target]]:
+        found = collections.defaultdict(list)
+        for target in self.inventory.targets:
+            found[target.service].append(target)
+        return dict(found)
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/dissemination/record.py
@@ -0,0 +1,78 @@
+"""Versioned records and the newest of each that an instance holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+class Record(msgspec.Struct, frozen=True):
+    """Hold one version of what stands under a key."""
+
+    key: str
+    version: int
+    body: bytes
+
+
+class Comparison(msgspec.Struct, frozen=True):
+    """Say what each side of an exchange lacks."""
+
+    # Records that the other side should take.
+    newer_here: tuple[Record, ...]
+    # Keys whose record this side should be sent.
+    newer_there: tuple[str, ...]
+
+
+class RecordTable:
+    """Keep the newest record of each key."""
+
+    def __init__(self) -> None:
+        self._records_by_key: dict[str, Record] = {}
+
+    def take(self, record: Record) -> bool:
+        """Keep a record if it is newer; tell whether it was."""
+        known = self._records_by_key.get(record.key)
+        # Copies arrive over several paths and out of order. Without the
+        # comparison a late copy would bring back what was replaced, and
+        # instances would act on a revision that no longer stands. Equal
+        # versions are refused as well, which ends their forwarding.
+        if known is not None and record.version <= known.version:
+            return False
+        self._records_by_key[record.key] = record
+        return True
+
+    def get(self, key: str) -> Record | None:
+        """Return the newest known record of a key."""
+        return self._records_by_key.get(key)
+
+    def select(self, keys: Iterable[str]) -> list[Record]:
+        """Return the known records of some keys."""
+        found = (self._records_by_key.get(key) for key in keys)
+        return [record for record in found if record is not None]
+
+    def versions_by_key(self) -> dict[str, int]:
+        """Return the digest that exchanges compare."""
+        return {
+            key: record.version for key, record in self._records_by_key.items()
+        }
+
+    def compare(self, theirs: Mapping[str, int]) -> Comparison:
+        """Compare with another instance's versions."""
+        mine = self.versions_by_key()
+        return Comparison(
+            newer_here=tuple(
+                record
+                for key, record in self._records_by_key.items()
+                if record.version > theirs.get(key, 0)
+            ),
+            newer_there=tuple(
+                key
+                for key, version in theirs.items()
+                if version > mine.get(key, 0)
+            ),
+        )
--- /dev/null
+++ b/packages/yuccarill-core/tests/dissemination/test_tree.py
@@ -0,0 +1,98 @@
+"""Test who passes records on to whom."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.dissemination import disseminator
+from yuccarill.core.dissemination.record import Record
+from yuccarill.core.dissemination import tree
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.membership.instances import Instance
+
+
+def members(count: int, data_centres: int) -> list[Instance]:
+    """Make instances spread evenly over data centres."""
+    return [
+        Instance(
+            id=InstanceId(f'i{n}'),
+            data_centre=DataCentreId(f'd{n % data_centres}'),
+            host='127.0.0.1',
+            http_port=1,
+            peer_port=1,
+        )
+        for n in range(count)
+    ]
+
+
+def spread(live: list[Instance], lost: set[str]) -> set[str]:
+    """Return who holds a record that every live watcher was given."""
+    by_id = {
+        member.id: disseminator.Disseminator(
+            member, lambda: live, random.Random(1)
+        )
+        for member in live
+    }
+    waiting = [
+        member.id for member in live if by_id[member.id].view.is_watcher
+    ]
+    holders = set()
+    while waiting:
+        receiver = waiting.pop()
+        if receiver in lost:
+            continue
+        sent = by_id[receiver].receive(Record('k', 1, b''))
+        holders.add(receiver)
+        waiting.extend(child.id for child in sent or ())
+    return holders
+
+
+class TreeTest(unittest.TestCase):
+    @params((1, 1), (2, 1), (6, 3), (37, 1), (410, 11))
+    def test_reaches_everyone_with_bounded_fan_out(
+        self, count: int, data_centres: int
+    ) -> None:
+        live = members(count, data_centres)
+        self.assertEqual({m.id for m in live}, spread(live, set()))
+        views = [tree.View(member, live) for member in live]
+        self.assertLessEqual(
+            max(len(view.children) for view in views), 2 * tree.FAN_OUT
+        )
+        self.assertLessEqual(
+            max(len(view.partners) for view in views),
+            tree.NEAR_PARTNERS + tree.FAR_PARTNERS,
+        )
+        watchers = sum(view.is_watcher for view in views)
+        self.assertLessEqual(watchers, 2 * data_centres)
+
+    def test_one_loss_cuts_off_nobody(self) -> None:
+        # Any one instance dies and the others do not know it yet; what it
+        # should have passed on still comes over the second tree, at once.
+        live = members(37, 1)
+        for lost in live:
+            held = spread(live, {lost.id})
+            self.assertEqual({m.id for m in live} - {lost.id}, held)
+
+    def test_takes_no_lower_version(self) -> None:
+        # A copy delayed in the network arrives after its successor; it is
+        # neither kept nor passed on, so it can't bring back what is gone.
+        mine = disseminator.Disseminator(
+            members(3, 1)[0], lambda: members(3, 1), random.Random(1)
+        )
+        self.assertIsNotNone(mine.receive(Record('k', 2, b'new')))
+        for late in (Record('k', 1, b'old'), Record('k', 2, b'other')):
+            self.assertIsNone(mine.receive(late))
+            self.assertIsNone(mine.publish(late))
+        self.assertEqual(Record('k', 2, b'new'), mine.records.get('k'))
+
+    def test_compares_both_ways(self) -> None:
+        table = disseminator.record_module.RecordTable()
+        table.take(Record('a', 5, b''))
+        table.take(Record('b', 1, b''))
+        found = table.compare({'b': 2, 'c': 1})
+        self.assertEqual((Record('a', 5, b''),), found.newer_here)
+        self.assertEqual(('b', 'c'), found.newer_there)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
@@ -48,7 +48,7 @@
     async def show(self, request: IRequest) -> bytes:
         if self._blackboard.head is None:
             raise errors.NoConfiguration('No configuration was applied yet.')
-        return replies.as_json(request, self._blackboard.head)
+        return replies.as_json(request, self._blackboard.head.head)
 
     @app.route('/configuration', methods=['PUT'])
     @replies.answering_errors
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration.py
@@ -11,6 +11,7 @@
 
 from yuccarill.core.config import head as head_module
 from yuccarill.core.config import reader
+from yuccarill.core.config import snapshot
 from yuccarill.core import errors
 from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import Revision
@@ -56,8 +57,10 @@
     def offer(self, offered: Head) -> None:
         """Take a head unless a newer one is known."""
         current = self._blackboard.head
-        self._blackboard.head = head_module.newer(current, offered)
-        if self._blackboard.head is not current:
+        if current is None or offered.revision > current.revision:
+            self._blackboard.head = snapshot.Snapshot(
+                offered, offered.inventory
+            )
             log.info('Revision in force.', revision=offered.revision)
 
     async def apply(
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/dissemination.py
@@ -0,0 +1,195 @@
+"""Spread versioned records from a few watchers to every instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.dissemination import disseminator
+from yuccarill.core.dissemination.record import Record
+from yuccarill.core import errors
+from yuccarill.daemon import logs
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+    from typing import Any
+
+    from yuccarill.core.membership.instances import Instance
+    from yuccarill.daemon.adapters.key_value import Entry
+    from yuccarill.daemon.adapters.key_value import KeyValueAdapter
+    from yuccarill.daemon.controllers.membership import MembershipController
+    from yuccarill.daemon.peers.peers import Peers
+
+log = logs.for_part('dissemination')
+
+RETRY_SECONDS = 0.5
+# Between two exchanges of versions; a lost copy is made good within three
+# of them even if the first partners do not answer.
+EXCHANGE_MIN_SECONDS = 0.5
+EXCHANGE_MAX_SECONDS = 1.0
+SEND_SECONDS = 0.5
+PARTNERS_A_ROUND = 3
+
+
+def from_entry(key: str, entry: Entry) -> Record | None:
+    """Make a record of a platform key, versioned as the platform does."""
+    if entry.is_absent:
+        return None
+    return Record(key, entry.version, entry.value)
+
+
+class DisseminationController:
+    """Publish records, pass them on and hand them to subscribers."""
+
+    def __init__(
+        self,
+        me: Instance,
+        membership: MembershipController,
+        peers: Peers,
+        key_value: KeyValueAdapter,
+        generator: random.Random,
+        clock: Any,
+    ) -> None:
+        self._peers = peers
+        self._key_value = key_value
+        self._generator = generator
+        self._clock = clock
+        self._callbacks_by_key: dict[str, list[Callable[[Record], None]]] = {}
+        self._disseminator = disseminator.Disseminator(
+            me, membership.live, generator
+        )
+
+    @property
+    def is_watcher(self) -> bool:
+        """Tell whether this instance watches keys for its data centre."""
+        return self._disseminator.view.is_watcher
+
+    def publish(self, record: Record) -> None:
+        """Spread a record that was made here."""
+        self._pass_on(record, self._disseminator.publish(record))
+
+    def subscribe(self, key: str, callback: Callable[[Record], None]) -> None:
+        """Call back with each newer record of a key, and a known one."""
+        self._callbacks_by_key.setdefault(key, []).append(callback)
+        known = self._disseminator.records.get(key)
+        if known is not None:
+            callback(known)
+
+    def newest(self, key: str) -> Record | None:
+        """Return the newest known record of a key."""
+        return self._disseminator.records.get(key)
+
+    async def watch(
+        self,
+        key: str,
+        to_record: Callable[[str, Entry], Record | None] = from_entry,
+    ) -> None:
+        """Watch a platform key for as long as it is this one's duty."""
+        version = 0
+        while True:
+            if not self.is_watcher:
+                await self._sleep(RETRY_SECONDS)
+                continue
+            try:
+                entry = await self._key_value.watch(key, version)
+            except errors.StoreUnavailable as error:
+                log.warning('Key not watched.', key=key, cause=error.message)
+                await self._sleep(RETRY_SECONDS)
+                continue
+            version = entry.version
+            record = to_record(key, entry)
+            if record is not None:
+                self.receive(record)
+
+    async def follow(self) -> None:
+        """Compare versions with partners until the process ends."""
+        while True:
+            await self.exchange()
+            await self._sleep(
+                self._generator.uniform(
+                    EXCHANGE_MIN_SECONDS, EXCHANGE_MAX_SECONDS
+                )
+            )
+
+    async def exchange(self) -> bool:
+        """Compare versions with one partner; tell whether one answered."""
+        order = self._disseminator.exchange_order()
+        for partner in order[:PARTNERS_A_ROUND]:
+            try:
+                await self.exchange_with(partner)
+                return True
+            except errors.YuccarillError:
+                # The next partner is asked at once: a wait for the next
+                # round would add up past the time promised.
+                continue
+        return False
+
+    async def exchange_with(self, partner: Instance) -> None:
+        """Compare versions with a partner and level them.
+
+        Raises NotRun or PeerUnavailable.
+        """
+        records = self._disseminator.records
+        reply = await self._peers.request(
+            partner,
+            messages.RecordExchange(versions_by_key=records.versions_by_key()),
+            SEND_SECONDS,
+        )
+        for record in reply.records:
+            self.receive(record)
+        wanted = tuple(records.select(reply.wanted))
+        if wanted:
+            offer = messages.RecordOffer(records=wanted)
+            await self._peers.request(partner, offer, SEND_SECONDS)
+
+    def handle(
+        self, body: messages.RecordOffer | messages.RecordExchange
+    ) -> messages.Body:
+        """Answer a peer."""
+        match body:
+            case messages.RecordOffer(records=records):
+                for record in records:
+                    self.receive(record)
+                return messages.Done()
+            case messages.RecordExchange(versions_by_key=theirs):
+                found = self._disseminator.records.compare(theirs)
+                return messages.RecordExchanged(
+                    records=found.newer_here, wanted=found.newer_there
+                )
+
+    def receive(self, record: Record) -> None:
+        """Take a record if it is newer and pass it on."""
+        self._pass_on(record, self._disseminator.receive(record))
+
+    def _pass_on(
+        self, record: Record, receivers: list[Instance] | None
+    ) -> None:
+        if receivers is None:
+            return
+        for receiver in receivers:
+            defer.ensureDeferred(self._send(receiver, record))
+        for callback in self._callbacks_by_key.get(record.key, []):
+            self._notify(callback, record)
+
+    def _notify(
+        self, callback: Callable[[Record], None], record: Record
+    ) -> None:
+        try:
+            callback(record)
+        except Exception as error:
+            log.error('Record not used.', key=record.key, cause=repr(error))
+
+    async def _send(self, receiver: Instance, record: Record) -> None:
+        offer = messages.RecordOffer(records=(record,))
+        try:
+            await self._peers.request(receiver, offer, SEND_SECONDS)
+        except Exception as error:
+            # The receiver's other parent or its next exchange brings it.
+            log.debug('Record not sent.', to=receiver.id, cause=repr(error))
+
+    def _sleep(self, seconds: float) -> defer.Deferred[None]:
+        return task.deferLater(self._clock, seconds, lambda: None)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from typing import TYPE_CHECKING
 import uuid
@@ -30,6 +31,7 @@
 from yuccarill.daemon.api import trainers
 from yuccarill.daemon.controllers import calls
 from yuccarill.daemon.controllers import configuration
+from yuccarill.daemon.controllers import dissemination
 from yuccarill.daemon.controllers import membership
 from yuccarill.daemon.controllers import rollouts
 from yuccarill.daemon.controllers import step_routing
@@ -70,6 +72,14 @@
             self._blackboard,
             instance_list.InstanceListAdapter(client, settings.instance_list),
         )
+        self._dissemination = dissemination.DisseminationController(
+            self._blackboard.me,
+            self._membership,
+            self._peers,
+            store,
+            random.Random(),
+            reactor,
+        )
         self._calls = calls.CallController(
             self._blackboard,
             incarnation,
@@ -102,7 +112,11 @@
         """Begin to serve."""
         settings = self._settings
         await self._peers.listen(settings.host, settings.peer_port)
-        for following in (self._configuration, self._membership):
+        for following in (
+            self._configuration,
+            self._membership,
+            self._dissemination,
+        ):
             defer.ensureDeferred(following.follow()).addErrback(self._broken)
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, settings.http_port, interface=settings.host, backlog=1024
@@ -147,6 +161,8 @@
                 | messages.StepAcknowledge()
             ):
                 return self._steps.handle_here(body)
+            case messages.RecordOffer() | messages.RecordExchange():
+                return self._dissemination.handle(body)
             case _:
                 raise errors.FrameInvalid('This message is no request.')
 
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from yuccarill.core.dissemination.record import Record
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
@@ -37,10 +38,23 @@
     retry_after: float | None = None
 
 
-class HeadOffer(Message, frozen=True, tag='head'):
-    """Pass on the newest head of the configuration."""
+class RecordOffer(Message, frozen=True, tag='records'):
+    """Pass on records to take where they are newer."""
 
-    head: bytes
+    records: tuple[Record, ...]
+
+
+class RecordExchange(Message, frozen=True, tag='exchange'):
+    """Compare the versions of all records with a peer's."""
+
+    versions_by_key: dict[str, int]
+
+
+class RecordExchanged(Message, frozen=True, tag='exchanged'):
+    """Return what the asking side lacks and name what this one does."""
+
+    records: tuple[Record, ...]
+    wanted: tuple[str, ...] = ()
 
 
 class Leaving(Message, frozen=True, tag='leaving'):
@@ -102,7 +116,9 @@
     Hello
     | Done
     | Refusal
-    | HeadOffer
+    | RecordOffer
+    | RecordExchange
+    | RecordExchanged
     | Leaving
     | CallRequest
     | CallAnswer
--- a/packages/yuccarill-wire/tests/test_frames.py
+++ b/packages/yuccarill-wire/tests/test_frames.py
@@ -9,12 +9,17 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from yuccarill.core.dissemination.record import Record
 from yuccarill.core import errors
 from yuccarill.core.ids import InstanceId
 from yuccarill.wire import frames
 from yuccarill.wire import messages
 
-ENVELOPE = messages.Envelope(7, False, messages.HeadOffer(head=b'\x00\xff'))
+ENVELOPE = messages.Envelope(
+    7,
+    False,
+    messages.RecordOffer(records=(Record('k', 1, b'\x00\xff'),)),
+)
 
 
 class FramesTest(unittest.TestCase):
