--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Who may act on which duty, and under which epoch."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from yuccarill.core.membership import placement
+from yuccarill.core.leases import shards
 from yuccarill.core.rollouts import step as step_module
 from yuccarill.wire import messages
 
@@ -16,7 +16,7 @@
     from yuccarill.core.ids import StepNumber
     from yuccarill.core.ids import TrainerId
     from yuccarill.core.rollouts.step import StepRequest
-    from yuccarill.daemon.controllers.membership import MembershipController
+    from yuccarill.daemon.controllers.leases import LeaseController
     from yuccarill.daemon.controllers.rollouts import RolloutController
     from yuccarill.daemon.peers.peers import Peers
 
@@ -29,12 +29,12 @@
     def __init__(
         self,
         blackboard: Blackboard,
-        membership: MembershipController,
+        leases: LeaseController,
         rollouts: RolloutController,
         peers: Peers,
     ) -> None:
         self._blackboard = blackboard
-        self._membership = membership
+        self._leases = leases
         self._rollouts = rollouts
         self._peers = peers
 
@@ -75,11 +75,9 @@
                 return messages.Done()
 
     async def _send(self, body: Any) -> Any:
-        live = [instance.id for instance in self._membership.live()]
-        order = placement.rank(f'trainer/{body.trainer}', live)
-        if not order or order[0] == self._blackboard.me.id:
+        holder = self._leases.holder_of(shards.trainer_duty(body.trainer))
+        if holder is None or holder.id == self._blackboard.me.id:
             return self.handle_here(body)
-        holder = self._blackboard.instances_by_id[order[0]]
         return await self._peers.request(holder, body, REQUEST_SECONDS)
 
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -32,6 +32,7 @@
 from yuccarill.daemon.controllers import calls
 from yuccarill.daemon.controllers import configuration
 from yuccarill.daemon.controllers import dissemination
+from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
 from yuccarill.daemon.controllers import rollouts
 from yuccarill.daemon.controllers import step_routing
@@ -80,6 +81,9 @@
             random.Random(),
             reactor,
         )
+        self._leases = leases.LeaseController(
+            self._blackboard, self._membership
+        )
         self._calls = calls.CallController(
             self._blackboard,
             incarnation,
@@ -94,7 +98,7 @@
             store,
         )
         self._steps = step_routing.StepRouting(
-            self._blackboard, self._membership, self._rollouts, self._peers
+            self._blackboard, self._leases, self._rollouts, self._peers
         )
         self._site = server.Site(
             root.build(
