Let faults of the stand-ins be ordered

The stand-ins always worked, so no test could show what happens when an engine, the key-value service or a scorer does not.

Ruled out: one admin server for all parts, since it needs names for parts that an address names already; faults as plain dicts, since a misspelt name would order nothing without a word.

--- a/packages/yuccarill-standins/src/yuccarill/standins/key_value.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/key_value.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import collections
-import itertools
 from typing import TYPE_CHECKING
 
 import klein
-from twisted.internet import defer
-from twisted.internet import reactor
+import msgspec
 
+from yuccarill.standins import faults
+from yuccarill.standins import key_space
 from yuccarill.standins import server
 
 if TYPE_CHECKING:
@@ -19,82 +19,121 @@
 MAX_WAIT_SECONDS = 30.0
 
 
+class KeyValueFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Name the faults of the key-value service."""
+
+    seconds_per_call: float = 0.001
+    # Every call is answered with status 503.
+    is_down: bool = False
+    # Calls are taken and never answered; writes have no effect.
+    is_silent: bool = False
+    # The next writes take effect, and their connection closes unanswered.
+    lose_replies: int = 0
+    # Seconds after which a write is carried out, whoever still waits.
+    delay_writes: float = 0.0
+
+
 class KeyValueStandIn:
-    """Offer compare-and-swap and watches over HTTP."""
+    """Offer compare-and-swap, watches, leases and listing over HTTP."""
 
     app = klein.Klein()
 
     def __init__(self) -> None:
-        self._values_by_key: dict[str, tuple[int, bytes]] = {}
-        self._versions = itertools.count(1)
-        self._watchers_by_key: dict[str, list[defer.Deferred[None]]] = (
-            collections.defaultdict(list)
-        )
-        self.calls_by_kind: collections.Counter[str] = collections.Counter()
-        self.is_down = False
+        self._faults = faults.FaultSwitch(KeyValueFaults())
+        self._space = key_space.KeySpace()
+        self._calls_by_kind: collections.Counter[str] = collections.Counter()
+        self._waiting = 0
+
+    @app.route('/admin/faults', methods=['GET', 'PUT'])
+    def order_faults(self, request: IRequest) -> bytes:
+        answer = self._faults.answer(request)
+        if self._faults.now.is_down or self._faults.now.is_silent:
+            # An outage reaches those who wait as well.
+            self._space.wake_all()
+        return answer
+
+    @app.route('/admin/calls', methods=['GET'])
+    def calls(self, request: IRequest) -> bytes:
+        counted = {**self._calls_by_kind, 'waiting_watches': self._waiting}
+        return server.reply_json(request, counted)
+
+    @app.route('/v1/keys', methods=['GET'])
+    async def show_keys(self, request: IRequest) -> bytes:
+        refusal = await self._refusal(request, 'list')
+        if refusal is not None:
+            return refusal
+        prefix = request.args.get(b'prefix', [b''])[0].decode()
+        return server.reply_json(request, self._space.versions(prefix))
 
     @app.route('/v1/keys/<path:key>', methods=['GET'])
     async def get(self, request: IRequest, key: str) -> bytes:
-        if self.is_down:
-            return server.reply_json(request, {'error': 'down'}, 503)
         after = request.args.get(b'after')
-        if after is None:
-            self.calls_by_kind['read'] += 1
-            return self._reply(request, key)
-        self.calls_by_kind['watch'] += 1
-        if self._version(key) <= int(after[0]):
-            wait = float(request.args.get(b'wait', [b'10'])[0])
-            await self._changed(key, min(wait, MAX_WAIT_SECONDS))
-        return self._reply(request, key)
+        kind = 'read' if after is None else 'watch'
+        refusal = await self._refusal(request, kind)
+        if refusal is not None:
+            return refusal
+        if after is not None and self._space.version(key) <= int(after[0]):
+            await self._wait(request, key)
+            refusal = await self._outage(request)
+            if refusal is not None:
+                return refusal
+        version, value = self._space.get(key)
+        request.setHeader('X-Version', str(version))
+        request.setResponseCode(200 if version else 404)
+        return value
 
     @app.route('/v1/keys/<path:key>', methods=['PUT'])
-    def put(self, request: IRequest, key: str) -> bytes:
-        if self.is_down:
-            return server.reply_json(request, {'error': 'down'}, 503)
-        self.calls_by_kind['write'] += 1
+    async def put(self, request: IRequest, key: str) -> bytes:
+        """Write a key; X-Lease-Seconds removes it unless written again."""
         value = request.content.read()
         if len(value) > MAX_VALUE_BYTES:
             return server.reply_json(request, {'error': 'too long'}, 413)
+        lease = request.getHeader('X-Lease-Seconds')
+        return await self._write(
+            request, key, value, float(lease) if lease else None
+        )
+
+    @app.route('/v1/keys/<path:key>', methods=['DELETE'])
+    async def delete(self, request: IRequest, key: str) -> bytes:
+        return await self._write(request, key, None, None)
+
+    async def _write(
+        self,
+        request: IRequest,
+        key: str,
+        value: bytes | None,
+        lease_seconds: float | None,
+    ) -> bytes:
+        refusal = await self._refusal(request, 'write')
+        if refusal is not None:
+            return refusal
+        await server.sleep(self._faults.now.delay_writes)
         expected = request.getHeader('X-Expected-Version')
-        if expected is not None and int(expected) != self._version(key):
-            return server.reply_json(
-                request, {'version': self._version(key)}, 412
-            )
-        version = next(self._versions)
-        self._values_by_key[key] = (version, value)
-        for watcher in self._watchers_by_key.pop(key, []):
-            watcher.callback(None)
+        standing = self._space.version(key)
+        if expected is not None and int(expected) != standing:
+            return server.reply_json(request, {'version': standing}, 412)
+        version = self._space.put(key, value, lease_seconds)
+        if self._faults.take('lose_replies'):
+            server.cut(request)
+            return b''
         return server.reply_json(request, {'version': version})
 
-    @app.route('/admin/down', methods=['PUT'])
-    def set_down(self, request: IRequest) -> bytes:
-        self.is_down = bool(server.read_json(request))
-        return server.reply_json(request, self.is_down)
-
-    @app.route('/admin/calls', methods=['GET'])
-    def calls(self, request: IRequest) -> bytes:
-        return server.reply_json(request, self.calls_by_kind)
-
-    def _version(self, key: str) -> int:
-        return self._values_by_key.get(key, (0, b''))[0]
-
-    def _reply(self, request: IRequest, key: str) -> bytes:
-        version, value = self._values_by_key.get(key, (0, b''))
-        request.setHeader('X-Version', str(version))
-        request.setResponseCode(200 if version else 404)
-        return value
-
-    def _changed(self, key: str, seconds: float) -> defer.Deferred[None]:
-        watcher: defer.Deferred[None] = defer.Deferred()
-        self._watchers_by_key[key].append(watcher)
-        timer = reactor.callLater(seconds, self._expire, key, watcher)
-
-        def cancel_timer(result: None) -> None:
-            if timer.active():
-                timer.cancel()
-
-        return watcher.addCallback(cancel_timer)
-
-    def _expire(self, key: str, watcher: defer.Deferred[None]) -> None:
-        self._watchers_by_key[key].remove(watcher)
-        watcher.callback(None)
+    async def _wait(self, request: IRequest, key: str) -> None:
+        wait = float(request.args.get(b'wait', [b'10'])[0])
+        self._waiting += 1
+        try:
+            await self._space.changed(key, min(wait, MAX_WAIT_SECONDS))
+        finally:
+            self._waiting -= 1
+
+    async def _refusal(self, request: IRequest, kind: str) -> bytes | None:
+        self._calls_by_kind[kind] += 1
+        await server.sleep(self._faults.now.seconds_per_call)
+        return await self._outage(request)
+
+    async def _outage(self, request: IRequest) -> bytes | None:
+        if self._faults.now.is_silent:
+            return await server.never()
+        if self._faults.now.is_down:
+            return server.reply_json(request, {'error': 'down'}, 503)
+        return None
--- a/packages/yuccarill-standins/src/yuccarill/standins/server.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/server.py
@@ -13,10 +13,13 @@
 from twisted.web import server
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import klein
     from twisted.web.iweb import IRequest
 
 LOOPBACK = '127.0.0.1'
+POLL_SECONDS = 0.02
 
 
 async def listen(app: klein.Klein, port: int = 0) -> int:
@@ -44,3 +47,26 @@
 def sleep(seconds: float) -> defer.Deferred[None]:
     """Wait on the reactor's clock."""
     return task.deferLater(reactor, seconds, lambda: None)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    while not condition():
+        await sleep(POLL_SECONDS)
+
+
+def watch_for_loss(request: IRequest) -> Callable[[], bool]:
+    """Return a function that tells whether the client has gone."""
+    lost = []
+    request.notifyFinish().addErrback(lost.append)
+    return lambda: bool(lost)
+
+
+def cut(request: IRequest) -> None:
+    """Close a request's connection at once, with no reply."""
+    request.channel.forceAbortClient()
+
+
+def never() -> defer.Deferred[bytes]:
+    """Return a reply that does not come."""
+    return defer.Deferred()
--- a/packages/yuccarill-standins/src/yuccarill/standins/site.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/site.py
@@ -26,7 +26,7 @@
     inventory = tomllib.loads(example.read_text())
     for entry in inventory.get('engines', []):
         app = engine.EngineStandIn(
-            entry['id'], entry.get('checks_fencing', False)
+            entry['id'], entry.get('checks_fencing', False), entry['model']
         ).app
         entry['address'] = await _address(app)
     for entry in inventory.get('targets', []):
