Relay TCP connections that can be cut or go silent

Connections that go silent for good while new ones work could not be caused: signals stop a whole process, not one connection.

Ruled out: twisted's portforward, which pauses the producer on both sides and gives no place to hold bytes back; firewall rules, which need rights.

--- a/packages/yuccarill-standins/src/yuccarill/standins/site.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/site.py
@@ -10,6 +10,7 @@
 from yuccarill.standins import instance_list
 from yuccarill.standins import key_value
 from yuccarill.standins import plain_target
+from yuccarill.standins import relay
 from yuccarill.standins import scorer
 from yuccarill.standins import server
 from yuccarill.standins import weight_store
@@ -40,6 +41,7 @@
             instance_list.InstanceListStandIn().app
         ),
         'weight_store': await _address(weight_store.WeightStoreStandIn().app),
+        'relays': await _address(relay.RelayAdmin().app),
     }
     folder.mkdir(parents=True, exist_ok=True)
     (folder / 'inventory.json').write_text(json.dumps(inventory, indent=1))
