Hold the core free of input and output

Nothing kept a reactor, a socket or an HTTP library from being imported into the core, which others are to embed. A fresh interpreter now imports every module of it and looks at what was loaded.

msgspec itself loads the C module _socket, which opens nothing; the test therefore looks for socket. With an import of socket put into rules.py the test fails.

--- /dev/null
+++ b/packages/yuccarill-core/tests/test_imports.py
@@ -0,0 +1,46 @@
+"""Test what importing the core brings along."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+
+# Every module of the core is imported in a fresh interpreter, which then
+# prints what it loaded. Modules that hold a reactor, a socket or an HTTP
+# server would make the core unfit to embed.
+_SCRIPT = """
+import importlib, pkgutil, sys
+import yuccarill.core
+for found in pkgutil.walk_packages(yuccarill.core.__path__, 'yuccarill.core.'):
+    importlib.import_module(found.name)
+print('\\n'.join(sys.modules))
+"""
+_FORBIDDEN = {
+    'asyncio',
+    'click',
+    'klein',
+    'select',
+    'socket',
+    'structlog',
+    'treq',
+    'yuccarill.cli',
+    'yuccarill.daemon',
+    'yuccarill.standins',
+    'yuccarill.wire',
+}
+
+
+class ImportTest(unittest.TestCase):
+    def test_core_brings_no_input_or_output(self) -> None:
+        finished = subprocess.run(
+            [sys.executable, '-c', _SCRIPT],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        loaded = set(finished.stdout.split())
+        self.assertIn('yuccarill.core.config.reader', loaded)
+        self.assertEqual(set(), loaded & _FORBIDDEN)
+        twisted = {name for name in loaded if name.startswith('twisted')}
+        self.assertEqual(set(), twisted)
