--- a/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -14,6 +15,47 @@
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import TrainerId
 
+MAX_SHARE = 1000
+MAX_STEPS = 100
+MAX_PATHS = 1000
+
+# Names become parts of keys and paths, so they hold nothing that would
+# need escaping there. The descriptions tell operators what to write.
+_NAME = msgspec.Meta(
+    pattern=r'\A[A-Za-z0-9][A-Za-z0-9._-]{0,99}\Z',
+    description='a name of letters, digits, ".", "_" and "-", up to 100',
+)
+_PATH = msgspec.Meta(
+    pattern=r'\A[A-Za-z0-9._~-]{1,100}\Z',
+    description='the first part of a path, with no "/"',
+)
+_ADDRESS = msgspec.Meta(
+    max_length=60, description='an IP number and a port, as 127.0.0.1:9101'
+)
+_Share = Annotated[
+    int,
+    msgspec.Meta(
+        ge=1, le=MAX_SHARE, description=f'a whole number, 1 to {MAX_SHARE}'
+    ),
+]
+_Steps = Annotated[
+    int,
+    msgspec.Meta(
+        ge=0, le=MAX_STEPS, description=f'a whole number, 0 to {MAX_STEPS}'
+    ),
+]
+_Part = Annotated[
+    float, msgspec.Meta(ge=0, le=1, description='a number from 0 to 1')
+]
+_Address = Annotated[str, _ADDRESS]
+_Path = Annotated[str, _PATH]
+_Paths = Annotated[
+    tuple[_Path, ...],
+    msgspec.Meta(
+        max_length=MAX_PATHS, description='a list of paths, as ["reserve"]'
+    ),
+]
+
 
 class Entry(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
@@ -31,64 +73,64 @@
 class Caller(Entry, frozen=True):
     """Describe one caller and its share under load."""
 
-    id: CallerId
+    id: Annotated[CallerId, _NAME]
     caller_class: CallerClass = CallerClass.LATENCY
-    share: int = 1
+    share: _Share = 1
 
 
 class Model(Entry, frozen=True):
     """Describe one model that engines load."""
 
-    name: ModelName
+    name: Annotated[ModelName, _NAME]
     # The part of its engines that serve while weights are switched.
-    serving_part: float = 0.5
+    serving_part: _Part = 0.5
 
 
 class Service(Entry, frozen=True):
     """Describe one plain service."""
 
-    name: ServiceName
+    name: Annotated[ServiceName, _NAME]
     # Paths whose calls run at most once.
-    not_repeatable: tuple[str, ...] = ()
+    not_repeatable: _Paths = ()
 
 
 class Engine(Entry, frozen=True):
     """Describe one target that runs a model."""
 
-    id: TargetId
-    model: ModelName
-    address: str
-    data_centre: DataCentreId
+    id: Annotated[TargetId, _NAME]
+    model: Annotated[ModelName, _NAME]
+    address: _Address
+    data_centre: Annotated[DataCentreId, _NAME]
     checks_fencing: bool = False
 
 
 class Target(Entry, frozen=True):
     """Describe one target that runs a plain service."""
 
-    id: TargetId
-    service: ServiceName
-    address: str
-    data_centre: DataCentreId
+    id: Annotated[TargetId, _NAME]
+    service: Annotated[ServiceName, _NAME]
+    address: _Address
+    data_centre: Annotated[DataCentreId, _NAME]
 
 
 class Scorer(Entry, frozen=True):
     """Describe one scoring service."""
 
-    id: ScorerId
-    address: str
+    id: Annotated[ScorerId, _NAME]
+    address: _Address
 
 
 class StalenessFirst(Entry, frozen=True, tag='staleness'):
     """Prefer fresh samples over a busy trainer."""
 
-    steps_ahead: int = 0
+    steps_ahead: _Steps = 0
 
 
 class IdleFirst(Entry, frozen=True, tag='idle'):
     """Prefer a busy trainer over fresh samples."""
 
-    steps_ahead: int = 1
-    spare_groups: int = 0
+    steps_ahead: _Steps = 1
+    spare_groups: _Steps = 0
 
 
 TrainerPolicy = StalenessFirst | IdleFirst
@@ -97,13 +139,13 @@
 class Trainer(Entry, frozen=True):
     """Describe one trainer and what it weighs."""
 
-    id: TrainerId
-    model: ModelName
-    scorer: ScorerId
+    id: Annotated[TrainerId, _NAME]
+    model: Annotated[ModelName, _NAME]
+    scorer: Annotated[ScorerId, _NAME]
     # Weight versions that a sample may lie behind the trainer's newest.
-    staleness_bound: int
+    staleness_bound: _Steps
     policy: TrainerPolicy
-    share: int = 1
+    share: _Share = 1
 
 
 class Inventory(Entry, frozen=True):
