Decide how a model's new weights reach its engines

Weights change every few minutes, and a swap takes an engine out of service. Nothing decided which engines stage and switch, or when.

The model's holder gives each order itself, against reports of the holders of the engines' shards. Ruled out: a floor for each shard's holder by itself, since a shard of one engine could then never switch, and lockstep waves, which wait for the slowest engine of each.

--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/record.py
@@ -0,0 +1,169 @@
+"""What a model's holder knows of one engine."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.weights.orders import NO_VERSION
+from yuccarill.core.weights.orders import Order
+from yuccarill.core.weights.orders import OrderKind
+from yuccarill.core.weights.orders import OrderOutcome
+from yuccarill.core.weights.orders import Report
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import DataCentreId
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.weights.retries import RetryPolicy
+
+
+class WeightState(enum.Enum):
+    """Name the steps of an engine's way to a new version."""
+
+    UNKNOWN = 'unknown'
+    LOST = 'lost'
+    SERVING = 'serving'
+    STAGING = 'staging'
+    STAGED = 'staged'
+    SWITCHING = 'switching'
+    FAILED = 'failed'
+
+
+_SERVING_STATES = frozenset(
+    {
+        WeightState.SERVING,
+        WeightState.STAGING,
+        WeightState.STAGED,
+        WeightState.FAILED,
+    }
+)
+# Ends that say nothing against the engine.
+_NO_FAILURES = frozenset({OrderOutcome.REFUSED, OrderOutcome.NOT_SENT})
+
+
+@dataclasses.dataclass
+class TargetRecord:
+    """Follow one engine from reports and from the orders given."""
+
+    target: TargetId
+    data_centre: DataCentreId
+    state: WeightState = WeightState.UNKNOWN
+    weight_version: WeightVersion = NO_VERSION
+    staged_version: WeightVersion = NO_VERSION
+    is_busy: bool = False
+    order: Order | None = None
+    # The reporting holder's epoch when the order was given.
+    order_epoch: Epoch = Epoch(0)
+    order_until: Instant = Instant(0.0)
+    failures: int = 0
+    retry_at: Instant = Instant(0.0)
+    seen: tuple[Epoch, int] = (Epoch(0), 0)
+
+    @property
+    def is_serving(self) -> bool:
+        return self.state in _SERVING_STATES and not self.is_busy
+
+    @property
+    def is_switching(self) -> bool:
+        return self.state is WeightState.SWITCHING
+
+    @property
+    def best_version(self) -> WeightVersion:
+        return max(self.weight_version, self.staged_version)
+
+    def begin(self, order: Order, until: Instant) -> None:
+        """Note an order that is being given."""
+        self.order = order
+        self.order_epoch = self.seen[0]
+        self.order_until = until
+        self.state = (
+            WeightState.STAGING
+            if order.kind is OrderKind.STAGE
+            else WeightState.SWITCHING
+        )
+
+    def take(self, report: Report, now: Instant, retries: RetryPolicy) -> None:
+        """Take a report unless a newer one was taken."""
+        # Reports on a stream that was cut and made anew can be overtaken.
+        # The older one would show a version that is gone as current.
+        if (report.epoch, report.sequence) <= self.seen:
+            return
+        self.seen = (report.epoch, report.sequence)
+        self.weight_version = report.weight_version
+        self.staged_version = report.staged_version
+        self.is_busy = report.is_busy
+        if self.order is not None and not self._is_pending(report):
+            outcome = OrderOutcome.NOT_SENT
+            if report.order_number == self.order.number:
+                outcome = report.outcome or outcome
+            self._conclude(outcome, now, retries)
+        if self.order is None:
+            self._settle(report.is_reachable, now)
+
+    def expire(self, now: Instant, retries: RetryPolicy) -> None:
+        """Give up an order that nobody reports on, end a backoff."""
+        if self.order is not None and now >= self.order_until:
+            self._conclude(OrderOutcome.SILENT, now, retries)
+            self._settle(True, now)
+        elif self.state is WeightState.FAILED:
+            self._settle(True, now)
+
+    def drop_order(self, now: Instant) -> None:
+        """Forget an order that can not have been sent."""
+        if self.order is not None:
+            self.order = None
+            self._settle(True, now)
+
+    def forget(self) -> None:
+        """Hold what is known as out of date, once the holder changed."""
+        if self.order is None:
+            self.state = WeightState.UNKNOWN
+
+    def renew_budget(self) -> None:
+        """Let a new version be tried at once."""
+        self.failures = 0
+        self.retry_at = Instant(0.0)
+
+    def _is_pending(self, report: Report) -> bool:
+        assert self.order is not None
+        if report.order_number == self.order.number:
+            return report.outcome is None
+        # The holder that was to send the order has lost its lease, and
+        # what it may have sent shows in the successor's is_busy.
+        if report.epoch > self.order_epoch:
+            return False
+        return not self._has_effect(self.order)
+
+    def _has_effect(self, order: Order) -> bool:
+        if order.kind is OrderKind.STAGE:
+            return self.best_version >= order.version
+        return self.weight_version >= order.version
+
+    def _conclude(
+        self, outcome: OrderOutcome, now: Instant, retries: RetryPolicy
+    ) -> None:
+        assert self.order is not None
+        # What the engine reports decides, not what the reply said: a reply
+        # may be lost after the effect, or say done without one.
+        if self._has_effect(self.order):
+            self.renew_budget()
+        elif outcome in _NO_FAILURES:
+            self.retry_at = Instant(now + retries.base_seconds)
+        else:
+            self.failures += 1
+            self.retry_at = retries.retry_at(self.failures, now)
+        self.order = None
+
+    def _settle(self, is_reachable: bool, now: Instant) -> None:
+        if not is_reachable:
+            self.state = WeightState.LOST
+        elif now < self.retry_at:
+            self.state = WeightState.FAILED
+        elif self.staged_version > self.weight_version:
+            self.state = WeightState.STAGED
+        else:
+            self.state = WeightState.SERVING
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/tokens.py
@@ -0,0 +1,50 @@
+"""Spread downloads over time so that a store's rate limit holds."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import Instant
+
+BURST_SECONDS = 0.2
+
+
+@dataclasses.dataclass
+class TokenSchedule:
+    """Hand out tokens at a steady rate; start with none."""
+
+    # A new holder that started with a full burst would add it to what its
+    # predecessor took a moment ago, and the store would refuse both.
+    rate: float
+    filled_at: Instant
+    tokens: float = 0.0
+
+    def take(self, now: Instant, cost: float = 1.0) -> bool:
+        """Take tokens if there are enough."""
+        self._fill(now)
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        return True
+
+    def set_rate(self, rate: float, now: Instant) -> None:
+        """Change the rate from now on."""
+        self._fill(now)
+        self.rate = rate
+
+    def _fill(self, now: Instant) -> None:
+        burst = max(1.0, self.rate * BURST_SECONDS)
+        grown = self.tokens + self.rate * max(0.0, now - self.filled_at)
+        self.tokens = min(burst, grown)
+        self.filled_at = max(self.filled_at, now)
+
+
+def model_rate(total: float, engines: int, all_engines: int) -> float:
+    """Return a model's share of the store's downloads a second.
+
+    The shares of all models add up to the total, so that their holders
+    keep the store's limit without asking each other.
+    """
+    return total * engines / all_engines if all_engines else 0.0
