Decide each step of a trainer once, by a claim and a manifest

Cause: a holder whose own write of the manifest took effect but whose reply was lost saw a conflict with itself and failed the step; a holder that lost the race failed too instead of returning what the other had delivered; a failed step was forgotten and its trainer polled an unknown step; samples were judged once, when each was finished, and by the version of the request; a closed step could be made again.

Change: a step's key holds a claim, then the manifest, then a closed mark. An announced version changes the claims of all open steps, so a manifest that was judged by an older one can't be written. The decision is made by the first fetch that finds the step whole. A low-water mark a trainer keeps closed steps closed.

Changed test: test_freshness passes the oldest version, as is_fresh takes it.

--- a/packages/yuccarill-core/src/yuccarill/core/errors.py
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -35,6 +35,9 @@
     STEP_CONFLICT = 4001
     STEP_PENDING = 4002
     GROUP_FAILED = 4003
+    STEP_CLOSED = 4004
+    SAMPLES_LOST = 4005
+    CLAIM_LOST = 4006
     SETTINGS_INVALID = 5001
     INTERNAL = 9001
 
@@ -200,6 +203,27 @@
     http_status = 502
 
 
+class StepClosed(RolloutError):
+    """Refuse a step that its trainer has closed before."""
+
+    code = ResultCode.STEP_CLOSED
+    http_status = 410
+
+
+class SamplesLost(RolloutError):
+    """Report a decided step whose samples can't be read now."""
+
+    code = ResultCode.SAMPLES_LOST
+    http_status = 503
+
+
+class ClaimLost(RolloutError):
+    """Report that another instance works on the step."""
+
+    code = ResultCode.CLAIM_LOST
+    http_status = 503
+
+
 class SettingsInvalid(YuccarillError):
     """Refuse settings, naming every fault found, one a line."""
 
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/delivery.py
@@ -0,0 +1,57 @@
+"""The bytes that a trainer receives for a step."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from yuccarill.core import errors
+from yuccarill.core.rollouts import records
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from yuccarill.core.ids import SampleId
+
+
+class Delivery(msgspec.Struct, frozen=True):
+    """Hold a manifest and its samples, each already encoded."""
+
+    manifest: msgspec.Raw
+    samples: tuple[msgspec.Raw, ...]
+
+
+def digest(samples: Iterable[bytes]) -> str:
+    """Return the digest of encoded samples in their order."""
+    total = xxhash.xxh3_128()
+    for encoded in samples:
+        total.update(encoded)
+    return total.hexdigest()
+
+
+def encode(
+    manifest: records.Manifest, encoded_by_id: Mapping[SampleId, bytes]
+) -> bytes:
+    """Encode a delivery, the same bytes wherever it is done.
+
+    Raises SamplesLost if the samples are not those that were decided on.
+    """
+    samples = [encoded_by_id.get(name, b'') for name in manifest.sample_ids]
+    missing = samples.count(b'')
+    if missing or digest(samples) != manifest.digest:
+        raise errors.SamplesLost(
+            f'Step {manifest.step} of {manifest.trainer} was decided, but '
+            f'{missing or "some"} of its samples are not at hand; if its '
+            'disk instances will not come back, delete the step and submit '
+            'it under a new number.',
+            retry_after=1.0,
+        )
+    return msgspec.json.encode(
+        Delivery(
+            msgspec.Raw(records.encode(manifest)),
+            tuple(msgspec.Raw(sample) for sample in samples),
+        )
+    )
--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/step.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/step.py
@@ -1,14 +1,11 @@
-"""A trainer's step as it asks for it and as it is delivered."""
+"""A trainer's step as it asks for it."""
 
 from __future__ import annotations
 
 import msgspec
+import xxhash
 
-from yuccarill.core.ids import Revision
-from yuccarill.core.ids import SampleId
 from yuccarill.core.ids import StepNumber
-from yuccarill.core.ids import TrainerId
-from yuccarill.core.ids import WallTime
 from yuccarill.core.ids import WeightVersion
 
 
@@ -27,19 +24,14 @@
     newest_version: WeightVersion
     groups: tuple[Group, ...]
 
-
-class Manifest(msgspec.Struct, frozen=True, kw_only=True):
-    """Name the samples that a step delivers."""
-
-    trainer: TrainerId
-    step: StepNumber
-    newest_version: WeightVersion
-    sample_ids: tuple[SampleId, ...]
-    digest: str
-    revision: Revision
-    decided_at: WallTime
-
-
-def manifest_key(trainer: TrainerId, step: StepNumber) -> str:
-    """Return the key under which a step's manifest stands."""
-    return f'trainers/{trainer}/steps/{step}'
+    @property
+    def size(self) -> int:
+        """Return how many samples the step has."""
+        return sum(group.samples for group in self.groups)
+
+    @property
+    def digest(self) -> str:
+        """Return a digest that tells another request of the same number."""
+        # The newest version is left out: a trainer that restarts submits
+        # the same groups again with the version that it has by then.
+        return xxhash.xxh3_128_hexdigest(msgspec.json.encode(self.groups))
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/work.py
@@ -0,0 +1,100 @@
+"""One step while its holder works on it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import GroupNumber
+from yuccarill.core.rollouts import delivery
+from yuccarill.core.rollouts import sample as sample_module
+
+if TYPE_CHECKING:
+    from yuccarill.core import errors
+    from yuccarill.core.ids import SampleId
+    from yuccarill.core.ids import StepNumber
+    from yuccarill.core.ids import TrainerId
+    from yuccarill.core.ids import WeightVersion
+    from yuccarill.core.rollouts.records import Manifest
+    from yuccarill.core.rollouts.sample import Finished
+    from yuccarill.core.rollouts.sample import Place
+    from yuccarill.core.rollouts.step import StepRequest
+
+
+class StepWork:
+    """Collect a step's finished samples until they are decided on."""
+
+    def __init__(self, trainer: TrainerId, request: StepRequest) -> None:
+        self.trainer = trainer
+        self.request = request
+        self.digest = request.digest
+        self.finished_by_place: dict[Place, Finished] = {}
+        self.error: errors.YuccarillError | None = None
+        self.manifest: Manifest | None = None
+        self.body: bytes | None = None
+        # What a trainer is told that the step waits for.
+        self.waits_for = 'its samples'
+
+    @property
+    def step(self) -> StepNumber:
+        return self.request.step
+
+    @property
+    def is_whole(self) -> bool:
+        return len(self.finished_by_place) == self.request.size
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the step still takes samples."""
+        return self.error is None and self.manifest is None
+
+    def places(self) -> list[Place]:
+        """Return every place of the step, in the order of delivery."""
+        return [
+            sample_module.Place(GroupNumber(number), member)
+            for number, group in enumerate(self.request.groups)
+            for member in range(group.samples)
+        ]
+
+    def take(self, finished: Finished) -> bool:
+        """Take a sample unless its place is filled or the step decided."""
+        place = sample_module.place_of(finished.id)
+        # A hedged attempt or a scorer's second answer may come after the
+        # first; a place counts once, or the step would seem whole early.
+        if not self.is_open or place in self.finished_by_place:
+            return False
+        self.finished_by_place[place] = finished
+        return True
+
+    def drop_stale(self, newest: WeightVersion, bound: int) -> list[Place]:
+        """Drop the samples that are too old and return their places."""
+        stale = [
+            place
+            for place, finished in self.finished_by_place.items()
+            if not sample_module.is_fresh(
+                finished.oldest_version, newest, bound
+            )
+        ]
+        for place in stale:
+            del self.finished_by_place[place]
+        return stale
+
+    def in_order(self) -> list[Finished]:
+        """Return the samples in the order of delivery."""
+        return [self.finished_by_place[place] for place in self.places()]
+
+    def encoded_by_id(self) -> dict[SampleId, bytes]:
+        """Return the samples' bytes by their names."""
+        return {f.id: f.encoded for f in self.finished_by_place.values()}
+
+    def sample_digest(self) -> str:
+        """Return the digest of the samples that a manifest would name."""
+        return delivery.digest(f.encoded for f in self.in_order())
+
+    def decide(self, manifest: Manifest) -> None:
+        """Take the manifest that stands; nothing is made for it any more."""
+        self.manifest = manifest
+
+    def deliver(self, body: bytes) -> None:
+        """Keep the bytes for further fetches, and only those."""
+        self.body = body
+        self.finished_by_place = {}
--- a/packages/yuccarill-core/tests/rollouts/test_sample.py
+++ b/packages/yuccarill-core/tests/rollouts/test_sample.py
@@ -25,5 +25,7 @@
             id=SampleId('s'), group=GroupNumber(0), spans=spans
         )
         self.assertEqual((1, 2, 3), spans[0].tokens)
-        found = sample.is_fresh(made, WeightVersion(newest), bound)
+        found = sample.is_fresh(
+            made.oldest_version, WeightVersion(newest), bound
+        )
         self.assertIs(fresh, found)
--- /dev/null
+++ b/packages/yuccarill-core/tests/rollouts/test_work.py
@@ -0,0 +1,62 @@
+"""Test how a step collects its samples."""
+
+from __future__ import annotations
+
+import unittest
+
+from yuccarill.core import errors
+from yuccarill.core.ids import Incarnation
+from yuccarill.core.ids import StepNumber
+from yuccarill.core.ids import TrainerId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.rollouts import sample
+from yuccarill.core.rollouts import step
+from yuccarill.core.rollouts import work as work_module
+
+
+def _finished(
+    work: work_module.StepWork, place: sample.Place, attempt: int
+) -> sample.Finished:
+    name = sample.sample_id(
+        work.trainer, work.step, place, Incarnation('i'), attempt
+    )
+    encoded = f'"{name}"'.encode()
+    return sample.Finished(name, WeightVersion(attempt), encoded)
+
+
+class StepWorkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        groups = (step.Group('p', samples=1), step.Group('q', samples=2))
+        self.work = work_module.StepWork(
+            TrainerId('a/b'),
+            step.StepRequest(StepNumber(1), WeightVersion(1), groups),
+        )
+
+    def test_place_is_filled_once(self) -> None:
+        # A hedged attempt finishes after the first one, or the scorer
+        # answers twice: the step keeps the first and is not whole early.
+        place, *others = self.work.places()
+        self.assertTrue(self.work.take(_finished(self.work, place, 1)))
+        for _ in range(2):
+            self.assertFalse(self.work.take(_finished(self.work, place, 2)))
+        self.assertFalse(self.work.is_whole)
+        for other in others:
+            self.work.take(_finished(self.work, other, 3))
+        self.assertTrue(self.work.is_whole)
+        self.assertEqual([1, 3, 3], [f.oldest_version for f in self._all()])
+
+    def test_nothing_is_taken_after_the_end(self) -> None:
+        # Attempts still under way when the step fails or closes end late.
+        self.work.error = errors.GroupFailed('a group failed')
+        place = self.work.places()[0]
+        self.assertFalse(self.work.take(_finished(self.work, place, 1)))
+
+    def test_only_stale_places_are_dropped(self) -> None:
+        for attempt, place in enumerate(self.work.places()):
+            self.work.take(_finished(self.work, place, attempt))
+        stale = self.work.drop_stale(WeightVersion(3), 1)
+        self.assertEqual(self.work.places()[:2], stale)
+        self.assertEqual(1, len(self.work.finished_by_place))
+
+    def _all(self) -> list[sample.Finished]:
+        return self.work.in_order()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING
 
 import klein
+import msgspec
 
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
+from yuccarill.core.ids import WeightVersion
 from yuccarill.core.rollouts.step import StepRequest
 from yuccarill.daemon.api import replies
 
@@ -17,6 +19,12 @@
     from yuccarill.daemon.controllers.step_routing import StepRouting
 
 
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Tell the newest weight version that a trainer has made."""
+
+    newest_version: WeightVersion
+
+
 class TrainerApi:
     """Answer trainers."""
 
@@ -46,3 +54,18 @@
     ) -> bytes:
         await self._steps.acknowledge(TrainerId(trainer), StepNumber(step))
         return replies.as_json(request, {'step': step})
+
+    @app.route('/<trainer>/steps/<int:step>', methods=['DELETE'])
+    @replies.answering_errors
+    async def delete(
+        self, request: IRequest, trainer: str, step: int
+    ) -> bytes:
+        await self._steps.delete(TrainerId(trainer), StepNumber(step))
+        return replies.as_json(request, {'step': step})
+
+    @app.route('/<trainer>/newest', methods=['PUT'])
+    @replies.answering_errors
+    async def announce(self, request: IRequest, trainer: str) -> bytes:
+        told = replies.decode(request, Announcement)
+        await self._steps.announce(TrainerId(trainer), told.newest_version)
+        return replies.as_json(request, told)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -1,221 +1,346 @@
-"""Work on trainers' steps."""
+"""Take trainers' steps and deliver each of them once."""
 
 from __future__ import annotations
 
 import time
 from typing import TYPE_CHECKING
 
-import msgspec
 from twisted.internet import defer
-import xxhash
 
 from yuccarill.core import errors
-from yuccarill.core.ids import GroupNumber
-from yuccarill.core.ids import SampleId
-from yuccarill.core.ids import StepNumber
-from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WallTime
-from yuccarill.core.rollouts import sample as sample_module
-from yuccarill.core.rollouts import step as step_module
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.leases import shards
+from yuccarill.core.rollouts import delivery
+from yuccarill.core.rollouts import records
+from yuccarill.core.rollouts import work as work_module
+from yuccarill.daemon.controllers import step_ledger
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from yuccarill.core.blackboard import Blackboard
-    from yuccarill.core.config.inventory import Inventory
     from yuccarill.core.config.inventory import Trainer
-    from yuccarill.core.rollouts.sample import Sample
-    from yuccarill.core.rollouts.sample import Span
-    from yuccarill.daemon.adapters.engine import Chunk
-    from yuccarill.daemon.adapters.key_value import KeyValueAdapter
-    from yuccarill.daemon.adapters.scorer import ScorerAdapter
-    from yuccarill.daemon.controllers.calls import CallController
-
-log = logs.for_part('rollouts')
-
-MAX_TRIES = 5
-SAMPLE_SECONDS = 60.0
+    from yuccarill.core.ids import Epoch
+    from yuccarill.core.ids import Incarnation
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import StepNumber
+    from yuccarill.core.ids import TrainerId
+    from yuccarill.core.rollouts.step import StepRequest
+    from yuccarill.core.rollouts.work import StepWork
+    from yuccarill.daemon.controllers.sampling import SampleMaker
 
+    AskHolder = Callable[[InstanceId, TrainerId, StepNumber], Awaitable[bytes]]
 
-class Delivery(msgspec.Struct, frozen=True):
-    """Hold what a trainer receives for a step."""
+log = logs.for_part('rollouts')
 
-    manifest: step_module.Manifest
-    samples: tuple[sample_module.Sample, ...]
+PENDING_SECONDS = 0.2
+# A claim is lost to each announcement and to another holder's claim.
+DECIDE_TRIES = 3
 
 
 class RolloutController:
-    """Make, score and deliver the samples of steps."""
+    """Hold the steps that this instance works on."""
 
     def __init__(
         self,
         blackboard: Blackboard,
-        calls: CallController,
-        scorer: ScorerAdapter,
-        key_value: KeyValueAdapter,
+        incarnation: Incarnation,
+        ledger: step_ledger.StepLedger,
+        maker: SampleMaker,
+        ask_holder: AskHolder,
+        epoch_for: Callable[[str], Epoch | None],
     ) -> None:
         self._blackboard = blackboard
-        self._calls = calls
-        self._scorer = scorer
-        self._key_value = key_value
-        self._steps_by_key: dict[
-            tuple[TrainerId, StepNumber], defer.Deferred[bytes]
-        ] = {}
-        self._delivered_by_key: dict[tuple[TrainerId, StepNumber], bytes] = {}
-        self._newest_by_trainer: dict[TrainerId, int] = {}
-
-    def submit(
-        self, trainer_id: TrainerId, request: step_module.StepRequest
+        self._incarnation = incarnation
+        self._ledger = ledger
+        self._maker = maker
+        self._ask_holder = ask_holder
+        self._epoch_for = epoch_for
+        self._work_by_key: dict[tuple[TrainerId, StepNumber], StepWork] = {}
+        self._claims_by_work: dict[StepWork, step_ledger.Claimed] = {}
+        self._locks_by_work: dict[StepWork, defer.DeferredLock] = {}
+        # The newest version that each trainer announced, here or, as far
+        # as the store was asked, elsewhere.
+        self._newest_by_trainer: dict[TrainerId, WeightVersion] = {}
+
+    async def submit(
+        self, trainer_id: TrainerId, request: StepRequest
     ) -> None:
-        """Start a step unless it has been started."""
+        """Start a step unless it has been started.
+
+        Raises StepClosed, StepConflict or UnknownTrainer.
+        """
         trainer = self._trainer(trainer_id)
-        key = (trainer_id, request.step)
-        newest = self._newest_by_trainer.get(trainer_id, 0)
-        self._newest_by_trainer[trainer_id] = max(
-            newest, request.newest_version
-        )
-        if key in self._steps_by_key:
-            return
-        log.info('Step started.', trainer=trainer_id, step=request.step)
-        work = defer.ensureDeferred(self._work(trainer, request))
-        self._steps_by_key[key] = work
-        work.addErrback(self._failed, key)
+        if not records.manifest_fits(trainer_id, request.size):
+            raise errors.RequestError(
+                f'Step {request.step} has {request.size} samples, too many '
+                'for one manifest; split the step.'
+            )
+        work = self._begin(trainer, request)
+        try:
+            if work.is_open and work not in self._claims_by_work:
+                await self._claim(work)
+            elif request.newest_version > self._newest(trainer_id):
+                await self.announce(trainer_id, request.newest_version)
+        except errors.StoreUnavailable as error:
+            # Samples may be made without the store, only not delivered.
+            # The claim is made up for when the step is fetched.
+            log.warning('Step not claimed yet.', cause=error.message)
+            work.waits_for = 'the key-value service, to be claimed'
+        except errors.RolloutError as error:
+            self._forget(work, error)
+            raise
 
-    def fetch(self, trainer_id: TrainerId, step: StepNumber) -> bytes:
-        """Return a delivered step.
+    async def fetch(self, trainer_id: TrainerId, step: StepNumber) -> bytes:
+        """Return a step's bytes, the same each time.
 
-        Raises UnknownStep or StepPending.
+        Raises UnknownStep, StepPending, StepClosed, GroupFailed or
+        SamplesLost.
         """
-        key = (trainer_id, step)
-        if key in self._delivered_by_key:
-            return self._delivered_by_key[key]
-        if key not in self._steps_by_key:
-            raise errors.UnknownStep(
-                f'Step {step} of {trainer_id} is not known here; submit it.'
-            )
-        raise errors.StepPending(
-            f'Step {step} of {trainer_id} is not whole yet.', retry_after=0.2
+        work = self._work_by_key.get((trainer_id, step))
+        if work is None:
+            return await self._fetch_decided(trainer_id, step)
+        if work.body is not None:
+            return work.body
+        if work.error is not None:
+            raise work.error
+        if work.manifest is None and not work.is_whole:
+            raise _pending(work)
+        lock = self._locks_by_work.setdefault(work, defer.DeferredLock())
+        # Two fetches at once would decide twice; the second finds the body.
+        body: bytes = await lock.run(
+            lambda: defer.ensureDeferred(self._deliver(work))
         )
+        return body
 
-    def acknowledge(self, trainer_id: TrainerId, step: StepNumber) -> None:
-        """Forget the bytes of a step that its trainer has taken."""
-        self._delivered_by_key.pop((trainer_id, step), None)
+    async def announce(
+        self, trainer_id: TrainerId, version: WeightVersion
+    ) -> WeightVersion:
+        """Take a trainer's newest version; what is now too old is made anew.
 
-    async def _work(
-        self, trainer: Trainer, request: step_module.StepRequest
-    ) -> bytes:
-        tasks = [
-            defer.ensureDeferred(
-                self._fresh_sample(trainer, request, GroupNumber(g), member)
+        Raises StoreUnavailable; the version counts here all the same.
+        """
+        trainer = self._trainer(trainer_id)
+        newest = self._raise_newest(trainer_id, version)
+        for work in self._open_work(trainer_id):
+            self._renew(trainer, work, newest)
+        known = await self._ledger.announce(trainer_id, version)
+        return self._raise_newest(trainer_id, known)
+
+    async def acknowledge(
+        self, trainer_id: TrainerId, step: StepNumber
+    ) -> None:
+        """Close a step that its trainer has taken.
+
+        Raises StepConflict if it has not been delivered, StoreUnavailable.
+        """
+        standing = await self._ledger.read(trainer_id, step)
+        if not isinstance(standing, records.Manifest | records.Closed):
+            raise errors.StepConflict(
+                f'Step {step} has not been delivered; fetch it, or delete '
+                'it to give it up.'
             )
-            for g, group in enumerate(request.groups)
-            for member in range(group.samples)
-        ]
-        samples = await defer.gatherResults(tasks, consumeErrors=True)
-        body = await self._deliver(trainer, request, tuple(samples))
-        self._delivered_by_key[(trainer.id, request.step)] = body
-        log.info('Step delivered.', trainer=trainer.id, step=request.step)
-        return body
+        await self.delete(trainer_id, step)
 
-    async def _fresh_sample(
-        self,
-        trainer: Trainer,
-        request: step_module.StepRequest,
-        group: GroupNumber,
-        member: int,
-    ) -> Sample:
-        name = f'{trainer.id}/{request.step}/{group}/{member}'
-        last: errors.YuccarillError | None = None
-        for number in range(MAX_TRIES):
-            try:
-                sample = await self._sample(
-                    trainer, request, group, f'{name}/{number}'
+    async def delete(self, trainer_id: TrainerId, step: StepNumber) -> None:
+        """Close a step, delivered or not.
+
+        Raises StoreUnavailable.
+        """
+        await self._ledger.close(trainer_id, step)
+        work = self._work_by_key.get((trainer_id, step))
+        if work is not None:
+            self._forget(work, errors.StepClosed(f'Step {step} is closed.'))
+
+    def _begin(self, trainer: Trainer, request: StepRequest) -> StepWork:
+        key = (trainer.id, request.step)
+        work = self._work_by_key.get(key)
+        if work is not None and work.error is None:
+            if work.digest != request.digest:
+                raise errors.StepConflict(
+                    f'Step {request.step} was submitted with other groups.'
                 )
-            except errors.YuccarillError as error:
-                last = error
-                continue
-            newest = self._newest_by_trainer[trainer.id]
-            if sample_module.is_fresh(sample, newest, trainer.staleness_bound):
-                return sample
-        raise errors.GroupFailed(
-            f'Group {group} of step {request.step} can not be finished: '
-            f'{last.message if last else "its samples were too old"}'
-        )
+            return work
+        if work is not None:
+            self._forget(work, work.error)
+        work = work_module.StepWork(trainer.id, request)
+        self._work_by_key[key] = work
+        log.info('Step started.', trainer=trainer.id, step=request.step)
+        self._maker.make(trainer, work, work.places(), self._changed)
+        return work
 
-    async def _sample(
-        self,
-        trainer: Trainer,
-        request: step_module.StepRequest,
-        group: GroupNumber,
-        name: str,
-    ) -> Sample:
-        spans: tuple[Span, ...] = ()
-
-        def take(chunk: Chunk) -> None:
-            nonlocal spans
-            assert chunk.weight_version is not None
-            spans = sample_module.append(
-                spans, chunk.weight_version, chunk.tokens
+    async def _claim(
+        self, work: StepWork
+    ) -> step_ledger.Claimed | records.Manifest:
+        epoch = self._epoch_for(shards.trainer_duty(work.trainer))
+        if epoch is None:
+            raise errors.ClaimLost(
+                f'This instance does not hold trainer {work.trainer} now; '
+                'try again.',
+                retry_after=0.5,
             )
-
-        asked = request.groups[group]
-        await self._calls.generate(
-            trainer.model,
-            {
-                'request_id': name,
-                'prompt': asked.prompt,
-                'max_tokens': asked.max_tokens,
-            },
-            SAMPLE_SECONDS,
-            take,
-        )
-        sample = sample_module.Sample(
-            id=SampleId(name), group=group, spans=spans
+        claim = records.Claim(
+            holder=self._blackboard.me.id,
+            incarnation=self._incarnation,
+            epoch=epoch,
+            newest_version=self._raise_newest(
+                work.trainer, work.request.newest_version
+            ),
+            request_digest=work.digest,
         )
-        scorers = {s.id: s for s in self._inventory().scorers}
-        address = scorers[trainer.scorer].address
-        score = await self._scorer.score(address, sample)
-        return msgspec.structs.replace(sample, score=score)
+        claimed = await self._ledger.claim(work.trainer, work.step, claim)
+        if isinstance(claimed, records.Manifest):
+            work.decide(claimed)
+        else:
+            self._claims_by_work[work] = claimed
+            self._raise_newest(work.trainer, claimed.claim.newest_version)
+        return claimed
 
-    async def _deliver(
-        self,
-        trainer: Trainer,
-        request: step_module.StepRequest,
-        samples: tuple[Sample, ...],
-    ) -> bytes:
+    async def _deliver(self, work: StepWork) -> bytes:
+        if work.body is not None:
+            return work.body
+        for _ in range(DECIDE_TRIES):
+            if work.manifest is not None:
+                break
+            try:
+                await self._decide(work)
+            except errors.StoreUnavailable as error:
+                work.waits_for = 'the key-value service, to be decided'
+                raise _pending(work) from error
+            except errors.ClaimLost:
+                self._claims_by_work.pop(work, None)
+                work.waits_for = 'its claim'
+        if work.manifest is None:
+            raise _pending(work)
+        work.deliver(await self._body(work.manifest, work))
+        assert work.body is not None
+        log.info('Step delivered.', trainer=work.trainer, step=work.step)
+        return work.body
+
+    async def _decide(self, work: StepWork) -> None:
+        claimed = self._claims_by_work.get(work) or await self._claim(work)
+        if isinstance(claimed, records.Manifest):
+            return
+        trainer = self._trainer(work.trainer)
+        newest = claimed.claim.newest_version
+        self._renew(trainer, work, newest)
+        if not work.is_whole:
+            raise _pending(work)
+        manifest = self._manifest(work, claimed.claim)
+        work.decide(await self._ledger.decide(claimed, manifest))
+
+    def _manifest(
+        self, work: StepWork, claim: records.Claim
+    ) -> records.Manifest:
         assert self._blackboard.head is not None
-        manifest = step_module.Manifest(
-            trainer=trainer.id,
-            step=request.step,
-            newest_version=request.newest_version,
-            sample_ids=tuple(sample.id for sample in samples),
-            digest=xxhash.xxh3_128_hexdigest(msgspec.json.encode(samples)),
+        return records.Manifest(
+            trainer=work.trainer,
+            step=work.step,
+            newest_version=claim.newest_version,
+            sample_ids=tuple(f.id for f in work.in_order()),
+            digest=work.sample_digest(),
+            holder=self._blackboard.me.id,
+            incarnation=self._incarnation,
+            epoch=claim.epoch,
             revision=self._blackboard.head.revision,
             decided_at=WallTime(time.time()),
         )
-        key = step_module.manifest_key(trainer.id, request.step)
-        # Two instances may both believe they work on the step; only the
-        # one whose swap finds the key absent may deliver it.
-        await self._key_value.swap(key, msgspec.json.encode(manifest), 0)
-        return msgspec.json.encode(Delivery(manifest, samples))
-
-    def _failed(
-        self, failure: object, key: tuple[TrainerId, StepNumber]
+
+    async def _fetch_decided(
+        self, trainer_id: TrainerId, step: StepNumber
+    ) -> bytes:
+        standing = await self._ledger.read(trainer_id, step)
+        match standing:
+            case records.Manifest():
+                return await self._body(standing, None)
+            case records.Closed():
+                raise errors.StepClosed(f'Step {step} was closed before.')
+            case _:
+                raise errors.UnknownStep(
+                    f'Step {step} of {trainer_id} is not worked on here; '
+                    'submit it.'
+                )
+
+    async def _body(
+        self, manifest: records.Manifest, work: StepWork | None
+    ) -> bytes:
+        # Another holder may have decided the step with its own samples.
+        # Ours differ from them, so only those that it named are delivered.
+        encoded = work.encoded_by_id() if work is not None else {}
+        if manifest.sample_ids and manifest.sample_ids[0] in encoded:
+            return delivery.encode(manifest, encoded)
+        if manifest.holder == self._blackboard.me.id:
+            return delivery.encode(manifest, {})
+        return await self._ask_holder(
+            manifest.holder, manifest.trainer, manifest.step
+        )
+
+    def _renew(
+        self, trainer: Trainer, work: StepWork, newest: WeightVersion
+    ) -> None:
+        stale = work.drop_stale(newest, trainer.staleness_bound)
+        if stale:
+            log.info('Samples too old.', step=work.step, count=len(stale))
+            self._maker.make(trainer, work, stale, self._changed)
+
+    def _changed(self, work: StepWork) -> None:
+        if work.error is not None:
+            log.error('Step failed.', trainer=work.trainer, step=work.step)
+            return
+        trainer = self._trainer(work.trainer)
+        if work.is_open:
+            self._renew(trainer, work, self._newest(work.trainer))
+
+    def _open_work(self, trainer_id: TrainerId) -> list[StepWork]:
+        return [
+            work
+            for work in self._work_by_key.values()
+            if work.trainer == trainer_id and work.is_open
+        ]
+
+    def _newest(self, trainer_id: TrainerId) -> WeightVersion:
+        return self._newest_by_trainer.get(trainer_id, WeightVersion(0))
+
+    def _raise_newest(
+        self, trainer_id: TrainerId, version: WeightVersion
+    ) -> WeightVersion:
+        known = self._newest_by_trainer.get(trainer_id, version)
+        self._newest_by_trainer[trainer_id] = max(known, version)
+        return self._newest_by_trainer[trainer_id]
+
+    def _forget(
+        self, work: StepWork, reason: errors.YuccarillError | None
     ) -> None:
-        del self._steps_by_key[key]
-        log.error('Step failed.', trainer=key[0], cause=str(failure)[:300])
+        # Attempts under way end when they see that the work is not open.
+        work.error = reason
+        key = (work.trainer, work.step)
+        if self._work_by_key.get(key) is work:
+            del self._work_by_key[key]
+        self._claims_by_work.pop(work, None)
+        self._locks_by_work.pop(work, None)
 
-    def _inventory(self) -> Inventory:
+    def _trainer(self, trainer_id: TrainerId) -> Trainer:
         head = self._blackboard.head
         if head is None:
             raise errors.NoConfiguration(
                 'No configuration is known yet; try again.', retry_after=1.0
             )
-        return head.inventory
-
-    def _trainer(self, trainer_id: TrainerId) -> Trainer:
-        for trainer in self._inventory().trainers:
+        for trainer in head.inventory.trainers:
             if trainer.id == trainer_id:
                 return trainer
         raise errors.UnknownTrainer(
             f'Trainer {trainer_id} is not in the inventory; check its name.'
         )
+
+
+def _pending(work: StepWork) -> errors.StepPending:
+    done, size = len(work.finished_by_place), work.request.size
+    waits_for = work.waits_for if work.is_whole else 'its samples'
+    return errors.StepPending(
+        f'Step {work.step} of {work.trainer} has {done} of {size} samples '
+        f'and waits for {waits_for}.',
+        retry_after=PENDING_SECONDS,
+    )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
@@ -7,14 +7,17 @@
 
 import msgspec
 
+from yuccarill.core import errors
 from yuccarill.core.leases import shards
 from yuccarill.core.rollouts import step as step_module
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
     from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import StepNumber
     from yuccarill.core.ids import TrainerId
+    from yuccarill.core.ids import WeightVersion
     from yuccarill.core.rollouts.step import StepRequest
     from yuccarill.daemon.controllers.leases import LeaseController
     from yuccarill.daemon.controllers.rollouts import RolloutController
@@ -51,36 +54,79 @@
         body: bytes = reply.body
         return body
 
+    async def announce(
+        self, trainer: TrainerId, version: WeightVersion
+    ) -> None:
+        """Tell a trainer's newest weight version."""
+        await self._send(
+            messages.VersionAnnounce(trainer=trainer, version=version)
+        )
+
+    async def delete(self, trainer: TrainerId, step: StepNumber) -> None:
+        """Close a step that its trainer gives up."""
+        await self._send(messages.StepDelete(trainer=trainer, step=step))
+
     async def acknowledge(self, trainer: TrainerId, step: StepNumber) -> None:
         """Close a step."""
         await self._send(messages.StepAcknowledge(trainer=trainer, step=step))
 
-    def handle_here(
-        self,
-        body: messages.StepSubmit
-        | messages.StepFetch
-        | messages.StepAcknowledge,
+    async def handle_here(
+        self, body: messages.TrainerRequest
     ) -> messages.Body:
         """Answer a trainer's request on this instance."""
         match body:
             case messages.StepSubmit(trainer=trainer, request=encoded):
-                self._rollouts.submit(trainer, decode_request(encoded))
-                return messages.Done()
+                await self._rollouts.submit(trainer, decode_request(encoded))
             case messages.StepFetch(trainer=trainer, step=step):
                 return messages.StepDelivery(
-                    body=self._rollouts.fetch(trainer, step)
+                    body=await self._rollouts.fetch(trainer, step)
                 )
             case messages.StepAcknowledge(trainer=trainer, step=step):
-                self._rollouts.acknowledge(trainer, step)
-                return messages.Done()
-
-    async def _send(self, body: Any) -> Any:
+                await self._rollouts.acknowledge(trainer, step)
+            case messages.StepDelete(trainer=trainer, step=step):
+                await self._rollouts.delete(trainer, step)
+            case messages.VersionAnnounce(trainer=trainer, version=version):
+                await self._rollouts.announce(trainer, version)
+        return messages.Done()
+
+    async def _send(self, body: messages.TrainerRequest) -> Any:
         holder = self._leases.holder_of(shards.trainer_duty(body.trainer))
         if holder is None or holder.id == self._blackboard.me.id:
-            return self.handle_here(body)
+            return await self.handle_here(body)
         return await self._peers.request(holder, body, REQUEST_SECONDS)
 
 
+class HolderClient:
+    """Fetch a decided step's bytes from the instance that decided it."""
+
+    def __init__(self, blackboard: Blackboard, peers: Peers) -> None:
+        self._blackboard = blackboard
+        self._peers = peers
+
+    async def ask(
+        self, holder: InstanceId, trainer: TrainerId, step: StepNumber
+    ) -> bytes:
+        """Return the bytes.
+
+        Raises SamplesLost or what the holder raised.
+        """
+        peer = self._blackboard.instances_by_id.get(holder)
+        request = messages.StepFetch(trainer=trainer, step=step)
+        try:
+            if peer is None:
+                raise errors.PeerUnavailable(f'Instance {holder} is gone.')
+            reply = await self._peers.request(peer, request, REQUEST_SECONDS)
+        except (errors.PeerUnavailable, errors.NotRun) as error:
+            raise errors.SamplesLost(
+                f'Step {step} of {trainer} was decided by {holder}, which '
+                f'does not answer ({error.message}); if it will not come '
+                'back, delete the step and submit it under a new number.',
+                retry_after=1.0,
+            ) from error
+        body: bytes = reply.body
+        return body
+
+
 def decode_request(encoded: bytes) -> StepRequest:
     """Decode a step as an instance passed it on."""
     return msgspec.json.decode(encoded, type=step_module.StepRequest)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -35,6 +35,8 @@
 from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
 from yuccarill.daemon.controllers import rollouts
+from yuccarill.daemon.controllers import sampling
+from yuccarill.daemon.controllers import step_ledger
 from yuccarill.daemon.controllers import step_routing
 from yuccarill.daemon import logs
 from yuccarill.daemon.peers import peers
@@ -93,9 +95,16 @@
         )
         self._rollouts = rollouts.RolloutController(
             self._blackboard,
-            self._calls,
-            scorer.ScorerAdapter(client),
-            store,
+            incarnation,
+            step_ledger.StepLedger(store),
+            sampling.SampleMaker(
+                self._blackboard,
+                incarnation,
+                self._calls,
+                scorer.ScorerAdapter(client),
+            ),
+            step_routing.HolderClient(self._blackboard, self._peers).ask,
+            self._leases.epoch_for,
         )
         self._steps = step_routing.StepRouting(
             self._blackboard, self._leases, self._rollouts, self._peers
@@ -163,8 +172,10 @@
                 messages.StepSubmit()
                 | messages.StepFetch()
                 | messages.StepAcknowledge()
+                | messages.StepDelete()
+                | messages.VersionAnnounce()
             ):
-                return self._steps.handle_here(body)
+                return await self._steps.handle_here(body)
             case messages.RecordOffer() | messages.RecordExchange():
                 return self._dissemination.handle(body)
             case _:
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -12,6 +12,7 @@
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
+from yuccarill.core.ids import WeightVersion
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field='kind'):
@@ -112,6 +113,24 @@
     step: StepNumber
 
 
+class StepDelete(Message, frozen=True, tag='step_delete'):
+    """Close a step that its trainer gives up."""
+
+    trainer: TrainerId
+    step: StepNumber
+
+
+class VersionAnnounce(Message, frozen=True, tag='version'):
+    """Tell a trainer's newest weight version."""
+
+    trainer: TrainerId
+    version: WeightVersion
+
+
+TrainerRequest = (
+    StepSubmit | StepFetch | StepAcknowledge | StepDelete | VersionAnnounce
+)
+
 Body = (
     Hello
     | Done
@@ -126,6 +145,8 @@
     | StepFetch
     | StepDelivery
     | StepAcknowledge
+    | StepDelete
+    | VersionAnnounce
 )
 
 
