Explain every result code from one source

A caller that got a number had nowhere to look it up, and thirteen error classes said nothing about themselves.

Added classes for codes that had none, and two codes for unknown paths and wrong methods.

--- a/packages/yuccarill-core/src/yuccarill/core/errors.py
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -16,6 +16,8 @@
     UNKNOWN_TRAINER = 1004
     UNKNOWN_STEP = 1005
     UNKNOWN_CODE = 1006
+    UNKNOWN_PATH = 1007
+    WRONG_METHOD = 1008
     TICKET_INVALID = 1101
     TICKET_EXPIRED = 1102
     NOT_RUN = 1201
@@ -43,7 +45,7 @@
 
 
 class YuccarillError(Exception):
-    """Root of all errors that carry a result code."""
+    """Report a fault of the program; the root of all numbered errors."""
 
     code = ResultCode.INTERNAL
     http_status = 500
@@ -66,25 +68,54 @@
 
 
 class BodyTooLong(RequestError):
+    """Refuse a body that is longer than this interface takes."""
+
     code = ResultCode.BODY_TOO_LONG
     http_status = 413
 
 
 class UnknownService(RequestError):
+    """Refuse a call of a service or model that is not described."""
+
     code = ResultCode.UNKNOWN_SERVICE
     http_status = 404
 
 
 class UnknownTrainer(RequestError):
+    """Refuse a step of a trainer that is not described."""
+
     code = ResultCode.UNKNOWN_TRAINER
     http_status = 404
 
 
 class UnknownStep(RequestError):
+    """Refuse to fetch a step that was not submitted."""
+
     code = ResultCode.UNKNOWN_STEP
     http_status = 404
 
 
+class UnknownCode(RequestError):
+    """Refuse to explain a result code that does not exist."""
+
+    code = ResultCode.UNKNOWN_CODE
+    http_status = 404
+
+
+class UnknownPath(RequestError):
+    """Refuse a path that this interface does not have."""
+
+    code = ResultCode.UNKNOWN_PATH
+    http_status = 404
+
+
+class WrongMethod(RequestError):
+    """Refuse a method that the path does not take."""
+
+    code = ResultCode.WRONG_METHOD
+    http_status = 405
+
+
 class TicketError(YuccarillError):
     """Refuse a ticket, with no promise about earlier tries under it."""
 
@@ -93,6 +124,8 @@
 
 
 class TicketExpired(TicketError):
+    """Refuse a ticket whose time is over."""
+
     code = ResultCode.TICKET_EXPIRED
 
 
@@ -105,15 +138,21 @@
 
 
 class Overloaded(NotRun):
+    """Refuse a call early that would not be served in time."""
+
     code = ResultCode.OVERLOADED
 
 
 class DeadlinePassed(NotRun):
+    """Give a call up before it was sent, its time being over."""
+
     code = ResultCode.DEADLINE_PASSED
     http_status = 504
 
 
 class NoTarget(NotRun):
+    """Refuse a call that no target can take now."""
+
     code = ResultCode.NO_TARGET
 
 
@@ -125,6 +164,8 @@
 
 
 class AnswerCut(OutcomeUnknown):
+    """Report an answer that broke off before its end."""
+
     code = ResultCode.ANSWER_CUT
 
 
@@ -140,17 +181,23 @@
 
 
 class RevisionConflict(ConfigurationError):
+    """Refuse a change made from a revision that was replaced."""
+
     code = ResultCode.REVISION_CONFLICT
     http_status = 409
 
 
 class NoConfiguration(ConfigurationError):
+    """Refuse work as long as no configuration is known."""
+
     code = ResultCode.NO_CONFIGURATION
     http_status = 503
     not_run = True
 
 
 class ApplyOutcomeUnknown(ConfigurationError):
+    """Tell an operator that a change may or may not stand."""
+
     code = ResultCode.APPLY_OUTCOME_UNKNOWN
     http_status = 502
 
@@ -174,10 +221,14 @@
 
 
 class PeerUnavailable(PlatformError):
+    """Report an instance that did not reply."""
+
     code = ResultCode.PEER_UNAVAILABLE
 
 
 class FrameInvalid(PlatformError):
+    """Refuse what a peer sent, since it can not be read."""
+
     code = ResultCode.FRAME_INVALID
     http_status = 400
 
@@ -190,15 +241,19 @@
 
 
 class StepConflict(RolloutError):
-    pass
+    """Refuse a step under a number that was used for another."""
 
 
 class StepPending(RolloutError):
+    """Tell a trainer that its step is still being worked on."""
+
     code = ResultCode.STEP_PENDING
     http_status = 202
 
 
 class GroupFailed(RolloutError):
+    """Report a group whose samples could not be made."""
+
     code = ResultCode.GROUP_FAILED
     http_status = 502
 
@@ -231,7 +286,7 @@
 
 
 def by_code(code: int) -> type[YuccarillError]:
-    """Return the class whose errors carry a code."""
+    """Return the class whose errors carry a code, the root for others."""
     return _classes_by_code().get(code, YuccarillError)
 
 
