--- a/packages/yuccarill-core/src/yuccarill/core/explanations.py
+++ b/packages/yuccarill-core/src/yuccarill/core/explanations.py
@@ -78,6 +78,14 @@
         'Submit the step again; look at the engines and the scorer with '
         '"yuccarill status" if it goes on.'
     ),
+    ResultCode.STEP_CLOSED: 'Submit the next step; this one is taken.',
+    ResultCode.SAMPLES_LOST: (
+        'Fetch the step again after the time given; the instances that hold '
+        'its samples are away.'
+    ),
+    ResultCode.CLAIM_LOST: (
+        'Submit or fetch the step again; another instance has it.'
+    ),
     ResultCode.SETTINGS_INVALID: (
         'Correct each setting named, try --check-settings, start again.'
     ),
