Watch streams between instances for silence and share one dial

Cause: two concurrent first requests to a peer each dialled, and the second stream replaced the first in the table, which nobody watched or closed any more. A connection that something between the two ends had lost track of kept its requests waiting until their own time limit and was used again by the next one. Whoever answered under an address was taken for the instance that was meant.

Ruled out: TCP keepalive, since its times are the machine's and it says nothing of a peer that is stopped; a time limit per request, since it can not tell a slow target from a silent stream; closing a peer's older streams when its Hello names a new incarnation, since a leaving one may still finish its work.

Limits: 1,024 incoming streams, 4 KB before a Hello, 1,024 requests in hand a stream, 60 s unused.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -67,7 +67,9 @@
         incarnation = Incarnation(uuid.uuid4().hex[:12])
         client = http.HttpClient()
         store = key_value.KeyValueAdapter(client, settings.key_value)
-        self._peers = peers.Peers(self._handle)
+        self._peers = peers.Peers(
+            self._handle, self._blackboard.me, incarnation
+        )
         self._configuration = configuration.ConfigurationController(
             self._blackboard, store
         )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/link.py
@@ -0,0 +1,103 @@
+"""The one stream that this instance dials to a peer."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.peers import stream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.membership.instances import Instance
+    from yuccarill.daemon.peers.local import Local
+
+    Dial = Callable[[Instance, stream.PeerStream], defer.Deferred[Any]]
+
+BACKOFF_SECONDS = 0.1
+BACKOFF_MAX_SECONDS = 2.0
+
+
+class PeerLink:
+    """Share one stream, or one attempt to open it, among requests."""
+
+    def __init__(
+        self, local: Local, dial: Dial, jitter: random.Random
+    ) -> None:
+        self._local = local
+        self._dial = dial
+        self._jitter = jitter
+        self._stream: stream.PeerStream | None = None
+        self._waiters: list[defer.Deferred[None]] = []
+        self._is_dialling = False
+        self._failures = 0
+        self._retry_at = Instant(0.0)
+
+    async def open(self, peer: Instance) -> stream.PeerStream:
+        """Return the open stream to a peer.
+
+        Raises NotRun if there is none now.
+        """
+        if self._stream is not None and self._stream.is_open:
+            return self._stream
+        # Two requests that each dialled would leave a stream that nobody
+        # watches or closes; the second one waits for the first one's.
+        if self._is_dialling:
+            waiter: defer.Deferred[None] = defer.Deferred()
+            self._waiters.append(waiter)
+            await waiter
+        else:
+            await self._connect(peer)
+        assert self._stream is not None
+        return self._stream
+
+    async def _connect(self, peer: Instance) -> None:
+        wait = self._retry_at - self._local.clock.seconds()
+        if wait > 0:
+            raise _unreachable(peer, wait)
+        self._is_dialling = True
+        new = stream.PeerStream(self._local, peer.id)
+        try:
+            await self._dial(peer, new)
+            await new.opened
+        except Exception as error:
+            self._fail(_unreachable(peer, self._back_off()))
+            raise _unreachable(peer, self._delay()) from error
+        self._failures = 0
+        self._stream = new
+        self._finish(None)
+
+    def _back_off(self) -> float:
+        self._failures += 1
+        steps = min(self._failures - 1, 10)
+        longest = min(BACKOFF_SECONDS * 2**steps, BACKOFF_MAX_SECONDS)
+        # Without jitter all instances would dial a restarted peer at the
+        # same instants.
+        wait = longest * self._jitter.uniform(0.5, 1.0)
+        self._retry_at = Instant(self._local.clock.seconds() + wait)
+        return wait
+
+    def _delay(self) -> float:
+        return max(0.0, self._retry_at - self._local.clock.seconds())
+
+    def _fail(self, error: errors.NotRun) -> None:
+        self._finish(failure.Failure(error))
+
+    def _finish(self, result: Any) -> None:
+        self._is_dialling = False
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.callback(result)
+
+
+def _unreachable(peer: Instance, wait: float) -> errors.NotRun:
+    return errors.NotRun(
+        f'Instance {peer.id} can not be reached.', retry_after=wait
+    )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/local.py
@@ -0,0 +1,47 @@
+"""What all streams of this instance share."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core.membership import stream_health
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from yuccarill.core.ids import Incarnation
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.membership.instances import Instance
+    from yuccarill.daemon.peers.ends import StreamEnd
+    from yuccarill.daemon.peers.stream import PeerStream
+
+
+@dataclasses.dataclass(kw_only=True)
+class Local:
+    """Hold this side's identity, handler, clock and open streams."""
+
+    me: Instance
+    incarnation: Incarnation
+    handle: Callable[[messages.Body], Awaitable[messages.Body]]
+    clock: Any
+    policy: stream_health.HealthPolicy = dataclasses.field(
+        default_factory=stream_health.HealthPolicy
+    )
+    streams: set[PeerStream] = dataclasses.field(default_factory=set)
+    ends_by_cause: collections.Counter[StreamEnd] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def hello(self, addressee: InstanceId) -> messages.Hello:
+        """Return the message that opens a stream."""
+        return messages.Hello(
+            instance=self.me.id,
+            incarnation=self.incarnation,
+            data_centre=self.me.data_centre,
+            addressee=addressee,
+        )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
@@ -1,45 +1,87 @@
-"""Streams to all peers that this instance has spoken to."""
+"""Streams to and from all peers."""
 
 from __future__ import annotations
 
+import random
 from typing import Any
 from typing import TYPE_CHECKING
 
+from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import protocol
 from twisted.internet import reactor
+from twisted.internet import task
 
-from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.daemon import logs
+from yuccarill.daemon.peers import ends
+from yuccarill.daemon.peers import link
+from yuccarill.daemon.peers import local
 from yuccarill.daemon.peers import stream
-from yuccarill.wire import messages
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.membership.instances import Instance
+    from yuccarill.wire import messages
+
+log = logs.for_part('peers')
 
 CONNECT_SECONDS = 1.0
+CHECK_SECONDS = 0.25
+# A check that comes this late shows that this process itself stood still.
+PAUSE_SECONDS = 1.0
+IDLE_SECONDS = 60.0
+MAX_INBOUND = 1024
 
 
 class Peers:
     """Serve peers' requests and send them ours."""
 
     def __init__(
-        self, handle: Callable[[messages.Body], Awaitable[messages.Body]]
+        self,
+        handle: Callable[[messages.Body], Awaitable[messages.Body]],
+        me: Instance,
+        incarnation: Incarnation,
+        clock: Any = reactor,
+        dial: link.Dial | None = None,
     ) -> None:
-        self._handle = handle
-        self._streams_by_id: dict[InstanceId, stream.PeerStream] = {}
+        self._local = local.Local(
+            me=me,
+            incarnation=incarnation,
+            handle=handle,
+            clock=clock,
+        )
+        self._dial = dial or _dial
+        self._jitter = random.Random(incarnation)
+        self._links_by_id: dict[InstanceId, link.PeerLink] = {}
+        self._checked_at = Instant(clock.seconds())
+        self._checking = task.LoopingCall(self.check)
+        self._checking.clock = clock
+        self.ends_by_cause = self._local.ends_by_cause
+
+    @property
+    def stream_count(self) -> int:
+        """Count the open streams of both directions."""
+        return len(self._local.streams)
 
     async def listen(self, host: str, port: int) -> Any:
-        """Accept streams of peers."""
-        factory = protocol.Factory.forProtocol(
-            lambda: stream.PeerStream(self._handle)
-        )
+        """Accept streams of peers and watch all for silence."""
+        factory = protocol.Factory.forProtocol(self.accept)
         endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=host)
+        self._checking.start(CHECK_SECONDS, now=False)
         return await endpoint.listen(factory)
 
+    def accept(self) -> stream.PeerStream | None:
+        """Return the protocol of an incoming stream, or none to refuse."""
+        if len(self._local.streams) >= MAX_INBOUND:
+            self.ends_by_cause[ends.StreamEnd.TOO_MANY] += 1
+            return None
+        return stream.PeerStream(self._local)
+
     async def request(
         self, peer: Instance, body: messages.Body, seconds: float
     ) -> Any:
@@ -48,27 +90,34 @@
         Raises NotRun if no byte was sent, PeerUnavailable if the peer may
         have taken the request, else what the peer raised.
         """
-        peer_stream = self._streams_by_id.get(peer.id)
-        if peer_stream is None:
-            peer_stream = await self._connect(peer)
+        peer_link = self._links_by_id.get(peer.id)
+        if peer_link is None:
+            peer_link = link.PeerLink(self._local, self._dial, self._jitter)
+            self._links_by_id[peer.id] = peer_link
+        peer_stream = await peer_link.open(peer)
         return await peer_stream.request(body, seconds)
 
-    async def _connect(self, peer: Instance) -> stream.PeerStream:
-        endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, peer.host, peer.peer_port, timeout=CONNECT_SECONDS
-        )
-        new = stream.PeerStream(
-            self._handle, lambda: self._forget(peer.id, new)
-        )
-        try:
-            await endpoints.connectProtocol(endpoint, new)
-        except Exception as error:
-            raise errors.NotRun(
-                f'Instance {peer.id} can not be reached.', retry_after=1.0
-            ) from error
-        self._streams_by_id[peer.id] = new
-        return new
-
-    def _forget(self, peer: InstanceId, lost: stream.PeerStream) -> None:
-        if self._streams_by_id.get(peer) is lost:
-            del self._streams_by_id[peer]
+    def check(self) -> None:
+        """Look for silent and unused streams."""
+        now = Instant(self._local.clock.seconds())
+        # After a pause of this process the peers' bytes wait unread in its
+        # sockets; the streams would be taken for silent and all closed.
+        was_paused = now - self._checked_at >= PAUSE_SECONDS
+        self._checked_at = now
+        for each in list(self._local.streams):
+            if was_paused:
+                each.forgive()
+            each.check()
+            if now - each.used_at >= IDLE_SECONDS and not each.is_busy:
+                each.close(ends.StreamEnd.IDLE)
+
+    def forget(self, peer: InstanceId) -> None:
+        """Drop what is kept for a peer that is gone for good."""
+        self._links_by_id.pop(peer, None)
+
+
+def _dial(peer: Instance, protocol_: stream.PeerStream) -> defer.Deferred[Any]:
+    endpoint = endpoints.TCP4ClientEndpoint(
+        reactor, peer.host, peer.peer_port, timeout=CONNECT_SECONDS
+    )
+    return endpoints.connectProtocol(endpoint, protocol_)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/stream.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/stream.py
@@ -7,74 +7,212 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
+from twisted.internet import interfaces
 from twisted.internet import protocol
-from twisted.internet import reactor
 
 from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.core.membership import stream_health
 from yuccarill.daemon import logs
+from yuccarill.daemon.peers import ends
+from yuccarill.daemon.peers import outbox
 from yuccarill.wire import frames
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.daemon.peers.local import Local
 
 log = logs.for_part('peers')
 
+HELLO_SECONDS = 2.0
+HELLO_MAX_BYTES = 4096
+MAX_IN_HAND = 1024
+
 
 class PeerStream(protocol.Protocol):
     """Match replies to requests by number and answer the peer's."""
 
     def __init__(
-        self,
-        handle: Callable[[messages.Body], Awaitable[messages.Body]],
-        on_lost: Callable[[], None] = lambda: None,
+        self, local: Local, addressee: InstanceId | None = None
     ) -> None:
-        self._handle = handle
-        self._on_lost = on_lost
+        self._local = local
+        # Set on the side that dialled.
+        self._addressee = addressee
         self._decoder = frames.Decoder()
         self._numbers = itertools.count(1)
         self._waiting_by_number: dict[int, defer.Deferred[Any]] = {}
+        self._due_since: Instant | None = None
+        self._in_hand = 0
+        self._received_bytes = 0
+        self._end = ends.StreamEnd.LOST
+        self._outbox = outbox.Outbox(self._on_progress)
+        self._health = stream_health.StreamHealth(local.policy, self._now())
+        self._hello_until = Instant(self._now() + HELLO_SECONDS)
+        self.is_open = False
+        self._is_closing = False
+        self.used_at = self._now()
+        self.hello: messages.Hello | None = None
+        self.opened: defer.Deferred[None] = defer.Deferred()
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a request of either side is in flight."""
+        return bool(self._waiting_by_number or self._in_hand)
 
     def request(
         self, body: messages.Body, seconds: float
     ) -> defer.Deferred[Any]:
         """Send a request and return its reply.
 
-        Fails with PeerUnavailable if the stream is lost or silent.
+        Fails with NotRun if no byte of it was sent, with PeerUnavailable
+        if the stream was lost or no reply came in time.
         """
+        if not self.is_open:
+            return defer.fail(_not_sent())
         number = next(self._numbers)
         reply: defer.Deferred[Any] = defer.Deferred()
+        try:
+            self._outbox.write(number, _frame(number, False, body))
+        except errors.Overloaded:
+            return defer.fail()
+        self.used_at = self._now()
+        if not self._waiting_by_number:
+            self._due_since = self.used_at
         self._waiting_by_number[number] = reply
-        self._send(messages.Envelope(number, False, body))
-        reply.addTimeout(seconds, reactor)
+        reply.addTimeout(seconds, self._local.clock)
         return reply.addBoth(self._settle, number)
 
+    def check(self) -> None:
+        """Look for silence; called a few times a second."""
+        now = self._now()
+        if self.hello is None:
+            if now >= self._hello_until:
+                self.close(ends.StreamEnd.NO_HELLO)
+            return
+        match self._health.check(now, self._due_since):
+            case stream_health.HealthAction.HEARTBEAT:
+                beat = messages.Heartbeat()
+                self._outbox.write_at_once(_frame(0, False, beat))
+            case stream_health.HealthAction.CLOSE:
+                self.close(ends.StreamEnd.SILENT)
+
+    def forgive(self) -> None:
+        """Count silence anew after a pause of this process."""
+        self._hello_until = Instant(self._now() + HELLO_SECONDS)
+        self._on_progress()
+
+    def close(self, end: ends.StreamEnd) -> None:
+        """Drop the stream at once and count why."""
+        if not self._is_closing:
+            self._end = end
+            self._is_closing = True
+        self.is_open = False
+        self.transport.abortConnection()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self._outbox.open(self.transport)
+        self._local.streams.add(self)
+        if interfaces.ITCPTransport.providedBy(self.transport):
+            self.transport.setTcpNoDelay(True)
+        if self._addressee is not None:
+            hello = self._local.hello(self._addressee)
+            self._outbox.write_at_once(_frame(0, False, hello))
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._on_progress()
+        self._received_bytes += len(data)
         try:
             for envelope in self._decoder.feed(data):
-                self._dispatch(envelope)
+                self._take(envelope)
+            self._limit_hello()
         except errors.FrameInvalid as error:
-            log.warning('Invalid frame; stream closed.', cause=error.message)
-            self.transport.abortConnection()
+            log.warning(
+                'Invalid frame; stream closed. Compare the versions.',
+                peer=self.hello.instance if self.hello else None,
+                cause=error.message,
+            )
+            self.close(ends.StreamEnd.INVALID_FRAME)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        self._on_lost()
-        for reply in list(self._waiting_by_number.values()):
-            reply.errback(errors.PeerUnavailable('The stream was lost.'))
-
-    def _dispatch(self, envelope: messages.Envelope) -> None:
-        if envelope.is_reply:
-            # A reply that came after its request was given up is dropped.
-            reply = self._waiting_by_number.get(envelope.number)
-            if reply is not None and not reply.called:
-                reply.callback(envelope.body)
+        self.is_open = False
+        self._local.streams.discard(self)
+        self._local.ends_by_cause[self._end] += 1
+        if self._end not in (ends.StreamEnd.LOST, ends.StreamEnd.IDLE):
+            peer = self.hello.instance if self.hello else self._addressee
+            log.warning('Stream closed.', peer=peer, cause=self._end.value)
+        if self._addressee is not None and not self.opened.called:
+            self.opened.errback(
+                errors.NotRun(
+                    f'The stream ended before it was open ({self._end.value})',
+                    retry_after=1.0,
+                )
+            )
+        for number, reply in list(self._waiting_by_number.items()):
+            if not reply.called:
+                reply.errback(self._lost(number))
+
+    def _take(self, envelope: messages.Envelope) -> None:
+        match envelope.body:
+            case messages.Hello():
+                self._open(envelope.body)
+            case _ if self.hello is None:
+                raise errors.FrameInvalid('The first message is no Hello.')
+            case messages.Heartbeat():
+                if not envelope.is_reply:
+                    beat = _frame(0, True, messages.Heartbeat())
+                    self._outbox.write_at_once(beat)
+            case _ if envelope.is_reply:
+                # A reply that came after its request was given up is
+                # dropped.
+                reply = self._waiting_by_number.get(envelope.number)
+                if reply is not None and not reply.called:
+                    reply.callback(envelope.body)
+            case _:
+                self._serve(envelope)
+
+    def _open(self, hello: messages.Hello) -> None:
+        if self.hello is not None:
+            raise errors.FrameInvalid('A second Hello came.')
+        # Another instance may have started under the address. Requests
+        # meant for the former one, a ticket's calls say, would be answered
+        # by one that knows nothing of them.
+        is_meant = hello.addressee == self._local.me.id
+        is_sought = self._addressee in (None, hello.instance)
+        if self._addressee is None:
+            answer = self._local.hello(hello.instance)
+            self._outbox.write_at_once(_frame(0, True, answer))
+        if not (is_meant and is_sought):
+            self._end = ends.StreamEnd.WRONG_ADDRESSEE
+            self.transport.loseConnection()
+            return
+        self.hello = hello
+        self.is_open = True
+        if not self.opened.called:
+            self.opened.callback(None)
+
+    def _limit_hello(self) -> None:
+        # Whoever has not said who it is may not make this process buffer
+        # a whole frame.
+        if self.hello is None and self._received_bytes > HELLO_MAX_BYTES:
+            raise errors.FrameInvalid('The first message is too long.')
+
+    def _serve(self, envelope: messages.Envelope) -> None:
+        self.used_at = self._now()
+        if self._in_hand >= MAX_IN_HAND:
+            body = messages.Refusal(
+                code=errors.ResultCode.OVERLOADED,
+                text='Too many requests wait on the stream; try again.',
+                retry_after=1.0,
+            )
+            self._reply(envelope.number, body)
             return
+        self._in_hand += 1
         defer.ensureDeferred(self._answer(envelope))
 
     async def _answer(self, envelope: messages.Envelope) -> None:
         try:
-            body = await self._handle(envelope.body)
+            body = await self._local.handle(envelope.body)
         except errors.YuccarillError as error:
             body = messages.Refusal(
                 code=error.code,
@@ -86,16 +224,50 @@
             body = messages.Refusal(
                 code=errors.ResultCode.INTERNAL, text='Internal error.'
             )
-        self._send(messages.Envelope(envelope.number, True, body))
+        self._in_hand -= 1
+        self._reply(envelope.number, body)
+
+    def _reply(self, number: int, body: messages.Body) -> None:
+        if not self.is_open:
+            return
+        try:
+            self._outbox.write(('reply', number), _frame(number, True, body))
+        except errors.Overloaded:
+            # The reply can't be kept; a lost stream tells the peer that
+            # its request may have been taken, a missing reply would not.
+            self.close(ends.StreamEnd.CONGESTED)
 
     def _settle(self, result: Any, number: int) -> Any:
         self._waiting_by_number.pop(number, None)
+        if not self._waiting_by_number:
+            self._due_since = None
         if isinstance(result, messages.Refusal):
             raise errors.by_code(result.code)(result.text, result.retry_after)
         if hasattr(result, 'check') and result.check(defer.TimeoutError):
-            raise errors.PeerUnavailable('The peer did not reply in time.')
+            raise self._lost(number)
         return result
 
-    def _send(self, envelope: messages.Envelope) -> None:
-        if self.transport is not None and self.connected:
-            self.transport.write(frames.encode(envelope))
+    def _lost(self, number: int) -> errors.YuccarillError:
+        # Frames still held back never left this process; for all others
+        # nobody can tell how far they got.
+        if self._outbox.withdraw(number):
+            return _not_sent()
+        return errors.PeerUnavailable(
+            'The peer did not reply; it may have taken the request.'
+        )
+
+    def _on_progress(self) -> None:
+        self._health.on_progress(self._now())
+
+    def _now(self) -> Instant:
+        return Instant(self._local.clock.seconds())
+
+
+def _not_sent() -> errors.NotRun:
+    return errors.NotRun(
+        'The request was not sent; try again.', retry_after=1.0
+    )
+
+
+def _frame(number: int, is_reply: bool, body: messages.Body) -> bytes:
+    return frames.encode(messages.Envelope(number, is_reply, body))
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -25,6 +25,12 @@
     instance: InstanceId
     incarnation: Incarnation
     data_centre: DataCentreId
+    # Who is meant to answer under the dialled address.
+    addressee: InstanceId
+
+
+class Heartbeat(Message, frozen=True, tag='heartbeat'):
+    """Ask whether the stream still carries, or confirm it."""
 
 
 class Done(Message, frozen=True, tag='done'):
@@ -133,6 +139,7 @@
 
 Body = (
     Hello
+    | Heartbeat
     | Done
     | Refusal
     | RecordOffer
