Measure control against the number of instances on real processes

Change: tools/measure_control.py starts stand-ins and instances of one or more builds side by side, idle and under changes, and fits a line through the rows of each build.

The bytes are those of the whole loopback interface and are not to be used while anything else runs there.

--- /dev/null
+++ b/tools/measure_control.py
@@ -0,0 +1,213 @@
+"""Measure what control costs against the number of instances.
+
+Starts stand-ins and real instances on loopback, idle and under changes of
+configuration, for one or more builds side by side, and prints a row for
+each run and a straight line through the rows of each build.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import statistics
+import tempfile
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import click
+import control_fleet
+import msgspec
+import psutil
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SETTLE_SECONDS = 8.0
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the figures of one window of one run."""
+
+    build: str
+    instances: int
+    targets: int
+    window: str
+    # Share of one core an instance uses, mean and worst, in percent.
+    cpu_mean: float
+    cpu_worst: float
+    # Resident memory of the largest instance, in MB.
+    memory_worst: float
+    # Bytes a second an instance sends on loopback, of all it does.
+    bytes_mean: float
+    store_reads: float
+    store_writes: float
+    store_watches: float
+    # Watches that wait at the end of the window.
+    waiting_watches: float
+    list_reads: float
+    # Seconds until the slowest instance had a change, median and worst.
+    in_force_median: float = 0.0
+    in_force_worst: float = 0.0
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """Hold counters at one moment."""
+
+    at: float
+    cpu_by_member: list[float]
+    lo_bytes: int
+    store: dict[str, float]
+    list_reads: float
+
+
+def _sample(fleet: control_fleet.Fleet) -> Sample:
+    cpu = [sum(member.cpu_times()[:2]) for member in fleet.members]
+    counters = psutil.net_io_counters(pernic=True)['lo']
+    return Sample(
+        time.monotonic(),
+        cpu,
+        counters.bytes_sent,
+        fleet.store_calls(),
+        fleet.list_calls(),
+    )
+
+
+def _row(
+    fleet: control_fleet.Fleet,
+    before: Sample,
+    after: Sample,
+    in_force: list[float],
+    **labels: Any,
+) -> Row:
+    seconds = after.at - before.at
+    shares = [
+        100 * (late - early) / seconds
+        for early, late in zip(before.cpu_by_member, after.cpu_by_member)
+    ]
+
+    def rate(*kinds: str) -> float:
+        return sum(
+            after.store.get(kind, 0) - before.store.get(kind, 0)
+            for kind in kinds
+        ) / max(seconds, 1e-9)
+
+    memory = max(member.memory_info().rss for member in fleet.members)
+    sent = (after.lo_bytes - before.lo_bytes) / seconds / len(fleet.members)
+    return Row(
+        instances=len(fleet.members),
+        cpu_mean=statistics.fmean(shares),
+        cpu_worst=max(shares),
+        memory_worst=memory / 1e6,
+        bytes_mean=sent,
+        store_reads=rate('read'),
+        store_writes=rate('write'),
+        store_watches=rate('watch'),
+        waiting_watches=after.store.get('waiting_watches', 0),
+        list_reads=(after.list_reads - before.list_reads) / seconds,
+        in_force_median=statistics.median(in_force) if in_force else 0.0,
+        in_force_worst=max(in_force, default=0.0),
+        **labels,
+    )
+
+
+def _measure(
+    build: str,
+    binary: str,
+    instances: int,
+    targets: int,
+    seconds: float,
+    changes: int,
+) -> Iterator[Row]:
+    with tempfile.TemporaryDirectory() as name:
+        fleet = control_fleet.Fleet(
+            binary, instances, targets, pathlib.Path(name)
+        )
+        try:
+            fleet.start()
+            time.sleep(SETTLE_SECONDS)
+            before = _sample(fleet)
+            time.sleep(seconds)
+            after = _sample(fleet)
+            yield _row(
+                fleet,
+                before,
+                after,
+                [],
+                build=build,
+                targets=targets,
+                window='idle',
+            )
+            before = _sample(fleet)
+            for _ in range(changes):
+                fleet.change()
+                time.sleep(seconds / changes)
+            after = _sample(fleet)
+            # Polled apart from the window, since polling costs as well.
+            in_force = [fleet.seconds_in_force() for _ in range(changes)]
+            yield _row(
+                fleet,
+                before,
+                after,
+                in_force,
+                build=build,
+                targets=targets,
+                window=f'{changes / seconds:.1f} changes/s',
+            )
+        finally:
+            fleet.stop()
+
+
+def _print_lines(rows: list[Row]) -> None:
+    for build in sorted({row.build for row in rows}):
+        for window in sorted({row.window for row in rows}):
+            chosen = [
+                row
+                for row in rows
+                if (row.build, row.window) == (build, window)
+            ]
+            for axis in ('instances', 'targets'):
+                _print_line(build, window, axis, chosen)
+
+
+def _print_line(build: str, window: str, axis: str, rows: list[Row]) -> None:
+    sizes = [float(getattr(row, axis)) for row in rows]
+    if len(set(sizes)) < 2:
+        return
+    for field in Row.__struct_fields__[4:]:
+        values = [getattr(row, field) for row in rows]
+        line = statistics.linear_regression(sizes, values)
+        click.echo(
+            f'{build}, {window}: {field} = {line.intercept:.3f} '
+            f'+ {line.slope:.5f} x {axis}'
+        )
+
+
+@click.command()
+@click.option('--build', 'builds', multiple=True, help='NAME=yuccarilld')
+@click.option('--instances', multiple=True, type=int, default=(6, 12, 24))
+@click.option('--targets', multiple=True, type=int, default=(10,))
+@click.option('--seconds', type=float, default=15.0)
+@click.option('--changes', type=int, default=10)
+def main(
+    builds: tuple[str, ...],
+    instances: tuple[int, ...],
+    targets: tuple[int, ...],
+    seconds: float,
+    changes: int,
+) -> None:
+    """Measure builds at several sizes."""
+    rows = []
+    for target_count in targets:
+        for count in instances:
+            for build in builds:
+                name, _, binary = build.partition('=')
+                for row in _measure(
+                    name, binary, count, target_count, seconds, changes
+                ):
+                    rows.append(row)
+                    click.echo(msgspec.json.encode(row).decode())
+    _print_lines(rows)
+
+
+if __name__ == '__main__':
+    main()
