--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
@@ -18,6 +18,7 @@
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.core.ids import Incarnation
     from yuccarill.daemon.controllers import configuration
+    from yuccarill.daemon.peers.traffic import Traffic
 
 
 class ApplyRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -38,10 +39,12 @@
         blackboard: Blackboard,
         incarnation: Incarnation,
         controller: configuration.ConfigurationController,
+        traffic: Traffic,
     ) -> None:
         self._blackboard = blackboard
         self._incarnation = incarnation
         self._configuration = controller
+        self._traffic = traffic
 
     @app.route('/configuration', methods=['GET'])
     @replies.answering_errors
@@ -73,6 +76,8 @@
                 'incarnation': self._incarnation,
                 'revision': head.revision if head else 0,
                 'is_leaving': self._blackboard.is_leaving,
+                'peer_bytes_sent': self._traffic.sent,
+                'peer_bytes_received': self._traffic.received,
                 'instances': list(self._blackboard.instances_by_id.values()),
             },
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -118,7 +118,10 @@
                 ),
                 trainers.TrainerApi(self._steps),
                 operators.OperatorApi(
-                    self._blackboard, incarnation, self._configuration
+                    self._blackboard,
+                    incarnation,
+                    self._configuration,
+                    self._peers.traffic,
                 ),
             )
         )
