Keep at most once over repeats, restarts and lost connections

Cause: the present path broke its promises in these ways. - A caller that went away cancelled its own run; the target's answer was lost and every repeat heard "unknown" although the call had been answered. - Of three attempts the last one decided: a call whose first attempt was sent and whose last could not connect was told "not run". - "Not run" of the home was turned into "unknown" by the instance that had passed the call on, and a first try may start again after its caller was told "not run", by a copy that was still on its way. - Repeatability was looked up in the configuration of whichever instance the call reached; one that is behind retried a charge. A path with an encoded ?, with dots or with two listed parts was looked up wrongly. - A target's answer without a length, cut in the middle, passed for whole. - The memory of requests grew for ever; the query of a call was dropped; the time limit was spent twice; a redirect was followed.

Ruled out: an instance cannot start a call for a home that is gone, however short the outage: the home may have sent it. Telling refused from sent by the exception's class: a cancelled connect looked as if it had been sent.

Change: the run belongs to no connection and is listened to 30 s past the deadline, so that its outcome can be asked for; repeats share its answer; tickets carry an expiry that only their home judges; records are bounded in number and bytes, and a full ledger closes the tickets issued so far, which keeps its refusals true without remembering each; "not run" follows from the step that the attempt reached.

A caller numbers a new try anew.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -9,13 +9,15 @@
 import klein
 import msgspec
 
+from yuccarill.core.calls import paths
 from yuccarill.core import errors
+from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import WallTime
 from yuccarill.daemon.api import replies
-from yuccarill.daemon.controllers.calls import Call
+from yuccarill.daemon.controllers.attempts import Call
 
 if TYPE_CHECKING:
     from twisted.web.iweb import IRequest
@@ -72,20 +74,35 @@
     @app.route('/services/<service>/<path:path>', methods=['POST'])
     @replies.answering_errors
     async def call(self, request: IRequest, service: str, path: str) -> bytes:
-        call = Call(
-            request_id=_request_id(request),
-            service=ServiceName(service),
-            path=path,
-            content_type=_header(request, 'Content-Type', ''),
-            body=replies.body(request),
-            seconds=_seconds(request),
-            ticket=_header(request, 'Yuccarill-Ticket', '') or None,
-        )
+        ticket = _header(request, 'Yuccarill-Ticket', '') or None
+        try:
+            call = Call(
+                request_id=_request_id(request),
+                service=ServiceName(service),
+                path=paths.check(path),
+                query=request.uri.partition(b'?')[2].decode('ascii'),
+                content_type=_header(request, 'Content-Type', ''),
+                body=replies.body(request),
+                deadline=Instant(time.monotonic() + _seconds(request)),
+                ticket=ticket,
+            )
+        except errors.RequestError as error:
+            # This message starts nothing, but an earlier one under the
+            # same number may have: only the ticket's home can tell.
+            error.not_run = ticket is None
+            raise
         answer = await self._calls.run(call)
         request.setResponseCode(answer.status)
         request.setHeader('Content-Type', answer.content_type)
         return answer.body
 
+    @app.route('/requests/<request_id>', methods=['GET'])
+    @replies.answering_errors
+    async def outcome(self, request: IRequest, request_id: str) -> bytes:
+        ticket = _header(request, 'Yuccarill-Ticket', '')
+        found = await self._calls.outcome(ticket, RequestId(request_id))
+        return replies.as_json(request, found)
+
     @app.route('/models/<model>/generate', methods=['POST'])
     @replies.answering_errors
     async def generate(self, request: IRequest, model: str) -> bytes:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -14,6 +14,7 @@
 from twisted.web import server
 
 from yuccarill.core.blackboard import Blackboard
+from yuccarill.core.calls import ledger
 from yuccarill.core import errors
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Incarnation
@@ -48,6 +49,9 @@
 log = logs.for_part('instance')
 
 STOP_CHECK_SECONDS = 0.05
+# Seconds for which a ticket outlives the addresses it was given out with,
+# so that a request sent at their end still arrives in time.
+TICKET_SECONDS = 30.0
 
 
 class InstanceProcess:
@@ -91,9 +95,12 @@
         self._calls = calls.CallController(
             self._blackboard,
             incarnation,
-            target.TargetAdapter(client),
+            target.TargetAdapter(time.monotonic),
             engine.EngineAdapter(client),
             self._peers,
+            ledger.Limits(
+                ticket_lifetime=settings.address_validity + TICKET_SECONDS
+            ),
         )
         self._rollouts = rollouts.RolloutController(
             self._blackboard,
@@ -156,23 +163,8 @@
 
     async def _handle(self, body: messages.Body) -> messages.Body:
         match body:
-            case messages.CallRequest():
-                answer = await self._calls.run(
-                    calls.Call(
-                        request_id=body.request_id,
-                        service=body.service,
-                        path=body.path,
-                        content_type=body.content_type,
-                        body=body.body,
-                        seconds=body.time_left,
-                        ticket=body.ticket,
-                    )
-                )
-                return messages.CallAnswer(
-                    status=answer.status,
-                    content_type=answer.content_type,
-                    body=answer.body,
-                )
+            case messages.CallRequest() | messages.OutcomeQuery():
+                return await self._calls.handle(body)
             case (
                 messages.StepSubmit()
                 | messages.StepFetch()
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/adapters/test_target.py
@@ -0,0 +1,57 @@
+"""Test what is sent to targets and what is said when it fails."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from controllers import call_world
+from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.daemon.adapters import target
+
+
+class TargetAdapterTest(unittest.TestCase):
+    @params((False, errors.NotRun), (True, errors.OutcomeUnknown))
+    def test_says_not_run_only_before_the_connection_is_open(
+        self, is_open: bool, expected: type[Exception]
+    ) -> None:
+        # The connection to the target ends with nothing received. Once it
+        # was open, the request may have been read and acted on.
+        world = call_world.World()
+        adapter = target.TargetAdapter(world.now, world.reactor)
+        request = _request('charges')
+        called = adapter.call('127.0.0.1:81', request, lambda _: None)
+        result = call_world.Result(called)
+        connection = world.connection()
+        assert connection is not None
+        if is_open:
+            connection.open()
+        connection.lose()
+        self.assertIs(expected, type(result.error))
+
+
+class TargetRequestTest(unittest.TestCase):
+    @params(
+        ('charges', '', 'http://h:1/charges'),
+        ('charges?free', '', 'http://h:1/charges%3Ffree'),
+        ('a b#c', 'x=%20', 'http://h:1/a%20b%23c?x=%20'),
+    )
+    def test_url_reaches_the_path_that_was_checked(
+        self, path: str, query: str, expected: str
+    ) -> None:
+        self.assertEqual(expected, _request(path, query).url('h:1'))
+
+
+def _request(path: str, query: str = '') -> target.TargetRequest:
+    return target.TargetRequest(
+        request_id=RequestId('r'),
+        path=path,
+        query=query,
+        content_type='',
+        body=b'',
+        connect_by=Instant(1.0),
+        answer_by=Instant(1.0),
+    )
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -78,6 +78,7 @@
     request_id: RequestId
     service: ServiceName
     path: str
+    query: str
     content_type: str
     body: bytes
     # Seconds left to the caller's deadline when the message was sent.
@@ -92,6 +93,28 @@
     body: bytes
 
 
+class CallRefusal(Message, frozen=True, tag='call_refusal'):
+    """Return the home's own verdict on a call that has no answer."""
+
+    code: int
+    text: str
+    retry_after: float | None = None
+
+
+class OutcomeQuery(Message, frozen=True, tag='outcome_query'):
+    """Ask a ticket's home what became of a request."""
+
+    ticket: str
+    request_id: RequestId
+
+
+class OutcomeReply(Message, frozen=True, tag='outcome'):
+    """Tell what became of a request, and its answer if it is kept."""
+
+    outcome: str
+    answer: CallAnswer | None = None
+
+
 class StepSubmit(Message, frozen=True, tag='step'):
     """Pass a trainer's step to the instance that works on it."""
 
@@ -148,6 +171,9 @@
     | Leaving
     | CallRequest
     | CallAnswer
+    | CallRefusal
+    | OutcomeQuery
+    | OutcomeReply
     | StepSubmit
     | StepFetch
     | StepDelivery
