Spread the configuration as deltas under one small head

The head now carries the last changes, each with its delta and a digest of the whole. After 16 of them the next apply first writes what stands as a document (a ring of four keys) and as an audit page, both of which racing appliers write alike, so that nothing is orphaned or lost. A document per revision was ruled out: losers of a race and crashed appliers leave theirs behind, and the service offers no list to find them by.

A receiver follows by deltas, checks the digest, and fetches the whole over a gap, from peers first. A starting instance serves only what the platform, or the highest of several peers, has. A swap whose reply was lost is settled by its change id, then fenced: the applier moves the head's version on, so that a delayed write can never land after the refusal. While the service does not answer the outcome is told as unknown, and the fence is tried again until it does.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from yuccarill.core import errors
+from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import Revision
 from yuccarill.daemon.api import replies
 
@@ -18,7 +19,6 @@
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.core.ids import Incarnation
     from yuccarill.daemon.controllers import configuration
-    from yuccarill.daemon.peers.traffic import Traffic
 
 
 class ApplyRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -27,6 +27,8 @@
     author: str
     base: Revision
     document: Any
+    # Repeats of one change id make one revision at most.
+    change_id: ChangeId | None = None
 
 
 class OperatorApi:
@@ -39,30 +41,32 @@
         blackboard: Blackboard,
         incarnation: Incarnation,
         controller: configuration.ConfigurationController,
-        traffic: Traffic,
     ) -> None:
         self._blackboard = blackboard
         self._incarnation = incarnation
         self._configuration = controller
-        self._traffic = traffic
 
     @app.route('/configuration', methods=['GET'])
     @replies.answering_errors
     async def show(self, request: IRequest) -> bytes:
         if self._blackboard.head is None:
             raise errors.NoConfiguration('No configuration was applied yet.')
-        return replies.as_json(request, self._blackboard.head.head)
+        return replies.as_json(request, self._blackboard.head.view())
 
     @app.route('/configuration', methods=['PUT'])
     @replies.answering_errors
     async def apply(self, request: IRequest) -> bytes:
         asked = replies.decode(request, ApplyRequest)
-        head = await self._configuration.apply(
+        result = await self._configuration.apply(
             asked.author, asked.base, asked.document
         )
         return replies.as_json(
             request,
-            {'revision': head.revision, 'change_id': head.change_id},
+            {
+                'outcome': result.outcome.value,
+                'revision': result.revision,
+                'change_id': result.change_id,
+            },
         )
 
     @app.route('/status', methods=['GET'])
@@ -76,8 +80,6 @@
                 'incarnation': self._incarnation,
                 'revision': head.revision if head else 0,
                 'is_leaving': self._blackboard.is_leaving,
-                'peer_bytes_sent': self._traffic.sent,
-                'peer_bytes_received': self._traffic.received,
                 'instances': list(self._blackboard.instances_by_id.values()),
             },
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -32,6 +32,7 @@
 from yuccarill.daemon.api import trainers
 from yuccarill.daemon.controllers import calls
 from yuccarill.daemon.controllers import configuration
+from yuccarill.daemon.controllers import decisions
 from yuccarill.daemon.controllers import dissemination
 from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
@@ -74,9 +75,6 @@
         self._peers = peers.Peers(
             self._handle, self._blackboard.me, incarnation
         )
-        self._configuration = configuration.ConfigurationController(
-            self._blackboard, store
-        )
         self._membership = membership.MembershipController(
             self._blackboard,
             instance_list.InstanceListAdapter(client, settings.instance_list),
@@ -92,6 +90,13 @@
         self._leases = leases.LeaseController(
             self._blackboard, self._membership
         )
+        self._configuration = configuration.ConfigurationController(
+            self._blackboard,
+            self._dissemination,
+            self._peers,
+            decisions.DecisionRunner(store, reactor),
+            reactor,
+        )
         self._calls = calls.CallController(
             self._blackboard,
             incarnation,
@@ -125,10 +130,7 @@
                 ),
                 trainers.TrainerApi(self._steps),
                 operators.OperatorApi(
-                    self._blackboard,
-                    incarnation,
-                    self._configuration,
-                    self._peers.traffic,
+                    self._blackboard, incarnation, self._configuration
                 ),
             )
         )
@@ -175,6 +177,8 @@
                 return await self._steps.handle_here(body)
             case messages.RecordOffer() | messages.RecordExchange():
                 return self._dissemination.handle(body)
+            case messages.ConfigurationFetch():
+                return self._configuration.handle(body)
             case _:
                 raise errors.FrameInvalid('This message is no request.')
 
