Refuse bad HTTP input with numbered errors while it arrives

An unknown path or method got the library's HTML page, a deeply nested body or a header that is not UTF-8 got an internal error, and a body of any length was first written to a temporary file, on machines that may have no disk. A body in chunks that never ends would have filled it.

The site now counts a body while it comes, keeps it in memory and answers 413 once it is over 4 MiB. Routes that no interface has are refused in one place for all of them. Forms are no longer parsed. Replies name their length instead of coming in chunks.

What is not HTTP at all gets the library's bare 400 and is closed: putting a body there means overriding a private method of the library.

The status reply is a typed message shared with the command line. It shows only those targets of which the instance knows something.

With the count taken out the test of the endless body fails; with the check of the announced length taken out the row of the over-long body does.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING
 
-import klein
 import msgspec
 
 from yuccarill.core.calls import paths
@@ -48,7 +47,7 @@
 class CallerApi:
     """Answer callers."""
 
-    app = klein.Klein()
+    app = replies.new_app()
 
     def __init__(
         self,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
@@ -5,7 +5,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import klein
 import msgspec
 
 from yuccarill.core import errors
@@ -17,7 +16,7 @@
     from twisted.web.iweb import IRequest
 
     from yuccarill.core.blackboard import Blackboard
-    from yuccarill.core.ids import Incarnation
+    from yuccarill.daemon.api import status_view
     from yuccarill.daemon.controllers import configuration
 
 
@@ -34,52 +33,38 @@
 class OperatorApi:
     """Answer operators."""
 
-    app = klein.Klein()
+    app = replies.new_app()
 
     def __init__(
         self,
         blackboard: Blackboard,
-        incarnation: Incarnation,
         controller: configuration.ConfigurationController,
+        status: status_view.StatusView,
     ) -> None:
         self._blackboard = blackboard
-        self._incarnation = incarnation
         self._configuration = controller
+        self._status = status
 
     @app.route('/configuration', methods=['GET'])
     @replies.answering_errors
     async def show(self, request: IRequest) -> bytes:
         if self._blackboard.head is None:
             raise errors.NoConfiguration('No configuration was applied yet.')
-        return replies.as_json(request, self._blackboard.head.view())
+        return replies.as_json(request, self._blackboard.head.head)
 
     @app.route('/configuration', methods=['PUT'])
     @replies.answering_errors
     async def apply(self, request: IRequest) -> bytes:
         asked = replies.decode(request, ApplyRequest)
-        result = await self._configuration.apply(
+        head = await self._configuration.apply(
             asked.author, asked.base, asked.document
         )
         return replies.as_json(
             request,
-            {
-                'outcome': result.outcome.value,
-                'revision': result.revision,
-                'change_id': result.change_id,
-            },
+            {'revision': head.revision, 'change_id': head.change_id},
         )
 
     @app.route('/status', methods=['GET'])
     @replies.answering_errors
     async def status(self, request: IRequest) -> bytes:
-        head = self._blackboard.head
-        return replies.as_json(
-            request,
-            {
-                'instance': self._blackboard.me.id,
-                'incarnation': self._incarnation,
-                'revision': head.revision if head else 0,
-                'is_leaving': self._blackboard.is_leaving,
-                'instances': list(self._blackboard.instances_by_id.values()),
-            },
-        )
+        return replies.as_json(request, self._status.reply())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/replies.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/replies.py
@@ -7,11 +7,14 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import klein
 import msgspec
+from werkzeug import exceptions
 
 from yuccarill.core import errors
 from yuccarill.daemon import logs
 from yuccarill.daemon import metrics
+from yuccarill.wire import operators
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,21 +26,13 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
-class ErrorReply(msgspec.Struct, frozen=True):
-    """Describe an error to a caller, a trainer or an operator."""
-
-    code: int
-    name: str
-    message: str
-    not_run: bool
-    retry_after: float | None
-
-
 def as_json(request: IRequest, value: Any, status: int = 200) -> bytes:
     """Encode a reply."""
     request.setResponseCode(status)
     request.setHeader('Content-Type', 'application/json')
-    return msgspec.json.encode(value)
+    encoded = msgspec.json.encode(value)
+    request.setHeader('Content-Length', str(len(encoded)))
+    return encoded
 
 
 def as_error(request: IRequest, error: errors.YuccarillError) -> bytes:
@@ -46,14 +41,50 @@
     if error.retry_after is not None:
         seconds = max(1, round(error.retry_after))
         request.setHeader('Retry-After', str(seconds))
-    reply = ErrorReply(
+    return as_json(request, describe(error), error.http_status)
+
+
+def describe(error: errors.YuccarillError) -> operators.ErrorReply:
+    """Return an error in the form that clients read."""
+    return operators.ErrorReply(
         error.code,
         error.code.name,
         error.message,
         error.not_run,
         error.retry_after,
     )
-    return as_json(request, reply, error.http_status)
+
+
+def body_too_long() -> errors.BodyTooLong:
+    """Return the refusal of a body that is too long."""
+    return errors.BodyTooLong(
+        f'The body is over {MAX_BODY_BYTES} bytes; send less.'
+    )
+
+
+def unknown_path() -> errors.UnknownPath:
+    """Return the refusal of a path that no interface has."""
+    return errors.UnknownPath(
+        'This path is not known; see docs/interfaces.md.'
+    )
+
+
+def new_app() -> klein.Klein:
+    """Return an application whose unknown routes get numbered errors."""
+    app = klein.Klein()
+    app.handle_errors(exceptions.HTTPException)(_refuse_route)
+    return app
+
+
+def _refuse_route(_api: Any, request: IRequest, failure: Any) -> bytes:
+    refused = failure.value
+    if not isinstance(refused, exceptions.MethodNotAllowed):
+        return as_error(request, unknown_path())
+    methods = ', '.join(sorted(refused.valid_methods or ()))
+    request.setHeader('Allow', methods)
+    return as_error(
+        request, errors.WrongMethod(f'This path takes {methods} only.')
+    )
 
 
 def body(request: IRequest) -> bytes:
@@ -63,9 +94,7 @@
     """
     content: bytes = request.content.read(MAX_BODY_BYTES + 1)
     if len(content) > MAX_BODY_BYTES:
-        raise errors.BodyTooLong(
-            f'The body is over {MAX_BODY_BYTES} bytes; send less.'
-        )
+        raise body_too_long()
     return content
 
 
@@ -76,7 +105,7 @@
     """
     try:
         return msgspec.json.decode(body(request), type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.RequestError(
             f'The body is not valid: {error}.'
         ) from error
@@ -95,6 +124,10 @@
             return await function(self, request, **places)
         except errors.YuccarillError as error:
             return as_error(request, error)
+        except UnicodeDecodeError:
+            return as_error(
+                request, errors.RequestError('A header is not UTF-8.')
+            )
         except Exception as error:
             log.error('Request failed.', cause=repr(error))
             return as_error(request, errors.YuccarillError('Internal error.'))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/root.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/root.py
@@ -3,16 +3,49 @@
 from __future__ import annotations
 
 from typing import Any
+import urllib.parse
 
 from twisted.web import resource
 
+from yuccarill.core import errors
+from yuccarill.daemon.api import replies
+
+_VERSION = b'v1'
+
 
 def build(callers: Any, trainers: Any, operators: Any) -> resource.Resource:
     """Return the tree of all interfaces."""
-    version = callers.app.resource()
-    root = resource.Resource()
-    root.putChild(b'v1', _Prefixed(version, trainers, operators))
-    return root
+    return _Root(_Prefixed(callers.app.resource(), trainers, operators))
+
+
+class _Refusal(resource.Resource):
+    """Answer any method with one error."""
+
+    isLeaf = True
+
+    def __init__(self, error: errors.YuccarillError) -> None:
+        super().__init__()
+        self._error = error
+
+    def render(self, request: Any) -> bytes:
+        return replies.as_error(request, self._error)
+
+
+class _Root(resource.Resource):
+    def __init__(self, version: resource.Resource) -> None:
+        super().__init__()
+        self._version = version
+
+    def getChild(self, path: bytes, request: Any) -> Any:  # noqa: N802
+        try:
+            urllib.parse.unquote_to_bytes(request.path).decode()
+        except UnicodeDecodeError:
+            return _Refusal(
+                errors.RequestError('The path is not UTF-8; correct it.')
+            )
+        if path == _VERSION and request.postpath:
+            return self._version
+        return _Refusal(replies.unknown_path())
 
 
 class _Prefixed(resource.Resource):
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/status_view.py
@@ -0,0 +1,60 @@
+"""Show operators what this instance knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Revision
+from yuccarill.wire import operators
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.ids import Incarnation
+    from yuccarill.daemon.controllers.leases import LeaseController
+    from yuccarill.daemon.peers.traffic import Traffic
+
+
+class StatusView:
+    """Read the blackboard for operators."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        incarnation: Incarnation,
+        leases: LeaseController,
+        traffic: Traffic,
+    ) -> None:
+        self._blackboard = blackboard
+        self._incarnation = incarnation
+        self._leases = leases
+        self._traffic = traffic
+
+    def reply(self) -> operators.StatusReply:
+        """Return what this instance knows."""
+        head = self._blackboard.head
+        return operators.StatusReply(
+            instance=self._blackboard.me.id,
+            incarnation=self._incarnation,
+            revision=head.revision if head else Revision(0),
+            is_leaving=self._blackboard.is_leaving,
+            peer_bytes_sent=self._traffic.sent,
+            peer_bytes_received=self._traffic.received,
+            instances=tuple(self._blackboard.instances_by_id.values()),
+            targets=tuple(self._targets()),
+            trainers=tuple(self._trainers()),
+        )
+
+    def _targets(self) -> Iterator[operators.TargetStatus]:
+        for target, count in self._blackboard.in_flight_by_id.items():
+            if count:
+                yield operators.TargetStatus(id=target, in_flight=count)
+
+    def _trainers(self) -> Iterator[operators.TrainerStatus]:
+        head = self._blackboard.head
+        for trainer in head.inventory.trainers if head else ():
+            holder = self._leases.holder_of(f'trainer/{trainer.id}')
+            yield operators.TrainerStatus(
+                id=trainer.id, holder=holder.id if holder else None
+            )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import klein
 import msgspec
 
 from yuccarill.core.ids import StepNumber
@@ -28,7 +27,7 @@
 class TrainerApi:
     """Answer trainers."""
 
-    app = klein.Klein()
+    app = replies.new_app()
 
     def __init__(self, steps: StepRouting) -> None:
         self._steps = steps
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -11,7 +11,6 @@
 from twisted.internet import endpoints
 from twisted.internet import reactor
 from twisted.internet import task
-from twisted.web import server
 
 from yuccarill.core.blackboard import Blackboard
 from yuccarill.core.calls import ledger
@@ -29,10 +28,11 @@
 from yuccarill.daemon.api import callers
 from yuccarill.daemon.api import operators
 from yuccarill.daemon.api import root
+from yuccarill.daemon.api import site
+from yuccarill.daemon.api import status_view
 from yuccarill.daemon.api import trainers
 from yuccarill.daemon.controllers import calls
 from yuccarill.daemon.controllers import configuration
-from yuccarill.daemon.controllers import decisions
 from yuccarill.daemon.controllers import dissemination
 from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
@@ -75,6 +75,9 @@
         self._peers = peers.Peers(
             self._handle, self._blackboard.me, incarnation
         )
+        self._configuration = configuration.ConfigurationController(
+            self._blackboard, store
+        )
         self._membership = membership.MembershipController(
             self._blackboard,
             instance_list.InstanceListAdapter(client, settings.instance_list),
@@ -90,13 +93,6 @@
         self._leases = leases.LeaseController(
             self._blackboard, self._membership
         )
-        self._configuration = configuration.ConfigurationController(
-            self._blackboard,
-            self._dissemination,
-            self._peers,
-            decisions.DecisionRunner(store, reactor),
-            reactor,
-        )
         self._calls = calls.CallController(
             self._blackboard,
             incarnation,
@@ -123,14 +119,21 @@
         self._steps = step_routing.StepRouting(
             self._blackboard, self._leases, self._rollouts, self._peers
         )
-        self._site = server.Site(
+        self._site = site.build(
             root.build(
                 callers.CallerApi(
                     self._calls, self._membership, settings.address_validity
                 ),
                 trainers.TrainerApi(self._steps),
                 operators.OperatorApi(
-                    self._blackboard, incarnation, self._configuration
+                    self._blackboard,
+                    self._configuration,
+                    status_view.StatusView(
+                        self._blackboard,
+                        incarnation,
+                        self._leases,
+                        self._peers.traffic,
+                    ),
                 ),
             )
         )
@@ -177,8 +180,6 @@
                 return await self._steps.handle_here(body)
             case messages.RecordOffer() | messages.RecordExchange():
                 return self._dissemination.handle(body)
-            case messages.ConfigurationFetch():
-                return self._configuration.handle(body)
             case _:
                 raise errors.FrameInvalid('This message is no request.')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
@@ -41,6 +41,12 @@
     API_TIME = Meter(
         'api.time', Kind.TIMING, 'ms', 'From an HTTP request to its answer'
     )
+    PEER_BYTES_SENT = Meter(
+        'peers.bytes_sent', Kind.COUNT, 'bytes', 'Written to peer streams'
+    )
+    PEER_BYTES_RECEIVED = Meter(
+        'peers.bytes_received', Kind.COUNT, 'bytes', 'Read from peer streams'
+    )
 
 
 class _Client(statsd.StatsClient):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/local.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/local.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from yuccarill.core.membership import stream_health
+from yuccarill.daemon.peers.traffic import Traffic
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     policy: stream_health.HealthPolicy = dataclasses.field(
         default_factory=stream_health.HealthPolicy
     )
+    traffic: Traffic = dataclasses.field(default_factory=Traffic)
     streams: set[PeerStream] = dataclasses.field(default_factory=set)
     ends_by_cause: collections.Counter[StreamEnd] = dataclasses.field(
         default_factory=collections.Counter
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/outbox.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/outbox.py
@@ -23,9 +23,11 @@
     def __init__(
         self,
         on_drained: Callable[[], None],
+        count: Callable[[int], None] = lambda size: None,
         max_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         self._on_drained = on_drained
+        self._count = count
         self._max_bytes = max_bytes
         self._transport: Any = None
         self._is_paused = False
@@ -43,7 +45,7 @@
         Raises Overloaded if too many bytes wait already.
         """
         if not self._is_paused:
-            self._transport.write(frame)
+            self._send(frame)
             return
         # A peer that reads slower than this process writes would have its
         # frames pile up here until the process is out of memory.
@@ -57,7 +59,7 @@
 
     def write_at_once(self, frame: bytes) -> None:
         """Send a small frame ahead of those held back."""
-        self._transport.write(frame)
+        self._send(frame)
 
     def withdraw(self, key: object) -> bool:
         """Take back a frame; tell whether none of its bytes was sent."""
@@ -77,7 +79,11 @@
             key = next(iter(self._frames_by_key))
             frame = self._frames_by_key.pop(key)
             self._held_bytes -= len(frame)
-            self._transport.write(frame)
+            self._send(frame)
 
     def stopProducing(self) -> None:  # noqa: N802
         self._is_paused = True
+
+    def _send(self, frame: bytes) -> None:
+        self._count(len(frame))
+        self._transport.write(frame)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
@@ -62,6 +62,7 @@
         self._checking = task.LoopingCall(self.check)
         self._checking.clock = clock
         self.ends_by_cause = self._local.ends_by_cause
+        self.traffic = self._local.traffic
 
     @property
     def stream_count(self) -> int:
@@ -100,6 +101,7 @@
     def check(self) -> None:
         """Look for silent and unused streams."""
         now = Instant(self._local.clock.seconds())
+        self.traffic.report()
         # After a pause of this process the peers' bytes wait unread in its
         # sockets; the streams would be taken for silent and all closed.
         was_paused = now - self._checked_at >= PAUSE_SECONDS
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/stream.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/stream.py
@@ -46,7 +46,7 @@
         self._in_hand = 0
         self._received_bytes = 0
         self._end = ends.StreamEnd.LOST
-        self._outbox = outbox.Outbox(self._on_progress)
+        self._outbox = outbox.Outbox(self._on_progress, self._count_sent)
         self._health = stream_health.StreamHealth(local.policy, self._now())
         self._hello_until = Instant(self._now() + HELLO_SECONDS)
         self.is_open = False
@@ -122,6 +122,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._on_progress()
         self._received_bytes += len(data)
+        self._local.traffic.received += len(data)
         try:
             for envelope in self._decoder.feed(data):
                 self._take(envelope)
@@ -259,6 +260,9 @@
     def _on_progress(self) -> None:
         self._health.on_progress(self._now())
 
+    def _count_sent(self, size: int) -> None:
+        self._local.traffic.sent += size
+
     def _now(self) -> Instant:
         return Instant(self._local.clock.seconds())
 
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/api/test_site.py
@@ -0,0 +1,163 @@
+"""Test what the HTTP server makes of bad input."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+from twisted.internet import address
+
+from yuccarill.core import errors
+from yuccarill.core.errors import ResultCode
+from yuccarill.daemon.api import callers
+from yuccarill.daemon.api import operators
+from yuccarill.daemon.api import replies
+from yuccarill.daemon.api import root
+from yuccarill.daemon.api import site
+from yuccarill.daemon.api import trainers
+
+OVER = replies.MAX_BODY_BYTES + 1
+STEPS = '/v1/trainers/t/steps'
+CALL = '/v1/services/s/p'
+
+
+def _request(
+    line: str, *headers: str, body: bytes = b'', length: int | None = None
+) -> bytes:
+    shown = len(body) if length is None else length
+    lines = [f'{line} HTTP/1.1', 'Host: x', f'Content-Length: {shown}']
+    return '\r\n'.join([*lines, *headers, '', '']).encode('latin-1') + body
+
+
+class MemoryTransport:
+    """Keep what is written; the library's own one brings in trial."""
+
+    def __init__(self) -> None:
+        self.written = b''
+        self.disconnecting = False
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def writeSequence(self, parts: list[bytes]) -> None:  # noqa: N802
+        self.written += b''.join(parts)
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.disconnecting = True
+
+    def getHost(self) -> address.IPv4Address:  # noqa: N802
+        return address.IPv4Address('TCP', '127.0.0.1', 8100)
+
+    getPeer = getHost  # noqa: N815
+
+    def registerProducer(self, *_: object) -> None:  # noqa: N802
+        """Take a producer, which is never paused."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Let go of a producer."""
+
+
+class SiteTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.calls = mock.AsyncMock()
+        tree = root.build(
+            callers.CallerApi(self.calls, mock.Mock(), 5.0),
+            trainers.TrainerApi(mock.AsyncMock()),
+            operators.OperatorApi(mock.Mock(), mock.AsyncMock(), mock.Mock()),
+        )
+        self.channel = site.build(tree).buildProtocol(None)
+        self.transport = MemoryTransport()
+        self.channel.makeConnection(self.transport)
+        self.addCleanup(self.channel.connectionLost, None)
+
+    def _reply(self) -> tuple[int, dict[str, object]]:
+        head, _, body = self.transport.written.partition(b'\r\n\r\n')
+        return int(head.split()[1]), json.loads(body)
+
+    @params(
+        (_request('GET /nothing'), 404, ResultCode.UNKNOWN_PATH),
+        (_request('GET /'), 404, ResultCode.UNKNOWN_PATH),
+        (_request('GET /v1'), 404, ResultCode.UNKNOWN_PATH),
+        (_request('GET /v1/nothing'), 404, ResultCode.UNKNOWN_PATH),
+        (_request('GET /v1/operators'), 404, ResultCode.UNKNOWN_PATH),
+        (_request('GET /v1/operators/x'), 404, ResultCode.UNKNOWN_PATH),
+        (_request(f'GET {STEPS}/x'), 404, ResultCode.UNKNOWN_PATH),
+        (_request('GET /v1/%ff'), 400, ResultCode.BAD_REQUEST),
+        (_request('PUT /v1/addresses'), 405, ResultCode.WRONG_METHOD),
+        (_request('BREW /v1/operators/status'), 405, ResultCode.WRONG_METHOD),
+        (_request(f'POST {STEPS}', body=b'{'), 400, ResultCode.BAD_REQUEST),
+        (_request(f'POST {STEPS}', body=b'[]'), 400, ResultCode.BAD_REQUEST),
+        (
+            _request(f'POST {STEPS}', body=b'[' * 100_000),
+            400,
+            ResultCode.BAD_REQUEST,
+        ),
+        (
+            _request(f'POST {STEPS}', body=b'{"step":"1"}'),
+            400,
+            ResultCode.BAD_REQUEST,
+        ),
+        (
+            _request('PUT /v1/operators/configuration', body=b'{"base":0}'),
+            400,
+            ResultCode.BAD_REQUEST,
+        ),
+        (_request(f'POST {CALL}'), 400, ResultCode.BAD_REQUEST),
+        (
+            _request(
+                f'POST {CALL}',
+                'Yuccarill-Request-Id: r',
+                'Yuccarill-Timeout: nan',
+            ),
+            400,
+            ResultCode.BAD_REQUEST,
+        ),
+        (
+            _request(f'POST {CALL}', 'Yuccarill-Request-Id: \xff'),
+            400,
+            ResultCode.BAD_REQUEST,
+        ),
+        (_request(f'POST {CALL}', length=OVER), 413, ResultCode.BODY_TOO_LONG),
+    )
+    def test_refuses(self, sent: bytes, status: int, code: int) -> None:
+        self.channel.dataReceived(sent)
+        got, body = self._reply()
+        self.assertEqual((status, code), (got, body['code']))
+        self.calls.run.assert_not_called()
+
+    # A caller sends a body in chunks and never ends it. The answer comes
+    # once the limit is passed, and what still arrives is dropped.
+    def test_refuses_an_endless_body_while_it_arrives(self) -> None:
+        head = f'POST {CALL} HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked'
+        self.channel.dataReceived(head.encode() + b'\r\n\r\n')
+        chunk = b'100000\r\n' + b'x' * 0x100000 + b'\r\n'
+        for _ in range(OVER // 0x100000):
+            self.channel.dataReceived(chunk)
+        self.assertEqual(b'', self.transport.written)
+        self.channel.dataReceived(chunk + chunk)
+        status, body = self._reply()
+        self.assertEqual(
+            (413, ResultCode.BODY_TOO_LONG), (status, body['code'])
+        )
+        self.assertTrue(self.transport.disconnecting)
+
+    @params(
+        b'\x00\xff\r\n\r\n', b'GET\r\n\r\n', b'GET / HTTP/1.1\r\n:\r\n\r\n'
+    )
+    def test_closes_on_what_is_not_http(self, sent: bytes) -> None:
+        self.channel.dataReceived(sent)
+        self.assertTrue(self.transport.disconnecting)
+
+    @params((errors.Overloaded('Full.', 1.4), 503), (ValueError('x'), 500))
+    def test_answers_what_handlers_raise(
+        self, raised: Exception, status: int
+    ) -> None:
+        self.calls.run.side_effect = raised
+        self.channel.dataReceived(
+            _request(f'POST {CALL}', 'Yuccarill-Request-Id: r')
+        )
+        got, body = self._reply()
+        self.assertEqual(status, got)
+        self.assertNotIn('x', str(body['message']))
--- a/packages/yuccarill-daemon/tests/controllers/rollout_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/rollout_world.py
@@ -11,17 +11,20 @@
 from twisted.internet import defer
 
 from yuccarill.core.blackboard import Blackboard
+from yuccarill.core.config import head
 from yuccarill.core.config import inventory
-from yuccarill.core.config import snapshot
 from yuccarill.core import errors
+from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import Revision
 from yuccarill.core.ids import ScorerId
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
+from yuccarill.core.ids import WallTime
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.membership.instances import Instance
 from yuccarill.core.rollouts import step as step_module
@@ -185,7 +188,7 @@
     )
 
 
-def _head() -> snapshot.Snapshot:
+def _head() -> head.Head:
     trainer = inventory.Trainer(
         id=TRAINER,
         model=ModelName('m'),
@@ -194,6 +197,10 @@
         policy=inventory.StalenessFirst(),
     )
     scorer = inventory.Scorer(id=ScorerId('s'), address='127.0.0.1:9')
-    return snapshot.from_inventory(
-        inventory.Inventory(trainers=(trainer,), scorers=(scorer,))
+    return head.Head(
+        revision=Revision(1),
+        change_id=ChangeId('c'),
+        author='a',
+        applied_at=WallTime(0.0),
+        inventory=inventory.Inventory(trainers=(trainer,), scorers=(scorer,)),
     )
--- a/packages/yuccarill-daemon/tests/peers/test_peers.py
+++ b/packages/yuccarill-daemon/tests/peers/test_peers.py
@@ -42,6 +42,16 @@
         self.assertEqual([[DONE]] * 3, outcomes)
         self.assertEqual(1, self.network.dials)
 
+    def test_bytes_of_both_sides_agree(self) -> None:
+        peer = self.network.add('b')
+        self.network.request('a', peer)
+        self.network.pump()
+        here = self.network.peers_by_id[InstanceId('a')].traffic
+        there = self.network.peers_by_id[InstanceId('b')].traffic
+        self.assertGreater(here.sent, 0)
+        self.assertEqual(here.sent, there.received)
+        self.assertEqual(there.sent, here.received)
+
     def test_silent_stream_is_found_and_replaced(self) -> None:
         # Something between the two loses track of the connection: bytes
         # vanish, nothing is closed, new connections work. The caller of a
