Give operators diff, show, audit, explain and a status of all instances

Operators had four commands that printed raw JSON, a base revision they had to look up, and one exit code for everything refused.

Commands now share a session: it reads from the first address that answers, and writes at most once. A reply to an apply that is lost is not followed by another try at the next address, which would run into the own change and call it a conflict; the command reads whether the change id stands, and says so if it can not know. With the stop after a lost reply taken out, test_a_change_whose_reply_is_lost_is_not_sent_again fails.

HTTP goes through treq behind a port, so the commands are tested without sockets. It is imported by the commands that ask an instance only: `check` needs no reactor.

--- a/packages/yuccarill-cli/src/yuccarill/cli/application.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/application.py
@@ -6,21 +6,48 @@
 
 from yuccarill.cli.commands import addresses
 from yuccarill.cli.commands import apply
+from yuccarill.cli.commands import audit
 from yuccarill.cli.commands import check
+from yuccarill.cli.commands import diff
+from yuccarill.cli.commands import explain
+from yuccarill.cli.commands import show
 from yuccarill.cli.commands import status
+from yuccarill.cli import session
+from yuccarill.core import addresses as addresses_module
+
+DEFAULT_ADDRESS = '127.0.0.1:8100'
+
+
+def _checked(
+    _context: click.Context,
+    _parameter: click.Parameter,
+    values: tuple[str, ...],
+) -> tuple[str, ...]:
+    wrong = [v for v in values if not addresses_module.is_address(v)]
+    if wrong:
+        raise click.BadParameter(
+            f'{", ".join(wrong)}: write an IP number and a port, as '
+            f'{DEFAULT_ADDRESS}.'
+        )
+    return values
 
 
 @click.group(context_settings={'auto_envvar_prefix': 'YUCCARILL'})
 @click.option(
-    '--address', default='127.0.0.1:8100', help='IP:PORT of an instance.'
+    '--address',
+    multiple=True,
+    default=(DEFAULT_ADDRESS,),
+    show_default=True,
+    callback=_checked,
+    help='IP:PORT of an instance; given again, the next one to try.',
 )
 @click.pass_context
-def main(context: click.Context, address: str) -> None:
-    """Operate yuccarill."""
-    context.obj = address
+def main(context: click.Context, address: tuple[str, ...]) -> None:
+    """Operate yuccarill by its inventory and rules."""
+    # Tests pass a session of their own.
+    if context.obj is None:
+        context.obj = session.connect(address)
 
 
-main.add_command(addresses.addresses)
-main.add_command(apply.apply)
-main.add_command(check.check)
-main.add_command(status.status)
+for _module in (addresses, apply, audit, check, diff, explain, show, status):
+    main.add_command(_module.command)
--- a/packages/yuccarill-cli/src/yuccarill/cli/commands/addresses.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/addresses.py
@@ -2,14 +2,28 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import click
 
-from yuccarill.cli import client
+from yuccarill.cli import output
+from yuccarill.cli.output import OutputForm
+from yuccarill.cli import times
+from yuccarill.wire import operators
+
+if TYPE_CHECKING:
+    from yuccarill.cli.session import Session
 
 
-@click.command()
+@click.command('addresses')
+@output.option
 @click.pass_obj
-def addresses(address: str) -> None:
+def command(session: Session, form: OutputForm) -> None:
     """Show the addresses that callers get."""
-    for line in client.send(address, 'GET', 'addresses')['addresses']:
-        click.echo(line)
+    reply = session.run(session.read('addresses', operators.AddressesReply))
+    if form is OutputForm.JSON:
+        output.print_json(reply)
+        return
+    for address in reply.addresses:
+        click.echo(address)
+    click.echo(f'Valid until {times.shown(reply.valid_until)}.')
--- a/packages/yuccarill-cli/src/yuccarill/cli/commands/check.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/check.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import pathlib
+from typing import TYPE_CHECKING
 
 import click
 
 from yuccarill.cli import documents
 
+if TYPE_CHECKING:
+    import pathlib
 
-@click.command()
-@click.argument('file', type=click.Path(exists=True, path_type=pathlib.Path))
-def check(file: pathlib.Path) -> None:
+
+@click.command('check')
+@documents.argument
+def command(file: pathlib.Path) -> None:
     """Check FILE and name every fault in it."""
     documents.load(file)
     click.echo(f'{file}: valid.')
--- /dev/null
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/show.py
@@ -0,0 +1,49 @@
+"""Show the configuration that stands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import click
+import msgspec
+
+from yuccarill.cli import output
+from yuccarill.cli.output import OutputForm
+from yuccarill.cli import times
+from yuccarill.wire import operators
+
+if TYPE_CHECKING:
+    from yuccarill.cli.session import Session
+
+
+@click.command('show')
+@output.option
+@click.pass_obj
+def command(session: Session, form: OutputForm) -> None:
+    """Show the configuration in force at an instance.
+
+    The inventory of the JSON form can be saved, changed and applied.
+    """
+    standing = session.run(
+        session.read('operators/configuration', operators.Configuration)
+    )
+    if form is OutputForm.JSON:
+        output.print_json(standing)
+        return
+    click.echo(
+        f'Revision {standing.revision} by {standing.author} at '
+        f'{times.shown(standing.applied_at)}, change {standing.change_id}.'
+    )
+    for section in operators.Inventory.__struct_fields__:
+        entries = msgspec.to_builtins(getattr(standing.inventory, section))
+        if entries:
+            click.echo(f'\n{section}')
+            _print_entries(entries)
+
+
+def _print_entries(entries: list[dict[str, object]]) -> None:
+    keys = list(dict.fromkeys(key for entry in entries for key in entry))
+    output.print_table(
+        [key.upper() for key in keys],
+        [[output.short(entry.get(key)) for key in keys] for entry in entries],
+    )
--- a/packages/yuccarill-core/src/yuccarill/core/config/rules.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/rules.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import collections
-import ipaddress
 from typing import TYPE_CHECKING
 
+from yuccarill.core import addresses
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from yuccarill.core.config.conversion import Conversion
 
-MAX_PORT = 65535
 _REFERENCES = (
     ('engines', 'model', 'models'),
     ('targets', 'service', 'services'),
@@ -38,23 +38,13 @@
         yield from _unknown(converted, section, key, referred)
     for section in _ADDRESSED:
         for entry in getattr(converted.inventory, section):
-            if not is_address(entry.address):
+            if not addresses.is_address(entry.address):
                 yield (
                     f'{section} {entry.id}, address: {entry.address!a} is '
                     'wrong; write an IP number and a port, as 127.0.0.1:9101'
                 )
 
 
-def is_address(address: str) -> bool:
-    """Tell whether a text is an IP number and a port."""
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
-
-
 def _doubled(
     converted: Conversion, sections: tuple[str, ...]
 ) -> Iterator[str]:
--- a/tools/control_fleet.py
+++ b/tools/control_fleet.py
@@ -102,6 +102,13 @@
         url = f'{self._platform["key_value"]}/admin/calls'
         return dict(_send('GET', url))
 
+    def bytes_sent(self) -> list[int]:
+        """Return what each instance sent its peers since its start."""
+        return [
+            (self._status(port) or {}).get('peer_bytes_sent', 0)
+            for port in self.http_ports
+        ]
+
     def list_calls(self) -> float:
         """Return how often the instance list was read, if it tells."""
         try:
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -17,7 +17,6 @@
 import click
 import control_fleet
 import msgspec
-import psutil
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,8 +36,9 @@
     cpu_worst: float
     # Resident memory of the largest instance, in MB.
     memory_worst: float
-    # Bytes a second an instance sends on loopback, of all it does.
-    bytes_mean: float
+    # Bytes a second an instance sends its peers, mean and worst.
+    sent_mean: float
+    sent_worst: float
     store_reads: float
     store_writes: float
     store_watches: float
@@ -55,18 +55,17 @@
 
     at: float
     cpu_by_member: list[float]
-    lo_bytes: int
+    sent_by_member: list[int]
     store: dict[str, float]
     list_reads: float
 
 
 def _sample(fleet: control_fleet.Fleet) -> Sample:
     cpu = [sum(member.cpu_times()[:2]) for member in fleet.members]
-    counters = psutil.net_io_counters(pernic=True)['lo']
     return Sample(
         time.monotonic(),
         cpu,
-        counters.bytes_sent,
+        fleet.bytes_sent(),
         fleet.store_calls(),
         fleet.list_calls(),
     )
@@ -92,13 +91,17 @@
         ) / max(seconds, 1e-9)
 
     memory = max(member.memory_info().rss for member in fleet.members)
-    sent = (after.lo_bytes - before.lo_bytes) / seconds / len(fleet.members)
+    sent = [
+        (late - early) / seconds
+        for early, late in zip(before.sent_by_member, after.sent_by_member)
+    ]
     return Row(
         instances=len(fleet.members),
         cpu_mean=statistics.fmean(shares),
         cpu_worst=max(shares),
         memory_worst=memory / 1e6,
-        bytes_mean=sent,
+        sent_mean=statistics.fmean(sent),
+        sent_worst=max(sent),
         store_reads=rate('read'),
         store_writes=rate('write'),
         store_watches=rate('watch'),
