Bring new weight versions to the engines

A version in the weight store reached no engine. Now the model's holder reads the store every 2 s, and decides on reports; the holders of the engines' shards read the engines' states, carry the orders out under their own epoch, asked for right before each, and report what changed.

Ruled out: the holder of a model calling engines itself, since 1,300 orders would then come from one process, and reports on a fixed interval, which cost bytes while nothing changes. Reads of states are bounded to 8 a second and an instance, and a silent engine is read less and less often.

In a trial of the demo (5 engines, 6 instances) two engines got no order for 30 s: their reports had gone to an instance that still took itself for the model's holder.

--- a/packages/yuccarill-core/src/yuccarill/core/blackboard.py
+++ b/packages/yuccarill-core/src/yuccarill/core/blackboard.py
@@ -11,6 +11,7 @@
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import TargetId
     from yuccarill.core.membership.instances import Instance
+    from yuccarill.core.weights.orders import TargetState
 
 
 @dataclasses.dataclass
@@ -25,4 +26,8 @@
     in_flight_by_id: collections.Counter[TargetId] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # What engines said of themselves, for those whose duty is held here.
+    targets_by_id: dict[TargetId, TargetState] = dataclasses.field(
+        default_factory=dict
+    )
     is_leaving: bool = False
--- a/packages/yuccarill-core/src/yuccarill/core/weights/desk.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/desk.py
@@ -14,6 +14,8 @@
 from yuccarill.core.weights.orders import Report
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import TargetId
     from yuccarill.core.ids import WeightVersion
@@ -87,6 +89,15 @@
         """Forget a target that is no longer held."""
         self._places_by_id.pop(target, None)
 
+    def targets(self) -> Set[TargetId]:
+        """Return the targets that are held."""
+        return self._places_by_id.keys()
+
+    def is_read(self, target: TargetId) -> bool:
+        """Tell whether a target has answered under the current epoch."""
+        place = self._places_by_id.get(target)
+        return place is not None and place.state is not None
+
     def see(self, target: TargetId, state: TargetState | None) -> None:
         """Take what was read of a target, None for no answer."""
         place = self._places_by_id.get(target)
@@ -101,11 +112,12 @@
     ) -> OrderOutcome | None:
         """Note an order as running; return its outcome if it must not be."""
         place = self._places_by_id.get(order.target)
-        if place is None or epoch is None or place.epoch != epoch:
-            return OrderOutcome.NOT_SENT
-        if place.is_busy(now):
+        if place is None or place.running == order:
             return OrderOutcome.NOT_SENT
-        outcome = _refusal(order, place.state)
+        if epoch != place.epoch or place.is_busy(now):
+            outcome: OrderOutcome | None = OrderOutcome.NOT_SENT
+        else:
+            outcome = _refusal(order, place.state)
         if outcome is not None:
             self._end(place, order, outcome)
             return outcome
--- a/packages/yuccarill-core/src/yuccarill/core/weights/rollout.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/rollout.py
@@ -52,7 +52,7 @@
         self.opened = NO_VERSION
         self._open_by = Instant(0.0)
         self._serving_part = serving_part
-        self._tokens = tokens
+        self.tokens = tokens
         self._retries = retries or RetryPolicy()
         # A predecessor's order that ends late must not be taken for one of
         # ours: the engine would count as back in service too early.
@@ -77,7 +77,7 @@
         # Versions that come faster than they are staged would move the
         # deadline on for ever, and no engine would ever switch.
         if self.opened == self.newest:
-            staging = len(self.records_by_id) / max(self._tokens.rate, 1e-9)
+            staging = len(self.records_by_id) / max(self.tokens.rate, 1e-9)
             self._open_by = Instant(now + staging + STAGE_PATIENCE_SECONDS)
         self.newest = version
         for record in self.records_by_id.values():
@@ -102,7 +102,7 @@
         orders = [
             self._begin(record, OrderKind.STAGE, self.newest, now)
             for record in records
-            if self._wants_stage(record) and self._tokens.take(now)
+            if self._wants_stage(record) and self.tokens.take(now)
         ]
         slack = Slack(records, self._serving_part)
         for record in self._switch_candidates(records):
--- a/packages/yuccarill-core/src/yuccarill/core/weights/tokens.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/tokens.py
@@ -19,6 +19,7 @@
     # predecessor took a moment ago, and the store would refuse both.
     rate: float
     filled_at: Instant
+    burst_seconds: float = BURST_SECONDS
     tokens: float = 0.0
 
     def take(self, now: Instant, cost: float = 1.0) -> bool:
@@ -35,7 +36,7 @@
         self.rate = rate
 
     def _fill(self, now: Instant) -> None:
-        burst = max(1.0, self.rate * BURST_SECONDS)
+        burst = max(1.0, self.rate * self.burst_seconds)
         grown = self.tokens + self.rate * max(0.0, now - self.filled_at)
         self.tokens = min(burst, grown)
         self.filled_at = max(self.filled_at, now)
--- /dev/null
+++ b/packages/yuccarill-core/tests/weights/test_polling.py
@@ -0,0 +1,32 @@
+"""Test the reading of targets' states."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import TargetId
+from yuccarill.core.weights import polling
+
+
+class PollingTest(unittest.TestCase):
+    @params((20, True, 240), (1300, True, 480), (20, False, 60))
+    def test_reads_a_minute(
+        self, count: int, is_reachable: bool, expected: int
+    ) -> None:
+        # An instance holds 20 targets, all 1,300 of them, or 20 that are
+        # gone; reading must cost it no more than its share in each case.
+        polls = polling.PollSchedule(Instant(0.0))
+        polls.set_targets(
+            [TargetId(f't{n:04}') for n in range(count)], Instant(0.0)
+        )
+        read: list[TargetId] = []
+        for tick in range(240):
+            now = Instant(tick * 0.25)
+            for target in polls.due(now):
+                read.append(target)
+                polls.done(target, is_reachable, now)
+        self.assertAlmostEqual(expected, len(read), delta=expected * 0.12)
+        self.assertGreaterEqual(len(set(read)), min(count, 400))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/engine.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/engine.py
@@ -72,26 +72,3 @@
             ) from error
         if not is_done:
             raise errors.AnswerCut(f'The engine at {address} broke off.')
-
-    async def order_version(
-        self, address: str, version: WeightVersion, epoch: int
-    ) -> WeightVersion:
-        """Order a weight version; return the one the engine reports.
-
-        Raises AnswerCut.
-        """
-        order = {'weight_version': version, 'epoch': epoch}
-        try:
-            response = await self._client.request(
-                'POST',
-                f'http://{address}/v1/orders',
-                seconds=PROGRESS_SECONDS,
-                data=msgspec.json.encode(order),
-            )
-            content = await http.body(response, PROGRESS_SECONDS)
-            state = msgspec.json.decode(content)
-        except Exception as error:
-            raise errors.AnswerCut(
-                f'The engine at {address} did not answer: {error}.'
-            ) from error
-        return WeightVersion(state['weight_version'])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
@@ -33,6 +33,7 @@
 @click.option('--statsd', help='IP:PORT of a statsd server.')
 @click.option('--address-validity', type=float, default=5.0)
 @click.option('--stop-timeout', type=float, default=30.0)
+@click.option('--weight-downloads', type=float, default=50.0)
 @click.option('--check-settings', is_flag=True, help='Check and end.')
 def main(check_settings: bool, **values: Any) -> None:
     """Run one instance of yuccarill."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/targets.py
@@ -0,0 +1,227 @@
+"""Read the engines whose duty is held here and carry out their orders."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.core.leases import shards
+from yuccarill.core.weights import desk
+from yuccarill.core.weights.orders import OrderOutcome
+from yuccarill.core.weights import polling
+from yuccarill.daemon import logs
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.config.inventory import Engine
+    from yuccarill.core.config.snapshot import Snapshot
+    from yuccarill.core.ids import Epoch
+    from yuccarill.core.ids import ModelName
+    from yuccarill.core.ids import ShardNumber
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.weights.orders import Order
+    from yuccarill.core.weights.orders import Report
+    from yuccarill.daemon.adapters.engine_weights import EngineWeightsAdapter
+    from yuccarill.daemon.controllers.leases import LeaseController
+    from yuccarill.daemon.peers.peers import Peers
+
+log = logs.for_part('targets')
+
+TICK_SECONDS = 0.25
+HOLD_SECONDS = 0.5
+REPORT_SECONDS = 2.0
+
+
+class TargetController:
+    """Be the one who orders the engines held here."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        leases: LeaseController,
+        engines: EngineWeightsAdapter,
+        peers: Peers,
+        clock: Any,
+    ) -> None:
+        self._blackboard = blackboard
+        self._leases = leases
+        self._engines = engines
+        self._peers = peers
+        self._clock = clock
+        self._desk = desk.OrderDesk()
+        self._polls = polling.PollSchedule(self._now())
+        self._snapshot: Snapshot | None = None
+        self._engines_by_shard: dict[ShardNumber, list[Engine]] = {}
+        self._held_at = Instant(-HOLD_SECONDS)
+        # Handles reports where this instance is a model's holder itself.
+        self.report_here: Any = None
+
+    async def follow(self) -> None:
+        """Work until the process ends."""
+        while True:
+            self.turn()
+            await task.deferLater(self._clock, TICK_SECONDS, lambda: None)
+
+    def turn(self) -> None:
+        """Start what is due."""
+        now = self._now()
+        if now - self._held_at >= HOLD_SECONDS:
+            self._held_at = now
+            self._hold(now)
+        for target in self._polls.due(now):
+            _start(self._poll(target))
+        self._push()
+
+    async def handle(
+        self, body: messages.WeightOrders | messages.WeightQuery
+    ) -> messages.Body:
+        """Take orders, or tell what is known, for a model's holder.
+
+        Raises NotRun if a newer holder was heard.
+        """
+        if not self._desk.accept_model_epoch(body.model, body.epoch):
+            raise errors.NotRun('A newer holder of the model was heard.')
+        match body:
+            case messages.WeightOrders(orders=orders):
+                refused = []
+                for order in orders:
+                    if order.target in self._desk.targets():
+                        _start(self._carry_out(order))
+                    else:
+                        refused.append(order.number)
+                return messages.WeightOrdersTaken(refused=tuple(refused))
+            case messages.WeightQuery(model=model):
+                return messages.WeightReports(
+                    model=model, reports=tuple(self._reports(model))
+                )
+
+    def _hold(self, now: Instant) -> None:
+        snapshot = self._blackboard.head
+        if snapshot is not self._snapshot:
+            self._snapshot = snapshot
+            self._engines_by_shard = _by_shard(snapshot)
+        held: set[TargetId] = set()
+        for engines in self._engines_by_shard.values():
+            epoch = self._epoch(engines[0].id)
+            if epoch is None:
+                continue
+            for engine in engines:
+                held.add(engine.id)
+                self._desk.hold(engine.id, epoch, now)
+        states = self._blackboard.targets_by_id
+        for target in self._desk.targets() - held:
+            self._desk.release(target)
+            states.pop(target, None)
+        self._polls.set_targets(sorted(held), now)
+
+    async def _poll(self, target: TargetId) -> None:
+        state = None
+        try:
+            engine = self._engine(target)
+            if engine is not None:
+                state = await self._engines.read(engine.address)
+            self._see(target, state)
+        finally:
+            self._polls.done(target, state is not None, self._now())
+
+    def _see(self, target: TargetId, state: Any) -> None:
+        self._desk.see(target, state)
+        if state is not None and target in self._desk.targets():
+            self._blackboard.targets_by_id[target] = state
+
+    async def _carry_out(self, order: Order) -> None:
+        engine = self._engine(order.target)
+        if engine is None:
+            return
+        if not self._desk.is_read(order.target):
+            # An order must not go below what the engine has.
+            self._see(order.target, await self._engines.read(engine.address))
+        epoch = self._epoch(order.target)
+        refusal = self._desk.begin(order, epoch, self._now())
+        if refusal is None and epoch is not None:
+            await self._send(engine, order, epoch)
+        self._push()
+
+    async def _send(self, engine: Engine, order: Order, epoch: Epoch) -> None:
+        ended = await self._engines.order(
+            engine.address, order, engine.model, epoch
+        )
+        state = ended.state or await self._engines.read(engine.address)
+        self._see(engine.id, state)
+        self._desk.finish(order, ended.outcome)
+        if ended.outcome is not OrderOutcome.DONE:
+            log.warning(
+                'Order not carried out.',
+                target=engine.id,
+                kind=order.kind.value,
+                version=order.version,
+                outcome=ended.outcome.value,
+            )
+
+    def _reports(self, model: ModelName) -> list[Report]:
+        now = self._now()
+        found = (
+            self._desk.report(target, now)
+            for target in sorted(self._desk.targets())
+            if self._model(target) == model
+        )
+        return [report for report in found if report is not None]
+
+    def _push(self) -> None:
+        by_model: dict[Any, list[Report]] = collections.defaultdict(list)
+        for report in self._desk.news(self._now()):
+            by_model[self._model(report.target)].append(report)
+        for model, reports in by_model.items():
+            if model is not None:
+                _start(self._deliver(model, reports))
+
+    async def _deliver(self, model: ModelName, reports: list[Report]) -> None:
+        body = messages.WeightReports(model=model, reports=tuple(reports))
+        holder = self._leases.holder_of(shards.model_duty(model))
+        try:
+            if holder is None:
+                raise errors.NoTarget('The model has no holder yet.')
+            if holder.id == self._blackboard.me.id:
+                self.report_here(body)
+            else:
+                await self._peers.request(holder, body, REPORT_SECONDS)
+        except errors.YuccarillError:
+            await task.deferLater(self._clock, HOLD_SECONDS, lambda: None)
+            for report in reports:
+                self._desk.unreport(report.target)
+
+    def _epoch(self, target: TargetId) -> Epoch | None:
+        return self._leases.epoch_for(shards.target_duty(target))
+
+    def _engine(self, target: TargetId) -> Engine | None:
+        head = self._blackboard.head
+        return None if head is None else head.engines_by_id.get(target)
+
+    def _model(self, target: TargetId) -> ModelName | None:
+        engine = self._engine(target)
+        return None if engine is None else engine.model
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+def _by_shard(snapshot: Snapshot | None) -> dict[ShardNumber, list[Engine]]:
+    found: dict[ShardNumber, list[Engine]] = collections.defaultdict(list)
+    for engine in snapshot.inventory.engines if snapshot else ():
+        found[shards.shard_of(shards.target_duty(engine.id))].append(engine)
+    return found
+
+
+def _start(work: Coroutine[Any, Any, None]) -> None:
+    defer.ensureDeferred(work).addErrback(
+        lambda failure: log.error('Work failed.', cause=str(failure)[:500])
+    )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/weights.py
@@ -0,0 +1,282 @@
+"""Bring new weight versions to the engines of the models held here."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.core.leases import shards
+from yuccarill.core.weights.record import WeightState
+from yuccarill.core.weights import rollout as rollout_module
+from yuccarill.core.weights import tokens
+from yuccarill.daemon import logs
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.config.snapshot import Snapshot
+    from yuccarill.core.ids import Epoch
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import ModelName
+    from yuccarill.core.ids import ShardNumber
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.membership.instances import Instance
+    from yuccarill.core.weights.orders import Order
+    from yuccarill.daemon.adapters.weight_store import WeightStoreAdapter
+    from yuccarill.daemon.controllers.leases import LeaseController
+    from yuccarill.daemon.controllers.targets import TargetController
+    from yuccarill.daemon.peers.peers import Peers
+
+log = logs.for_part('weights')
+
+ACTIVE_SECONDS = 0.1
+IDLE_SECONDS = 0.5
+STORE_SECONDS = 2.0
+SEND_SECONDS = 2.0
+QUERY_SECONDS = 1.0
+
+
+@dataclasses.dataclass
+class _Held:
+    """Hold what is known of one model whose duty is held here."""
+
+    model: ModelName
+    epoch: Epoch
+    snapshot: Snapshot
+    rollout: rollout_module.ModelRollout
+    targets_by_shard: dict[ShardNumber, list[TargetId]]
+    # The holders that the records of a shard's targets come from.
+    holders_by_shard: dict[ShardNumber, InstanceId] = dataclasses.field(
+        default_factory=dict
+    )
+    asked_at: Instant = Instant(-QUERY_SECONDS)
+    store_read_at: Instant = Instant(-STORE_SECONDS)
+
+
+class WeightController:
+    """Plan the weights of the models whose duty is held here."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        leases: LeaseController,
+        store: WeightStoreAdapter,
+        targets: TargetController,
+        peers: Peers,
+        downloads_per_second: float,
+        clock: Any,
+    ) -> None:
+        self._blackboard = blackboard
+        self._leases = leases
+        self._store = store
+        self._targets = targets
+        self._peers = peers
+        self._downloads_per_second = downloads_per_second
+        self._clock = clock
+        self._held_by_model: dict[ModelName, _Held] = {}
+        targets.report_here = self.handle
+
+    async def follow(self) -> None:
+        """Work until the process ends."""
+        while True:
+            seconds = ACTIVE_SECONDS if self.turn() else IDLE_SECONDS
+            await task.deferLater(self._clock, seconds, lambda: None)
+
+    def turn(self) -> bool:
+        """Start what is due; tell whether a version is on its way."""
+        snapshot = self._blackboard.head
+        if snapshot is None:
+            return False
+        now = self._now()
+        for model in snapshot.models_by_name:
+            self._hold(model, snapshot, now)
+        for model in self._held_by_model.keys() - snapshot.models_by_name:
+            del self._held_by_model[model]
+        is_active = False
+        for held in self._held_by_model.values():
+            self._work(held, now)
+            is_active = is_active or not held.rollout.is_done()
+        return is_active
+
+    def handle(self, body: messages.WeightReports) -> messages.Body:
+        """Take reports on engines.
+
+        Raises NotRun if the model's duty is not held here.
+        """
+        held = self._held_by_model.get(body.model)
+        if held is None:
+            raise errors.NotRun(
+                f'The duty of model {body.model} is not held here.'
+            )
+        for report in body.reports:
+            held.rollout.observe(report, self._now())
+        return messages.Done()
+
+    def _hold(
+        self, model: ModelName, snapshot: Snapshot, now: Instant
+    ) -> None:
+        epoch = self._leases.epoch_for(shards.model_duty(model))
+        held = self._held_by_model.get(model)
+        if epoch is None:
+            self._held_by_model.pop(model, None)
+        elif held is None or held.epoch != epoch:
+            # What a predecessor knew is asked for again: its orders may
+            # have taken effect, also under an earlier epoch of this
+            # process.
+            self._held_by_model[model] = self._take(
+                model, epoch, snapshot, now
+            )
+        elif held.snapshot is not snapshot:
+            self._change(held, snapshot, now)
+
+    def _take(
+        self, model: ModelName, epoch: Epoch, snapshot: Snapshot, now: Instant
+    ) -> _Held:
+        log.info('Model held.', model=model, epoch=epoch)
+        rollout = rollout_module.ModelRollout(
+            _data_centres(snapshot, model),
+            snapshot.models_by_name[model].serving_part,
+            tokens.TokenSchedule(self._rate(snapshot, model), now),
+            epoch,
+        )
+        shard_targets = _targets_by_shard(snapshot, model)
+        return _Held(model, epoch, snapshot, rollout, shard_targets)
+
+    def _change(self, held: _Held, snapshot: Snapshot, now: Instant) -> None:
+        held.snapshot = snapshot
+        held.targets_by_shard = _targets_by_shard(snapshot, held.model)
+        held.rollout.set_engines(
+            _data_centres(snapshot, held.model),
+            snapshot.models_by_name[held.model].serving_part,
+        )
+        held.rollout.tokens.set_rate(self._rate(snapshot, held.model), now)
+
+    def _work(self, held: _Held, now: Instant) -> None:
+        if now - held.store_read_at >= STORE_SECONDS:
+            held.store_read_at = now
+            _start(self._read_store(held))
+        if now - held.asked_at >= QUERY_SECONDS:
+            held.asked_at = now
+            self._query(held)
+        by_holder: dict[InstanceId, list[Order]] = collections.defaultdict(
+            list
+        )
+        holders_by_id: dict[InstanceId, Instance] = {}
+        for order in held.rollout.decide(now):
+            holder = self._leases.holder_of(shards.target_duty(order.target))
+            if holder is None:
+                held.rollout.drop([order], now)
+                continue
+            holders_by_id[holder.id] = holder
+            by_holder[holder.id].append(order)
+        for holder_id, orders in by_holder.items():
+            holder = holders_by_id[holder_id]
+            _start(self._send(held, holder, orders))
+
+    async def _read_store(self, held: _Held) -> None:
+        try:
+            version = await self._store.newest(held.model)
+        except errors.StoreUnavailable as error:
+            log.warning(
+                'Newest version not read.',
+                model=held.model,
+                cause=error.message,
+            )
+            return
+        if version > held.rollout.newest:
+            log.info('Version found.', model=held.model, version=version)
+        held.rollout.see_newest(version, self._now())
+
+    def _query(self, held: _Held) -> None:
+        """Ask the holders of targets of which nothing is known yet."""
+        asked: dict[InstanceId, Instance] = {}
+        for shard, targets in held.targets_by_shard.items():
+            holder = self._leases.holder_of(shards.target_duty(targets[0]))
+            if holder is None:
+                continue
+            records = [held.rollout.records_by_id[t] for t in targets]
+            if held.holders_by_shard.get(shard) != holder.id:
+                held.holders_by_shard[shard] = holder.id
+                for record in records:
+                    record.forget()
+            # A report may have gone to another instance that still took
+            # itself for the model's holder; it would never come here.
+            if any(r.state is WeightState.UNKNOWN for r in records):
+                asked[holder.id] = holder
+        for holder in asked.values():
+            _start(self._ask(held, holder))
+
+    async def _ask(self, held: _Held, holder: Instance) -> None:
+        body = messages.WeightQuery(model=held.model, epoch=held.epoch)
+        try:
+            reply = await self._request(holder, body)
+        except errors.YuccarillError:
+            return
+        for report in reply.reports:
+            held.rollout.observe(report, self._now())
+
+    async def _send(
+        self, held: _Held, holder: Instance, orders: list[Order]
+    ) -> None:
+        if self._leases.epoch_for(shards.model_duty(held.model)) != held.epoch:
+            return
+        body = messages.WeightOrders(
+            model=held.model, epoch=held.epoch, orders=tuple(orders)
+        )
+        try:
+            reply = await self._request(holder, body)
+            refused = [o for o in orders if o.number in reply.refused]
+            held.rollout.drop(refused, self._now())
+        except errors.NotRun:
+            held.rollout.drop(orders, self._now())
+        except errors.YuccarillError as error:
+            # They may have been taken: the reports will tell, or the time
+            # after which they can not take effect any more.
+            log.warning(
+                'Orders may be lost.', holder=holder.id, cause=error.message
+            )
+
+    async def _request(self, holder: Instance, body: Any) -> Any:
+        if holder.id == self._blackboard.me.id:
+            return await self._targets.handle(body)
+        return await self._peers.request(holder, body, SEND_SECONDS)
+
+    def _rate(self, snapshot: Snapshot, model: ModelName) -> float:
+        return tokens.model_rate(
+            self._downloads_per_second,
+            len(snapshot.engines_by_model.get(model, ())),
+            len(snapshot.inventory.engines),
+        )
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+def _data_centres(snapshot: Snapshot, model: ModelName) -> dict[Any, Any]:
+    engines = snapshot.engines_by_model.get(model, ())
+    return {engine.id: engine.data_centre for engine in engines}
+
+
+def _targets_by_shard(
+    snapshot: Snapshot, model: ModelName
+) -> dict[ShardNumber, list[TargetId]]:
+    found: dict[ShardNumber, list[TargetId]] = collections.defaultdict(list)
+    for engine in snapshot.engines_by_model.get(model, ()):
+        shard = shards.shard_of(shards.target_duty(engine.id))
+        found[shard].append(engine.id)
+    return found
+
+
+def _start(work: Coroutine[Any, Any, None]) -> None:
+    defer.ensureDeferred(work).addErrback(
+        lambda failure: log.error('Work failed.', cause=str(failure)[:500])
+    )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -20,11 +20,13 @@
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.membership.instances import Instance
 from yuccarill.daemon.adapters import engine
+from yuccarill.daemon.adapters import engine_weights
 from yuccarill.daemon.adapters import http
 from yuccarill.daemon.adapters import instance_list
 from yuccarill.daemon.adapters import key_value
 from yuccarill.daemon.adapters import scorer
 from yuccarill.daemon.adapters import target
+from yuccarill.daemon.adapters import weight_store
 from yuccarill.daemon.api import callers
 from yuccarill.daemon.api import operators
 from yuccarill.daemon.api import root
@@ -40,6 +42,8 @@
 from yuccarill.daemon.controllers import sampling
 from yuccarill.daemon.controllers import step_ledger
 from yuccarill.daemon.controllers import step_routing
+from yuccarill.daemon.controllers import targets
+from yuccarill.daemon.controllers import weights
 from yuccarill.daemon import logs
 from yuccarill.daemon.peers import peers
 from yuccarill.wire import messages
@@ -116,6 +120,22 @@
             step_routing.HolderClient(self._blackboard, self._peers).ask,
             self._leases.epoch_for,
         )
+        self._targets = targets.TargetController(
+            self._blackboard,
+            self._leases,
+            engine_weights.EngineWeightsAdapter(client),
+            self._peers,
+            reactor,
+        )
+        self._weights = weights.WeightController(
+            self._blackboard,
+            self._leases,
+            weight_store.WeightStoreAdapter(client, settings.weight_store),
+            self._targets,
+            self._peers,
+            settings.weight_downloads,
+            reactor,
+        )
         self._steps = step_routing.StepRouting(
             self._blackboard, self._leases, self._rollouts, self._peers
         )
@@ -146,6 +166,8 @@
             self._configuration,
             self._membership,
             self._dissemination,
+            self._targets,
+            self._weights,
         ):
             defer.ensureDeferred(following.follow()).addErrback(self._broken)
         endpoint = endpoints.TCP4ServerEndpoint(
@@ -180,6 +202,10 @@
                 return await self._steps.handle_here(body)
             case messages.RecordOffer() | messages.RecordExchange():
                 return self._dissemination.handle(body)
+            case messages.WeightOrders() | messages.WeightQuery():
+                return await self._targets.handle(body)
+            case messages.WeightReports():
+                return self._weights.handle(body)
             case _:
                 raise errors.FrameInvalid('This message is no request.')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/settings.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/settings.py
@@ -27,6 +27,8 @@
     address_validity: float = 5.0
     # Seconds after which a planned stop no longer waits.
     stop_timeout: float = 30.0
+    # Downloads a second that the weight store may be asked for in all.
+    weight_downloads: float = 50.0
 
 
 def check(settings: Settings) -> None:
@@ -49,10 +51,10 @@
         if not 0 < port < 65536:
             name = flag.replace('_', '-')
             faults.append(f'--{name}: {port} is no port; write 1 to 65535')
-    for flag in ('address_validity', 'stop_timeout'):
+    for flag in ('address_validity', 'stop_timeout', 'weight_downloads'):
         if getattr(settings, flag) <= 0:
             name = flag.replace('_', '-')
-            faults.append(f'--{name}: must be above 0 seconds')
+            faults.append(f'--{name}: must be above 0')
     if faults:
         raise errors.SettingsInvalid('\n'.join(faults))
 
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -6,13 +6,17 @@
 
 from yuccarill.core.dissemination.record import Record
 from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WeightVersion
+from yuccarill.core.weights.orders import Order
+from yuccarill.core.weights.orders import Report
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field='kind'):
@@ -160,6 +164,36 @@
     StepSubmit | StepFetch | StepAcknowledge | StepDelete | VersionAnnounce
 )
 
+
+class WeightOrders(Message, frozen=True, tag='weight-orders'):
+    """Give the holder of engines the orders that a model's holder chose."""
+
+    model: ModelName
+    # The sender's epoch for the model.
+    epoch: Epoch
+    orders: tuple[Order, ...]
+
+
+class WeightOrdersTaken(Message, frozen=True, tag='weight-orders-taken'):
+    """Confirm orders but for those on engines that are not held here."""
+
+    refused: tuple[int, ...] = ()
+
+
+class WeightQuery(Message, frozen=True, tag='weight-query'):
+    """Ask for what is known of a model's engines held by the receiver."""
+
+    model: ModelName
+    epoch: Epoch
+
+
+class WeightReports(Message, frozen=True, tag='weight-reports'):
+    """Tell a model's holder what is known of its engines."""
+
+    model: ModelName
+    reports: tuple[Report, ...]
+
+
 Body = (
     Hello
     | Heartbeat
@@ -180,6 +214,10 @@
     | StepAcknowledge
     | StepDelete
     | VersionAnnounce
+    | WeightOrders
+    | WeightOrdersTaken
+    | WeightQuery
+    | WeightReports
 )
 
 
