Decide leases on shards by one table and one session a holder

A holder must be known by every instance, also when the store is slow or away, when replies are lost and when a holder is stopped past its lease. A lease per target would be renewed 1,300 times a period and an elected leader would make all duties wait for it; both were ruled out.

One key holds the table of 64 shards with holder and epoch, changed by compare-and-swap; one key a holder is renewed.

--- a/packages/yuccarill-core/src/yuccarill/core/ids.py
+++ b/packages/yuccarill-core/src/yuccarill/core/ids.py
@@ -22,6 +22,8 @@
 ShardNumber = NewType('ShardNumber', int)
 # Grows at each change of a shard's holder; the fencing number of its orders.
 Epoch = NewType('Epoch', int)
+# One span of an incarnation's leases; a session that ended never returns.
+SessionId = NewType('SessionId', str)
 Revision = NewType('Revision', int)
 WeightVersion = NewType('WeightVersion', int)
 # Seconds on a monotonic clock of this process.
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/table.py
@@ -0,0 +1,85 @@
+"""The table of all shards, kept under one key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import SessionId
+from yuccarill.core.leases import shards
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from yuccarill.core.ids import ShardNumber
+
+TABLE_KEY = 'leases/shards'
+
+
+class Holder(msgspec.Struct, frozen=True, array_like=True):
+    """Name the session that holds a shard."""
+
+    instance: InstanceId
+    session: SessionId
+
+
+class ShardEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a shard's holder, none if it is free, and its epoch."""
+
+    epoch: Epoch = Epoch(0)
+    holder: Holder | None = None
+    # Who held a free shard before.
+    previous: InstanceId | None = None
+
+    def moved_to(self, holder: Holder | None) -> ShardEntry:
+        """Return the entry with another holder."""
+        # Engines refuse an order whose epoch is below one they have seen,
+        # so the epoch grows with each holder and stays when there is none.
+        if holder is None:
+            previous = self.holder.instance if self.holder else self.previous
+            return ShardEntry(self.epoch, None, previous)
+        return ShardEntry(Epoch(self.epoch + 1), holder)
+
+
+class ShardTable(msgspec.Struct, frozen=True):
+    """Hold all shards' entries, by number."""
+
+    entries: tuple[ShardEntry, ...]
+
+    def moved(
+        self, holders_by_shard: Mapping[ShardNumber, Holder | None]
+    ) -> ShardTable:
+        """Return the table with some shards at other holders."""
+        entries = list(self.entries)
+        for shard, holder in holders_by_shard.items():
+            entries[shard] = entries[shard].moved_to(holder)
+        return ShardTable(tuple(entries))
+
+    def holders(self) -> set[Holder]:
+        """Return all holders."""
+        return {e.holder for e in self.entries if e.holder is not None}
+
+    def held_by(self, session: SessionId | None) -> Iterator[ShardNumber]:
+        """Return the shards of a session."""
+        for shard, entry in zip(shards.ALL_SHARDS, self.entries, strict=True):
+            if entry.holder is not None and entry.holder.session == session:
+                yield shard
+
+
+EMPTY = ShardTable((ShardEntry(),) * shards.SHARD_COUNT)
+
+_DECODER = msgspec.json.Decoder(ShardTable)
+
+
+def encode(table: ShardTable) -> bytes:
+    """Encode a table for the key-value service."""
+    return msgspec.json.encode(table)
+
+
+def decode(version: int, data: bytes) -> ShardTable:
+    """Decode a table as it was read; an absent one is empty."""
+    return _DECODER.decode(data) if version else EMPTY
