Keep leases in the store and route steps to their holder

The holder was taken from placement alone, so two instances with different views worked on one step, under a constant epoch.

LeaseController does the calls that the keeper asks for, spreads the table as a record, asks peers for shards placed here and hands all over at the end of a graceful shutdown. A step is refused as not run while nobody holds its trainer, and a trainer with an open step is not moved for balance.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -116,6 +116,14 @@
         )
         return body
 
+    def busy_duties(self) -> list[str]:
+        """Return the duties with a step that has no manifest yet."""
+        return [
+            shards.trainer_duty(work.trainer)
+            for work in self._work_by_key.values()
+            if work.is_open
+        ]
+
     async def announce(
         self, trainer_id: TrainerId, version: WeightVersion
     ) -> WeightVersion:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
@@ -24,6 +24,7 @@
     from yuccarill.daemon.peers.peers import Peers
 
 REQUEST_SECONDS = 5.0
+RETRY_SECONDS = 0.5
 
 
 class StepRouting:
@@ -91,7 +92,13 @@
 
     async def _send(self, body: messages.TrainerRequest) -> Any:
         holder = self._leases.holder_of(shards.trainer_duty(body.trainer))
-        if holder is None or holder.id == self._blackboard.me.id:
+        if holder is None:
+            # Worked on here without a lease, the step would be made twice.
+            raise errors.NotRun(
+                f'No instance holds trainer {body.trainer} now; try again.',
+                retry_after=RETRY_SECONDS,
+            )
+        if holder.id == self._blackboard.me.id:
             return await self.handle_here(body)
         return await self._peers.request(holder, body, REQUEST_SECONDS)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -95,7 +95,14 @@
             reactor,
         )
         self._leases = leases.LeaseController(
-            self._blackboard, self._membership
+            self._blackboard,
+            incarnation,
+            self._membership,
+            store,
+            self._dissemination,
+            self._peers,
+            random.Random(),
+            reactor,
         )
         self._calls = calls.CallController(
             self._blackboard,
@@ -136,6 +143,7 @@
             settings.weight_downloads,
             reactor,
         )
+        self._leases.busy_duties = self._rollouts.busy_duties
         self._steps = step_routing.StepRouting(
             self._blackboard, self._leases, self._rollouts, self._peers
         )
@@ -168,6 +176,7 @@
             self._dissemination,
             self._targets,
             self._weights,
+            self._leases,
         ):
             defer.ensureDeferred(following.follow()).addErrback(self._broken)
         endpoint = endpoints.TCP4ServerEndpoint(
@@ -186,6 +195,7 @@
             if time.monotonic() >= served_until and not self._calls.active:
                 break
             await task.deferLater(reactor, STOP_CHECK_SECONDS, lambda: None)
+        await self._leases.release_all()
         log.info('Stopped.')
 
     async def _handle(self, body: messages.Body) -> messages.Body:
@@ -206,6 +216,8 @@
                 return await self._targets.handle(body)
             case messages.WeightReports():
                 return self._weights.handle(body)
+            case messages.LeaseAsk() | messages.LeaseInvite():
+                return await self._leases.handle(body)
             case _:
                 raise errors.FrameInvalid('This message is no request.')
 
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -12,6 +12,8 @@
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import SessionId
+from yuccarill.core.ids import ShardNumber
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WeightVersion
@@ -160,6 +162,24 @@
     version: WeightVersion
 
 
+class LeaseAsk(Message, frozen=True, tag='lease_ask'):
+    """Ask a holder for shards that are placed on the one who asks."""
+
+    instance: InstanceId
+    session: SessionId
+    shards: tuple[ShardNumber, ...]
+
+
+class LeaseInvite(Message, frozen=True, tag='lease_invite'):
+    """Ask an instance for the session to hand shards over to."""
+
+
+class LeaseSession(Message, frozen=True, tag='lease_session'):
+    """Name a session that may be given shards, if there is one."""
+
+    session: SessionId | None
+
+
 TrainerRequest = (
     StepSubmit | StepFetch | StepAcknowledge | StepDelete | VersionAnnounce
 )
@@ -218,6 +238,9 @@
     | WeightOrdersTaken
     | WeightQuery
     | WeightReports
+    | LeaseAsk
+    | LeaseInvite
+    | LeaseSession
 )
 
 
