Show the main job under faults and count every promise

Now callers of both classes, with doubled non-repeatable calls and streamed answers, and a trainer whose weights change within steps work while a target stands still, all targets refuse connections, an instance is killed, one is stopped, and an inventory change removes a target and an engine. The closing table has a line a promise, counted from the records of callers, trainer, targets and engines; a line of which nothing was counted counts as broken.

Ruled out: reading the system's own status for the counts, except for the revision in force, which only instances can tell.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo demo-lifti test lint format
 
 setup: $(STAMP)
 
@@ -13,7 +13,10 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	BIN=$(BIN) bash tools/demo.sh
+	BIN=$(BIN) bash tools/demo.sh examples/landesstelle.toml
+
+demo-lifti: $(STAMP)
+	BIN=$(BIN) bash tools/demo.sh examples/lifti.toml
 
 test: $(STAMP)
 	$(BIN)/python tools/run_tests.py
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/__main__.py
@@ -0,0 +1,65 @@
+"""Run one part of the demonstration."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import Any
+
+import click
+from twisted.internet import defer
+from twisted.internet import reactor
+
+from yuccarill.standins.demo import places
+from yuccarill.standins.demo import prepare as prepare_module
+from yuccarill.standins.demo import readiness
+from yuccarill.standins.demo import show
+
+
+@click.group()
+def main() -> None:
+    """Prepare and run the demonstration in FOLDER."""
+
+
+@main.command()
+@click.argument('folder', type=click.Path(path_type=pathlib.Path))
+def prepare(folder: pathlib.Path) -> None:
+    """Choose ports and write the instances' flags."""
+    prepare_module.prepare(folder)
+
+
+@main.command()
+@click.argument('folder', type=click.Path(path_type=pathlib.Path))
+def wait(folder: pathlib.Path) -> None:
+    """Enter the instances in the list and wait until they answer."""
+    _run(readiness.enter_all(places.Places(folder)))
+
+
+@main.command()
+@click.argument('folder', type=click.Path(path_type=pathlib.Path))
+def run(folder: pathlib.Path) -> None:
+    """Call, train, let things fail and print what was counted."""
+    _run(show.run(places.Places(folder)))
+
+
+def _run(work: Any) -> None:
+    code = 0
+
+    def fail(failure: Any) -> None:
+        nonlocal code
+        code = 1
+        if not failure.check(SystemExit) or failure.value.code != 1:
+            click.echo(failure.getTraceback(), err=True)
+
+    def begin() -> None:
+        done = defer.ensureDeferred(work)
+        done.addErrback(fail)
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    sys.exit(code)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/faults.py
@@ -0,0 +1,141 @@
+"""What goes wrong, and what operators change, in the demonstration."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import click
+import msgspec
+from twisted.internet import utils
+
+from yuccarill.standins import client
+from yuccarill.standins.demo import places as places_module
+from yuccarill.standins import server
+
+if TYPE_CHECKING:
+    from yuccarill.standins.demo.places import Places
+
+KILLED = 1
+STOPPED = 2
+# Seconds that the platform takes to notice a change of an instance.
+PLATFORM_LAG_SECONDS = 2.0
+CLOSED_SECONDS = 1.5
+FROZEN_SECONDS = 2.0
+STOP_SECONDS = 30.0
+
+
+class FaultRecords(msgspec.Struct):
+    """Record what was done, in wall clock time."""
+
+    killed: str = ''
+    killed_at: float = 0.0
+    stopped: str = ''
+    stopped_at: float = 0.0
+    exited_at: float = 0.0
+    removed: list[str] = []
+    removed_address: list[str] = []
+    accepted_at: float = 0.0
+    revision: int = 0
+
+
+class Faults:
+    """Cause one thing after another."""
+
+    def __init__(self, places: Places) -> None:
+        self._places = places
+        self.records = FaultRecords()
+
+    async def slow_engines(self, seconds: float) -> None:
+        """Let each chunk of tokens take some seconds."""
+        for engine in self._places.inventory['engines']:
+            order = {'seconds_per_chunk': seconds}
+            await _order(engine['address'], 'faults', order)
+
+    async def close_targets(self) -> None:
+        """Let every plain target refuse connections for a time."""
+        click.echo('All plain targets refuse connections for a time.')
+        for target in self._places.inventory['targets']:
+            await _order(target['address'], 'close', CLOSED_SECONDS)
+        await server.sleep(CLOSED_SECONDS)
+
+    async def freeze_target(self) -> None:
+        """Let one plain target stand still for a time."""
+        target = self._places.inventory['targets'][0]
+        click.echo(f'Target {target["id"]} stands still for a time.')
+        await _order(target['address'], 'faults', {'is_frozen': True})
+        await server.sleep(FROZEN_SECONDS)
+        await _order(target['address'], 'faults', {'is_frozen': False})
+
+    async def kill_instance(self) -> None:
+        """Kill one instance, which the platform notices later."""
+        instance = self._places.instances[KILLED]
+        self.records.killed = instance['id']
+        click.echo(f'Instance {instance["id"]} is killed.')
+        self.records.killed_at = time.time()
+        os.kill(self._places.pid(instance['id']), signal.SIGKILL)
+        await server.sleep(PLATFORM_LAG_SECONDS)
+        await self._list('DELETE', instance)
+
+    async def stop_instance(self) -> None:
+        """Stop one instance in a planned way and wait for its end."""
+        instance = self._places.instances[STOPPED]
+        self.records.stopped = instance['id']
+        (self._places.folder / 'stopped.txt').write_text(instance['id'])
+        click.echo(f'Instance {instance["id"]} is stopped as planned.')
+        pid = self._places.pid(instance['id'])
+        self.records.stopped_at = time.time()
+        os.kill(pid, signal.SIGTERM)
+        await server.sleep(PLATFORM_LAG_SECONDS)
+        await self._list('PUT', {**instance, 'state': 'leaving'})
+        given_up_at = time.time() + STOP_SECONDS
+        while time.time() < given_up_at and _is_running(pid):
+            await server.sleep(0.05)
+        self.records.exited_at = time.time()
+        await self._list('DELETE', instance)
+
+    async def remove_targets(self) -> None:
+        """Apply an inventory without one plain target and one engine."""
+        inventory = json.loads(json.dumps(self._places.inventory))
+        removed = [inventory['targets'].pop(), inventory['engines'].pop()]
+        names = [entry['id'] for entry in removed]
+        click.echo(f'Targets {", ".join(names)} leave the inventory.')
+        path = self._places.folder / 'inventory-2.json'
+        path.write_text(json.dumps(inventory))
+        survivor = places_module.address_of(self._places.instances[0])
+        command = os.path.join(os.path.dirname(sys.executable), 'yuccarill')
+        words = ['--address', survivor, 'apply', str(path), '--base', '1']
+        out, err, code = await utils.getProcessOutputAndValue(
+            command, [*words, '--author', 'demo'], os.environ
+        )
+        self.records.accepted_at = time.time()
+        click.echo(f'  {(out + err).decode().strip()}')
+        if code:
+            raise SystemExit(f'apply ended with {code}')
+        self.records.revision = 2
+        self.records.removed = names
+        self.records.removed_address = [e['address'] for e in removed]
+
+    async def _list(self, method: str, instance: dict[str, Any]) -> None:
+        base = f'http://{self._places.platform["instance_list"]}'
+        url = f'{base}/admin/instances/{instance["id"]}'
+        await client.send(method, url, instance)
+
+
+async def _order(address: str, place: str, value: Any) -> None:
+    await client.send('PUT', f'http://{address}/admin/{place}', value)
+
+
+def _is_running(pid: int) -> bool:
+    # An ended process stays in the table until the shell that started it
+    # waits for it; its state tells the difference.
+    try:
+        with open(f'/proc/{pid}/stat') as stat:
+            return stat.read().rpartition(')')[2].split()[0] != 'Z'
+    except FileNotFoundError:
+        return False
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
@@ -0,0 +1,64 @@
+"""Choose ports and write the flags of the instances."""
+
+from __future__ import annotations
+
+import json
+import socket
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.standins.demo import places
+from yuccarill.standins import server
+
+if TYPE_CHECKING:
+    import pathlib
+
+INSTANCES = 6
+
+
+def prepare(folder: pathlib.Path) -> None:
+    """Write instances.json, instances.txt and first-address.txt."""
+    known = places.Places(folder)
+    centres = sorted({e['data_centre'] for e in known.inventory['engines']})
+    ports = _free_ports(2 * INSTANCES)
+    instances = [
+        {
+            'id': f'entry-{number + 1}',
+            'data_centre': centres[number % len(centres)],
+            'host': server.LOOPBACK,
+            'http_port': ports[2 * number],
+            'peer_port': ports[2 * number + 1],
+            'state': 'live',
+        }
+        for number in range(INSTANCES)
+    ]
+    lines = [_line(instance, known.platform) for instance in instances]
+    (folder / 'instances.json').write_text(json.dumps(instances))
+    (folder / 'instances.txt').write_text(''.join(lines))
+    first = places.address_of(instances[0])
+    (folder / 'first-address.txt').write_text(first)
+
+
+def _line(instance: dict[str, Any], platform: dict[str, str]) -> str:
+    flags = {
+        'instance': instance['id'],
+        'data-centre': instance['data_centre'],
+        'host': instance['host'],
+        'http-port': instance['http_port'],
+        'peer-port': instance['peer_port'],
+        'key-value': platform['key_value'],
+        'instance-list': platform['instance_list'],
+        'weight-store': platform['weight_store'],
+    }
+    words = ' '.join(f'--{name} {value}' for name, value in flags.items())
+    return f'{instance["id"]} {words}\n'
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [
+        socket.create_server((server.LOOPBACK, 0)) for _ in range(count)
+    ]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
--- a/packages/yuccarill-standins/src/yuccarill/standins/engine.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/engine.py
@@ -127,6 +127,8 @@
             return self._reply(request, {'error': str(error)}, 400)
         run = {
             'request_id': asked.request_id,
+            'prompt': asked.prompt,
+            'seed': asked.seed,
             'received_at': time.time(),
             'resumed': len(asked.resume_tokens),
             'outcome': 'running',
--- a/packages/yuccarill-standins/src/yuccarill/standins/plain_target.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/plain_target.py
@@ -8,6 +8,7 @@
 
 import klein
 import msgspec
+from twisted.internet import defer
 
 from yuccarill.standins import faults
 from yuccarill.standins import server
@@ -36,12 +37,22 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._faults = faults.FaultSwitch(TargetFaults())
+        # Set once the target serves; its port can then be closed for a time.
+        self.listening: Any = None
         self._runs: list[dict[str, Any]] = []
 
     @app.route('/admin/faults', methods=['GET', 'PUT'])
     def order_faults(self, request: IRequest) -> bytes:
         return self._faults.answer(request)
 
+    @app.route('/admin/close', methods=['PUT'])
+    def close(self, request: IRequest) -> bytes:
+        """Refuse connections for the given number of seconds."""
+        seconds = server.read_json(request)
+        closing = server.close_for(self.listening, seconds)
+        defer.ensureDeferred(closing)
+        return server.reply_json(request, seconds)
+
     @app.route('/admin/runs', methods=['GET'])
     def show_runs(self, request: IRequest) -> bytes:
         return server.reply_json(request, self._runs)
--- a/packages/yuccarill-standins/src/yuccarill/standins/server.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/server.py
@@ -22,14 +22,26 @@
 POLL_SECONDS = 0.02
 
 
-async def listen(app: klein.Klein, port: int = 0) -> int:
-    """Serve an application and return its port."""
+async def listen(app: klein.Klein) -> Any:
+    """Serve an application on a free port and return the listening port."""
     endpoint = endpoints.TCP4ServerEndpoint(
-        reactor, port, interface=LOOPBACK, backlog=1024
+        reactor, 0, interface=LOOPBACK, backlog=1024
     )
-    site = server.Site(app.resource())
-    listening = await endpoint.listen(site)
-    return listening.getHost().port
+    return await endpoint.listen(server.Site(app.resource()))
+
+
+def address_of(listening: Any) -> str:
+    """Return the address of a listening port."""
+    return f'{LOOPBACK}:{listening.getHost().port}'
+
+
+async def close_for(listening: Any, seconds: float) -> None:
+    """Refuse connections on a listening port for some seconds."""
+    # It was bound to any free port; it must come back to the same one.
+    listening.port = listening.getHost().port
+    await defer.maybeDeferred(listening.stopListening)
+    await sleep(seconds)
+    listening.startListening()
 
 
 def read_json(request: IRequest) -> Any:
--- a/packages/yuccarill-standins/src/yuccarill/standins/site.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/site.py
@@ -31,8 +31,9 @@
         ).app
         entry['address'] = await _address(app)
     for entry in inventory.get('targets', []):
-        app = plain_target.PlainTargetStandIn(entry['id']).app
-        entry['address'] = await _address(app)
+        target = plain_target.PlainTargetStandIn(entry['id'])
+        target.listening = await server.listen(target.app)
+        entry['address'] = server.address_of(target.listening)
     for entry in inventory.get('scorers', []):
         entry['address'] = await _address(scorer.ScorerStandIn().app)
     platform = {
@@ -50,5 +51,4 @@
 
 
 async def _address(app: object) -> str:
-    port = await server.listen(app)
-    return f'{server.LOOPBACK}:{port}'
+    return server.address_of(await server.listen(app))
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Run the main job on stand-ins: 6 instances, callers, a trainer, faults.
+# usage: demo.sh [EXAMPLE]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BIN=${BIN:-.venv/bin}
@@ -13,6 +14,7 @@
     for pid in "${PIDS[@]}"; do
         kill -KILL "$pid" 2>/dev/null || true
     done
+    wait 2>/dev/null || true
 }
 trap cleanup EXIT
 
@@ -37,4 +39,13 @@
 "$BIN/yuccarill" check "$RUN/inventory.json"
 "$BIN/yuccarill" --address "$FIRST" apply "$RUN/inventory.json" --base 0 \
     --author demo
-"$BIN/python" -m yuccarill.standins.demo run "$RUN"
+CODE=0
+"$BIN/python" -m yuccarill.standins.demo run "$RUN" || CODE=$?
+
+# A stopped instance is this shell's child, so only here is its exit code seen.
+STOPPED=$(cat "$RUN/stopped.txt")
+STOP_CODE=0
+wait "$(cat "$RUN/$STOPPED.pid")" 2>/dev/null || STOP_CODE=$?
+echo "The stopped instance ended with exit code $STOP_CODE."
+[ "$STOP_CODE" -eq 0 ] || CODE=1
+exit "$CODE"
