--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/config/deltas.py
@@ -0,0 +1,134 @@
+"""What changed between two inventories, by section and entry."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+from typing import Any
+from typing import get_type_hints
+
+import msgspec
+
+from yuccarill.core.config.inventory import Inventory
+from yuccarill.core.config import reader
+from yuccarill.core import errors
+
+DIGEST_LENGTH = 32
+
+
+class Delta(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold what leads from one inventory to the next."""
+
+    # Entries added or replaced, in plain form, by section.
+    put: dict[str, list[Any]] = {}
+    # Ids or names of the entries removed, by section.
+    removed: dict[str, list[str]] = {}
+    # New values of the fields that are no collections.
+    values: dict[str, Any] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        return not (self.put or self.removed or self.values)
+
+
+def between(old: Inventory, new: Inventory) -> Delta:
+    """Return the delta from one inventory to another."""
+    put: dict[str, list[Any]] = {}
+    removed: dict[str, list[str]] = {}
+    values: dict[str, Any] = {}
+    for section in Inventory.__struct_fields__:
+        before, after = getattr(old, section), getattr(new, section)
+        if before == after:
+            continue
+        if not isinstance(after, tuple):
+            values[section] = msgspec.to_builtins(after)
+            continue
+        before_by_key, after_by_key = _by_key(before), _by_key(after)
+        changed = [
+            msgspec.to_builtins(entry)
+            for key, entry in sorted(after_by_key.items())
+            if before_by_key.get(key) != entry
+        ]
+        gone = sorted(before_by_key.keys() - after_by_key.keys())
+        if changed:
+            put[section] = changed
+        if gone:
+            removed[section] = gone
+    return Delta(put, removed, values)
+
+
+def apply_to(inventory: Inventory, delta: Delta) -> Inventory:
+    """Return the inventory to which a delta leads.
+
+    Raises InventoryInvalid if the delta does not fit these data classes.
+    """
+    try:
+        changes = {
+            section: msgspec.convert(value, _types_by_section()[section])
+            for section, value in delta.values.items()
+        }
+        for section in delta.put.keys() | delta.removed.keys():
+            entries = _by_key(getattr(inventory, section))
+            for key in delta.removed.get(section, ()):
+                entries.pop(key, None)
+            put = delta.put.get(section, [])
+            entries.update(
+                _by_key(msgspec.convert(put, _types_by_section()[section]))
+            )
+            changes[section] = _sorted(entries)
+    except (AttributeError, KeyError, msgspec.ValidationError) as error:
+        raise errors.InventoryInvalid(
+            f'The delta is of another version of the program: {error}.'
+        ) from error
+    return msgspec.structs.replace(inventory, **changes)
+
+
+def canonical(inventory: Inventory) -> Inventory:
+    """Return an inventory with each section in the order of its keys."""
+    changes = {
+        section: _sorted(_by_key(entries))
+        for section in Inventory.__struct_fields__
+        if isinstance(entries := getattr(inventory, section), tuple)
+    }
+    return msgspec.structs.replace(inventory, **changes)
+
+
+def digest(inventory: Inventory) -> str:
+    """Return the digest of a canonical inventory."""
+    data = reader.to_json(inventory)
+    return hashlib.sha256(data).hexdigest()[:DIGEST_LENGTH]
+
+
+def touched(delta: Delta) -> set[str]:
+    """Name the entries that a delta changes, as `section key`."""
+    named = {
+        f'{section} {_plain_key(entry)}'
+        for section, entries in delta.put.items()
+        for entry in entries
+    }
+    named.update(
+        f'{section} {key}'
+        for section, keys in delta.removed.items()
+        for key in keys
+    )
+    return named | set(delta.values)
+
+
+@functools.cache
+def _types_by_section() -> dict[str, Any]:
+    return get_type_hints(Inventory)
+
+
+def _by_key(entries: tuple[Any, ...]) -> dict[str, Any]:
+    if not entries:
+        return {}
+    field = 'id' if hasattr(entries[0], 'id') else 'name'
+    return {getattr(entry, field): entry for entry in entries}
+
+
+def _sorted(entries_by_key: dict[str, Any]) -> tuple[Any, ...]:
+    return tuple(entry for _, entry in sorted(entries_by_key.items()))
+
+
+def _plain_key(entry: Any) -> Any:
+    return entry['id'] if 'id' in entry else entry['name']
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/config/documents.py
@@ -0,0 +1,180 @@
+"""Whole documents and audit pages, as the key-value service holds them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccarill.core.config import deltas
+from yuccarill.core.config import head as head_module
+from yuccarill.core.config.head import Change
+from yuccarill.core.config.head import Checkpoint
+from yuccarill.core.config.head import Head
+from yuccarill.core.config.inventory import Inventory
+from yuccarill.core.config import store
+from yuccarill.core import errors
+from yuccarill.core.ids import Revision
+
+# Documents are kept in a ring of keys, which bounds what they take up and
+# needs no deletion. A reader would have to sleep through this many
+# checkpoints to find its document replaced, and would see that it was.
+RING_SIZE = 4
+LOAD_TRIES = 3
+
+
+class Document(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one revision whole."""
+
+    revision: Revision
+    inventory: Inventory
+
+
+class AuditPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold changes that have left the head, oldest first."""
+
+    # The last revision of the page before this one, 0 for none.
+    previous: Revision
+    changes: tuple[Change, ...]
+
+
+class Loaded(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what stands, as read from the platform."""
+
+    head: Head
+    # Version of the head's key, which the next swap must name.
+    version: int
+    inventory: Inventory
+
+
+def document_key(number: int) -> str:
+    """Return the key of a checkpoint's document."""
+    return f'config/documents/{number % RING_SIZE}'
+
+
+def page_key(last: Revision) -> str:
+    """Return the key of the audit page that ends with a revision."""
+    return f'config/audit/{last:08d}'
+
+
+def read_head(step: store.Step) -> store.Decision[tuple[Head, int]]:
+    """Read the head and the version of its key.
+
+    Raises StoreUnavailable.
+    """
+    outcome = yield store.Read(step, head_module.HEAD_KEY)
+    if not isinstance(outcome, store.Found):
+        raise unavailable('the head was not read')
+    if outcome.version == 0:
+        return Head(), 0
+    return head_module.decode(outcome.value), outcome.version
+
+
+def load() -> store.Decision[Loaded]:
+    """Read the standing configuration whole.
+
+    Raises StoreUnavailable.
+    """
+    for _ in range(LOAD_TRIES):
+        head, version = yield from read_head(store.Step.READ_HEAD)
+        inventory = yield from read_inventory(head)
+        if inventory is not None:
+            return Loaded(head=head, version=version, inventory=inventory)
+    raise unavailable('the document was replaced while it was read')
+
+
+def read_inventory(head: Head) -> store.Decision[Inventory | None]:
+    """Return the inventory of a head, None if its document is replaced.
+
+    Raises StoreUnavailable.
+    """
+    inventory = Inventory()
+    if head.checkpoint.number:
+        key = document_key(head.checkpoint.number)
+        outcome = yield store.Read(store.Step.READ_DOCUMENT, key)
+        if not isinstance(outcome, store.Found):
+            raise unavailable('the document was not read')
+        if outcome.version == 0:
+            return None
+        document = msgspec.json.decode(outcome.value, type=Document)
+        if document.revision != head.checkpoint.revision:
+            return None
+        inventory = document.inventory
+    for change in head.changes:
+        if change.delta is not None:
+            inventory = deltas.apply_to(inventory, change.delta)
+    if head.changes and deltas.digest(inventory) != head.changes[-1].digest:
+        raise unavailable('the document does not fit the digest of the head')
+    return inventory
+
+
+def read_page(last: Revision) -> store.Decision[AuditPage]:
+    """Read the audit page that ends with a revision.
+
+    Raises StoreUnavailable, or RequestError if there is no such page.
+    """
+    outcome = yield store.Read(store.Step.LOOK_UP_CHANGE, page_key(last))
+    if not isinstance(outcome, store.Found):
+        raise unavailable('the audit page was not read')
+    if outcome.version == 0:
+        raise errors.RequestError(
+            f'No audit page ends with revision {last}; start at the newest.'
+        )
+    return msgspec.json.decode(outcome.value, type=AuditPage)
+
+
+def newest_page(head: Head) -> AuditPage:
+    """Return the changes that are still in the head as a page."""
+    return AuditPage(previous=head.checkpoint.revision, changes=head.changes)
+
+
+def write_checkpoint(
+    head: Head, inventory: Inventory
+) -> store.Decision[Checkpoint]:
+    """Keep a standing revision whole, and its changes as a page.
+
+    Raises StoreUnavailable; the head still stands as it was.
+    """
+    # Both describe what stands already. Racing writers write the same
+    # bytes, and one that dies half way leaves nothing that misleads.
+    page = msgspec.json.encode(newest_page(head))
+    written = yield store.Swap(
+        store.Step.WRITE_AUDIT_PAGE, page_key(head.revision), page, 0
+    )
+    if isinstance(written, store.NoReply):
+        raise unavailable('the audit page was not written')
+    number = head.checkpoint.number + 1
+    document = Document(revision=head.revision, inventory=inventory)
+    yield from _write_document(document_key(number), document)
+    return Checkpoint(number, head.revision)
+
+
+def unavailable(what: str) -> errors.StoreUnavailable:
+    """Return the error of a try that changed nothing."""
+    return errors.StoreUnavailable(
+        f'The key-value service did not answer: {what}. This try changed '
+        'nothing and will not; try again.',
+        retry_after=1.0,
+    )
+
+
+def _write_document(key: str, document: Document) -> store.Decision[None]:
+    slot = yield store.Read(store.Step.READ_SLOT, key)
+    if not isinstance(slot, store.Found):
+        raise unavailable('the place of the document was not read')
+    if slot.version and _revision_of(slot.value) == document.revision:
+        return
+    outcome = yield store.Swap(
+        store.Step.WRITE_DOCUMENT,
+        key,
+        msgspec.json.encode(document),
+        slot.version,
+    )
+    if not isinstance(outcome, store.Swapped):
+        raise unavailable('the document was not written')
+
+
+class _RevisionOnly(msgspec.Struct):
+    revision: Revision
+
+
+def _revision_of(data: bytes) -> Revision:
+    return msgspec.json.decode(data, type=_RevisionOnly).revision
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/config/follower.py
@@ -0,0 +1,73 @@
+"""Keep the configuration in force at the newest that was seen."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from yuccarill.core.config import deltas
+from yuccarill.core.config import head as head_module
+from yuccarill.core.config.inventory import Inventory
+from yuccarill.core.config import snapshot as snapshot_module
+from yuccarill.core import errors
+
+if TYPE_CHECKING:
+    from yuccarill.core.config.head import Change
+    from yuccarill.core.config.head import Head
+    from yuccarill.core.config.snapshot import Snapshot
+    from yuccarill.core.ids import Revision
+
+
+class Offered(enum.Enum):
+    """Say what became of an offered head or document."""
+
+    TAKEN = 'taken'
+    NOT_NEWER = 'not newer'
+    # A delta is missing or does not lead to the digest; the whole
+    # document is needed.
+    GAP = 'gap'
+
+
+class Follower:
+    """Take deltas in order and whole documents where they are newer."""
+
+    def __init__(self) -> None:
+        self.snapshot: Snapshot | None = None
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision held, 0 for none."""
+        if self.snapshot is None:
+            return head_module.Head().revision
+        return self.snapshot.revision
+
+    def offer(self, head: Head) -> Offered:
+        """Follow a head by its deltas."""
+        if head.revision <= self.revision:
+            return Offered.NOT_NEWER
+        inventory = self.snapshot.inventory if self.snapshot else Inventory()
+        missing = [c for c in head.changes if c.revision > self.revision]
+        if missing[0].revision != self.revision + 1:
+            return Offered.GAP
+        try:
+            for change in missing:
+                if change.delta is None:
+                    return Offered.GAP
+                inventory = deltas.apply_to(inventory, change.delta)
+        except errors.InventoryInvalid:
+            return Offered.GAP
+        return self.install(missing[-1], inventory)
+
+    def install(self, change: Change, inventory: Inventory) -> Offered:
+        """Take a whole inventory and the change that made it."""
+        if change.revision <= self.revision:
+            return Offered.NOT_NEWER
+        # Deltas build on what is held. One lost or doubled by a fault would
+        # go on in every later revision, with this instance routing by an
+        # inventory nobody applied; the digest is of the whole.
+        if deltas.digest(inventory) != change.digest:
+            return Offered.GAP
+        self.snapshot = snapshot_module.Snapshot(
+            head_module.without_delta(change), inventory
+        )
+        return Offered.TAKEN
--- a/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
@@ -57,8 +57,14 @@
 ]
 
 
+# Defaults are left out, so that a field added with a default changes neither
+# the digest of a standing revision nor the size of its document.
 class Entry(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    omit_defaults=True,
 ):
     """Be one checked part of an inventory."""
 
--- a/packages/yuccarill-core/src/yuccarill/core/config/snapshot.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/snapshot.py
@@ -6,47 +6,82 @@
 import functools
 from typing import TYPE_CHECKING
 
+from yuccarill.core.config import deltas
+from yuccarill.core.config.head import Change
+from yuccarill.core.ids import ChangeId
+from yuccarill.core.ids import Revision
+from yuccarill.core.ids import WallTime
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from yuccarill.core.config.head import Head
     from yuccarill.core.config import inventory as inventory_module
     from yuccarill.core.ids import CallerId
-    from yuccarill.core.ids import ChangeId
     from yuccarill.core.ids import ModelName
-    from yuccarill.core.ids import Revision
     from yuccarill.core.ids import ScorerId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
     from yuccarill.core.ids import TrainerId
-    from yuccarill.core.ids import WallTime
+
+
+def from_inventory(
+    inventory: inventory_module.Inventory,
+    revision: Revision = Revision(1),
+) -> Snapshot:
+    """Return a snapshot for use without a key-value service."""
+    return Snapshot(
+        Change(
+            revision=revision,
+            change_id=ChangeId(''),
+            author='',
+            applied_at=WallTime(0.0),
+            digest=deltas.digest(inventory),
+        ),
+        inventory,
+    )
 
 
 class Snapshot:
     """Hold one revision; never changed, replaced as a whole."""
 
     def __init__(
-        self, head: Head, inventory: inventory_module.Inventory
+        self, change: Change, inventory: inventory_module.Inventory
     ) -> None:
-        self.head = head
+        # The change that made this revision, without its delta.
+        self.change = change
         self.inventory = inventory
 
     @property
     def revision(self) -> Revision:
-        return self.head.revision
+        return self.change.revision
 
     @property
     def change_id(self) -> ChangeId:
-        return self.head.change_id
+        return self.change.change_id
 
     @property
     def author(self) -> str:
-        return self.head.author
+        return self.change.author
 
     @property
     def applied_at(self) -> WallTime:
-        return self.head.applied_at
+        return self.change.applied_at
+
+    @property
+    def digest(self) -> str:
+        return self.change.digest
+
+    def view(self) -> dict[str, object]:
+        """Return what operators are shown."""
+        return {
+            'revision': self.revision,
+            'change_id': self.change_id,
+            'author': self.author,
+            'applied_at': self.applied_at,
+            'digest': self.digest,
+            'inventory': self.inventory,
+        }
 
     @functools.cached_property
     def callers_by_id(self) -> Mapping[CallerId, inventory_module.Caller]:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
@@ -50,18 +50,22 @@
     async def show(self, request: IRequest) -> bytes:
         if self._blackboard.head is None:
             raise errors.NoConfiguration('No configuration was applied yet.')
-        return replies.as_json(request, self._blackboard.head.head)
+        return replies.as_json(request, self._blackboard.head.view())
 
     @app.route('/configuration', methods=['PUT'])
     @replies.answering_errors
     async def apply(self, request: IRequest) -> bytes:
         asked = replies.decode(request, ApplyRequest)
-        head = await self._configuration.apply(
+        result = await self._configuration.apply(
             asked.author, asked.base, asked.document
         )
         return replies.as_json(
             request,
-            {'revision': head.revision, 'change_id': head.change_id},
+            {
+                'outcome': result.outcome.value,
+                'revision': result.revision,
+                'change_id': result.change_id,
+            },
         )
 
     @app.route('/status', methods=['GET'])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration.py
@@ -1,127 +1,201 @@
-"""Follow the configuration's head and apply operators' changes."""
+"""Apply operators' changes and follow the configuration."""
 
 from __future__ import annotations
 
+import collections
 import time
+from typing import Any
 from typing import TYPE_CHECKING
 import uuid
 
-from twisted.internet import reactor
+import msgspec
+from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.config import apply as apply_module
+from yuccarill.core.config import deltas
+from yuccarill.core.config import documents
 from yuccarill.core.config import head as head_module
 from yuccarill.core.config import reader
-from yuccarill.core.config import snapshot
+from yuccarill.core.config import store
 from yuccarill.core import errors
 from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import Revision
 from yuccarill.core.ids import WallTime
+from yuccarill.daemon.controllers import configuration_intake
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
     from yuccarill.core.blackboard import Blackboard
-    from yuccarill.core.config.head import Head
-    from yuccarill.daemon.adapters.key_value import Entry
-    from yuccarill.daemon.adapters.key_value import KeyValueAdapter
+    from yuccarill.daemon.controllers.decisions import DecisionRunner
+    from yuccarill.daemon.controllers import dissemination as spreading
+    from yuccarill.daemon.peers.peers import Peers
+    from yuccarill.wire import messages
 
 log = logs.for_part('config')
 
-RETRY_SECONDS = 0.5
+SETTLE_AGAIN_SECONDS = 1.0
+MAX_REFUSALS = 100
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Record an apply that this instance refused."""
+
+    change_id: ChangeId
+    author: str
+    refused_at: WallTime
+    base: Revision
+    code: int
+    message: str
 
 
 class ConfigurationController:
-    """Keep the blackboard's head the newest that was seen."""
+    """Keep the configuration in force and answer operators about it."""
 
     def __init__(
-        self, blackboard: Blackboard, key_value: KeyValueAdapter
+        self,
+        blackboard: Blackboard,
+        dissemination: spreading.DisseminationController,
+        peers: Peers,
+        runner: DecisionRunner,
+        clock: Any,
     ) -> None:
         self._blackboard = blackboard
-        self._key_value = key_value
+        self._dissemination = dissemination
+        self._runner = runner
+        self._clock = clock
+        self._intake = configuration_intake.ConfigurationIntake(
+            blackboard, dissemination, peers, runner, clock
+        )
+        # Refused applies cost no write to the platform; each instance keeps
+        # its own last ones, and the log has them all.
+        self.refusals: collections.deque[Refusal] = collections.deque(
+            maxlen=MAX_REFUSALS
+        )
 
     async def follow(self) -> None:
-        """Watch the head until the process ends."""
-        version = 0
-        while True:
-            try:
-                entry = await self._key_value.watch(
-                    head_module.HEAD_KEY, version
-                )
-            except errors.StoreUnavailable as error:
-                log.warning('Head not read.', cause=error.message)
-                await task.deferLater(reactor, RETRY_SECONDS, lambda: None)
-                continue
-            version = entry.version
-            if not entry.is_absent:
-                self.offer(head_module.decode(entry.value))
-
-    def offer(self, offered: Head) -> None:
-        """Take a head unless a newer one is known."""
-        current = self._blackboard.head
-        if current is None or offered.revision > current.revision:
-            self._blackboard.head = snapshot.Snapshot(
-                offered, offered.inventory
-            )
-            log.info('Revision in force.', revision=offered.revision)
+        """Keep the newest configuration in force until the process ends."""
+        await defer.gatherResults(
+            [
+                defer.ensureDeferred(self._intake.start()),
+                defer.ensureDeferred(
+                    self._dissemination.watch(
+                        head_module.HEAD_KEY, configuration_intake.from_entry
+                    )
+                ),
+            ],
+            consumeErrors=True,
+        )
+
+    def handle(
+        self, body: messages.ConfigurationFetch
+    ) -> messages.ConfigurationDocument:
+        """Answer a peer that needs the whole document."""
+        return self._intake.document(body)
 
     async def apply(
-        self, author: str, base: Revision, document: object
-    ) -> Head:
+        self,
+        author: str,
+        base: Revision,
+        document: object,
+        change_id: ChangeId | None = None,
+    ) -> apply_module.ApplyResult:
         """Check a document and make it the next revision.
 
-        Raises InventoryInvalid, RevisionConflict, StoreUnavailable or
-        ApplyOutcomeUnknown.
+        The same change id never makes two revisions. Raises as
+        `core.config.apply.apply` does.
         """
-        inventory = reader.from_plain(document)
-        entry = await self._key_value.get(head_module.HEAD_KEY)
-        standing = _decode(entry)
-        revision = standing.revision if standing else Revision(0)
-        if base != revision:
-            raise _conflict(base, standing)
-        new = head_module.Head(
-            revision=Revision(revision + 1),
-            change_id=ChangeId(uuid.uuid4().hex),
-            author=author,
-            applied_at=WallTime(time.time()),
-            inventory=inventory,
-        )
+        change_id = change_id or ChangeId(uuid.uuid4().hex)
         try:
-            await self._key_value.swap(
-                head_module.HEAD_KEY, head_module.encode(new), entry.version
+            inventory = deltas.canonical(reader.from_plain(document))
+            request = apply_module.ApplyRequest(
+                change_id=change_id,
+                author=author,
+                applied_at=WallTime(time.time()),
+                base=base,
+                inventory=inventory,
             )
-        except errors.StoreConflict as error:
-            standing = _decode(await self._key_value.get(head_module.HEAD_KEY))
-            raise _conflict(base, standing) from error
-        except errors.StoreUnavailable as error:
-            await self._settle(new, error)
-        self.offer(new)
-        return new
-
-    async def _settle(self, new: Head, cause: Exception) -> None:
-        # The write may have taken effect although its reply was lost. The
-        # operator would apply it again and be told of a conflict with
-        # itself; the change id in the head tells which of the two it was.
+            return await self._decide(
+                apply_module.apply(request, self._blackboard.head), request
+            )
+        except errors.YuccarillError as error:
+            self._note_refusal(author, base, change_id, error)
+            raise
+
+    async def audit(self, last: Revision | None = None) -> documents.AuditPage:
+        """Return a page of the audit trail, the newest if none is named.
+
+        The page before it ends with its `previous`. Raises
+        StoreUnavailable, or RequestError if there is no such page.
+        """
+        if last is not None:
+            return await self._runner.run(documents.read_page(last))
+        head, _ = await self._runner.run(
+            documents.read_head(store.Step.READ_HEAD)
+        )
+        return documents.newest_page(head)
+
+    async def _decide(
+        self,
+        decision: store.Decision[apply_module.ApplyResult],
+        request: apply_module.ApplyRequest,
+    ) -> apply_module.ApplyResult:
         try:
-            entry = await self._key_value.get(head_module.HEAD_KEY)
-        except errors.StoreUnavailable as error:
-            raise errors.ApplyOutcomeUnknown(
-                f'Change {new.change_id} may stand as revision '
-                f'{new.revision}; look with "yuccarill show".'
-            ) from error
-        standing = _decode(entry)
-        if standing is None or standing.change_id != new.change_id:
-            raise cause
-
-
-def _decode(entry: Entry) -> Head | None:
-    return None if entry.is_absent else head_module.decode(entry.value)
-
-
-def _conflict(base: Revision, standing: Head | None) -> Exception:
-    if standing is None:
-        text = 'No revision stands yet; apply from revision 0.'
-    else:
-        text = (
-            f'Revision {standing.revision} by {standing.author} stands, this '
-            f'change is from revision {base}; see "yuccarill diff".'
+            result: apply_module.ApplyResult = await self._runner.run(decision)
+        except errors.ApplyOutcomeUnknown:
+            defer.ensureDeferred(self._settle_later(request))
+            raise
+        if result.head.changes:
+            self._dissemination.publish(
+                configuration_intake.to_record(result.head)
+            )
+        log.info(
+            'Change applied.',
+            author=request.author,
+            change_id=request.change_id,
+            revision=result.revision,
+            outcome=result.outcome.value,
+        )
+        return result
+
+    async def _settle_later(self, request: apply_module.ApplyRequest) -> None:
+        # The operator was told that the outcome is unknown. Until the head's
+        # version moves, the lost write could still arrive; fencing it as
+        # soon as the service answers keeps that time short.
+        while True:
+            await task.deferLater(
+                self._clock, SETTLE_AGAIN_SECONDS, lambda: None
+            )
+            try:
+                await self._runner.run(apply_module.settle(request, None))
+            except errors.ApplyOutcomeUnknown:
+                continue
+            except errors.YuccarillError as error:
+                log.info(
+                    'Unknown change settled: not applied.',
+                    change_id=request.change_id,
+                    cause=error.message,
+                )
+                return
+            log.info(
+                'Unknown change settled: applied.', change_id=request.change_id
+            )
+            return
+
+    def _note_refusal(
+        self,
+        author: str,
+        base: Revision,
+        change_id: ChangeId,
+        error: errors.YuccarillError,
+    ) -> None:
+        refusal = Refusal(
+            change_id=change_id,
+            author=author,
+            refused_at=WallTime(time.time()),
+            base=base,
+            code=error.code,
+            message=error.message,
         )
-    return errors.RevisionConflict(text)
+        self.refusals.append(refusal)
+        log.info('Change refused.', **msgspec.structs.asdict(refusal))
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/decisions.py
@@ -0,0 +1,50 @@
+"""Run decisions that wait for the key-value service."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import task
+
+from yuccarill.core.config import store
+from yuccarill.core import errors
+
+if TYPE_CHECKING:
+    from yuccarill.daemon.adapters.key_value import KeyValueAdapter
+
+
+class DecisionRunner:
+    """Carry out a decision's actions and return its result."""
+
+    def __init__(self, key_value: KeyValueAdapter, clock: Any) -> None:
+        self._key_value = key_value
+        self._clock = clock
+
+    async def run(self, decision: store.Decision[Any]) -> Any:
+        """Run a decision to its end; raises what it raises."""
+        outcome: store.Outcome = None
+        while True:
+            try:
+                action = decision.send(outcome)
+            except StopIteration as end:
+                return end.value
+            outcome = await self._act(action)
+
+    async def _act(self, action: store.Action) -> store.Outcome:
+        try:
+            match action:
+                case store.Read(key=key):
+                    entry = await self._key_value.get(key)
+                    return store.Found(entry.version, entry.value)
+                case store.Swap(key=key, value=value, expected=expected):
+                    return store.Swapped(
+                        await self._key_value.swap(key, value, expected)
+                    )
+                case store.Wait(seconds=seconds):
+                    await task.deferLater(self._clock, seconds, lambda: None)
+                    return None
+        except errors.StoreConflict:
+            return store.Conflict()
+        except errors.StoreUnavailable:
+            return store.NoReply()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/dissemination.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/dissemination.py
@@ -68,6 +68,10 @@
         """Tell whether this instance watches keys for its data centre."""
         return self._disseminator.view.is_watcher
 
+    def partners(self) -> list[Instance]:
+        """Return the few peers to ask, in an order drawn anew."""
+        return self._disseminator.exchange_order()
+
     def publish(self, record: Record) -> None:
         """Spread a record that was made here."""
         self._pass_on(record, self._disseminator.publish(record))
@@ -117,8 +121,7 @@
 
     async def exchange(self) -> bool:
         """Compare versions with one partner; tell whether one answered."""
-        order = self._disseminator.exchange_order()
-        for partner in order[:PARTNERS_A_ROUND]:
+        for partner in self.partners()[:PARTNERS_A_ROUND]:
             try:
                 await self.exchange_with(partner)
                 return True
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -35,6 +35,7 @@
 from yuccarill.daemon.api import trainers
 from yuccarill.daemon.controllers import calls
 from yuccarill.daemon.controllers import configuration
+from yuccarill.daemon.controllers import decisions
 from yuccarill.daemon.controllers import dissemination
 from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
@@ -79,9 +80,6 @@
         self._peers = peers.Peers(
             self._handle, self._blackboard.me, incarnation
         )
-        self._configuration = configuration.ConfigurationController(
-            self._blackboard, store
-        )
         self._membership = membership.MembershipController(
             self._blackboard,
             instance_list.InstanceListAdapter(client, settings.instance_list),
@@ -104,6 +102,13 @@
             random.Random(),
             reactor,
         )
+        self._configuration = configuration.ConfigurationController(
+            self._blackboard,
+            self._dissemination,
+            self._peers,
+            decisions.DecisionRunner(store, reactor),
+            reactor,
+        )
         self._calls = calls.CallController(
             self._blackboard,
             incarnation,
@@ -218,6 +223,8 @@
                 return self._weights.handle(body)
             case messages.LeaseAsk() | messages.LeaseInvite():
                 return await self._leases.handle(body)
+            case messages.ConfigurationFetch():
+                return self._configuration.handle(body)
             case _:
                 raise errors.FrameInvalid('This message is no request.')
 
--- a/packages/yuccarill-daemon/tests/controllers/call_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/call_world.py
@@ -11,20 +11,16 @@
 from twisted.python import failure
 
 from yuccarill.core.blackboard import Blackboard
-from yuccarill.core.config import head as head_module
 from yuccarill.core.config import inventory
 from yuccarill.core.config import snapshot
 from yuccarill.core import errors
-from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
-from yuccarill.core.ids import Revision
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import TargetId
-from yuccarill.core.ids import WallTime
 from yuccarill.core.membership.instances import Instance
 from yuccarill.daemon.adapters import target as target_module
 from yuccarill.daemon.controllers import attempts
@@ -199,7 +195,7 @@
         """Start an instance, in place of one that ran before."""
         board = Blackboard(me=self.instances[name])
         board.instances_by_id = dict(self.instances)
-        board.head = snapshot.Snapshot(_head(), _head().inventory)
+        board.head = _snapshot()
         self.calls[name] = calls.CallController(
             board,
             Incarnation(incarnation),
@@ -260,7 +256,7 @@
         self.error = reason.value
 
 
-def _head() -> head_module.Head:
+def _snapshot() -> snapshot.Snapshot:
     targets = tuple(
         inventory.Target(
             id=TargetId(f't{port}'),
@@ -271,10 +267,6 @@
         for port in (81, 82)
     )
     service = inventory.Service(name=SERVICE, not_repeatable=('charges',))
-    return head_module.Head(
-        revision=Revision(1),
-        change_id=ChangeId('c'),
-        author='',
-        applied_at=WallTime(0.0),
-        inventory=inventory.Inventory(services=(service,), targets=targets),
+    return snapshot.from_inventory(
+        inventory.Inventory(services=(service,), targets=targets)
     )
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/controllers/fleet.py
@@ -0,0 +1,148 @@
+"""Instances with real controllers on a fake clock, store and network."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.blackboard import Blackboard
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.membership.instances import Instance
+from yuccarill.daemon.controllers import configuration
+from yuccarill.daemon.controllers import decisions
+from yuccarill.daemon.controllers import dissemination
+from yuccarill.standins import memory
+from yuccarill.wire import messages
+
+STORE_SECONDS = 0.01
+
+
+def document(*names: str) -> dict[str, Any]:
+    """Return a small inventory."""
+    return {'models': [{'name': name} for name in names]}
+
+
+class Node:
+    """Run the controllers of one incarnation."""
+
+    def __init__(self, fleet: Fleet, me: Instance) -> None:
+        self.me = me
+        self._fleet = fleet
+        self.blackboard = Blackboard(me=me)
+        # The highest revision that was ever in force here.
+        self.reached = 0
+        peers = fleet.network.peers_of(me)
+        self.dissemination = dissemination.DisseminationController(
+            me, fleet, peers, fleet.store, random.Random(me.id), fleet.clock
+        )
+        self.configuration = configuration.ConfigurationController(
+            self.blackboard,
+            self.dissemination,
+            peers,
+            decisions.DecisionRunner(fleet.store, fleet.clock),
+            fleet.clock,
+        )
+        fleet.network.handlers_by_id[me.id] = self._handle
+        self._following = [
+            defer.ensureDeferred(part.follow())
+            for part in (self.configuration, self.dissemination)
+        ]
+        for following in self._following:
+            following.addErrback(lambda _: None)
+
+    @property
+    def revision(self) -> int:
+        head = self.blackboard.head
+        return 0 if head is None else head.revision
+
+    def kill(self) -> None:
+        """End without a word."""
+        for following in self._following:
+            following.cancel()
+        del self._fleet.network.handlers_by_id[self.me.id]
+
+    async def _handle(self, body: messages.Body) -> messages.Body:
+        match body:
+            case messages.ConfigurationFetch():
+                return self.configuration.handle(body)
+            case _:
+                return self.dissemination.handle(body)
+
+
+class Fleet:
+    """Start, stop and watch nodes."""
+
+    def __init__(self, count: int, data_centres: int = 2) -> None:
+        self.clock = task.Clock()
+        self.store = memory.MemoryKeyValue(self.clock, STORE_SECONDS)
+        self.network = memory.MemoryNetwork(self.clock)
+        self.instances = [
+            Instance(
+                id=InstanceId(f'i{n}'),
+                data_centre=DataCentreId(f'd{n % data_centres}'),
+                host='127.0.0.1',
+                http_port=1,
+                peer_port=1,
+            )
+            for n in range(count)
+        ]
+        self.nodes_by_id: dict[InstanceId, Node] = {}
+
+    def live(self) -> list[Instance]:
+        """Return all instances: the view lags behind every loss."""
+        return self.instances
+
+    def start(self, *numbers: int) -> None:
+        """Start a new incarnation of some instances."""
+        for number in numbers:
+            instance = self.instances[number]
+            self.nodes_by_id[instance.id] = Node(self, instance)
+
+    def kill(self, number: int) -> None:
+        """Kill an instance."""
+        self.nodes_by_id.pop(self.instances[number].id).kill()
+
+    def node(self, number: int) -> Node:
+        return self.nodes_by_id[self.instances[number].id]
+
+    def cut_off(self, number: int) -> None:
+        """Let an instance and all others hear nothing of each other."""
+        cut = self.instances[number].id
+        for other in self.instances:
+            if other.id != cut:
+                self.network.silent |= {(cut, other.id), (other.id, cut)}
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; check that no revision ever reverts."""
+        end = self.clock.seconds() + seconds
+        while (calls := self.clock.getDelayedCalls()) and (
+            due := min(call.getTime() for call in calls)
+        ) <= end:
+            self.clock.advance(max(0.0, due - self.clock.seconds()))
+            self.check()
+        self.clock.advance(end - self.clock.seconds())
+
+    def check(self) -> None:
+        """Raise if a node went back to a lower revision."""
+        for node in self.nodes_by_id.values():
+            if node.revision < node.reached:
+                raise AssertionError(f'{node.me.id} went back')
+            node.reached = node.revision
+
+    def apply(self, number: int, base: int, *names: str, **more: Any) -> Any:
+        """Apply a document at an instance; return where it will end."""
+        return self.outcome(
+            self.node(number).configuration.apply(
+                f'operator-{number}', base, document(*names), **more
+            )
+        )
+
+    def outcome(self, awaitable: Any) -> list[Any]:
+        """Begin something; its result or failure is listed at its end."""
+        results: list[Any] = []
+        defer.ensureDeferred(awaitable).addBoth(results.append)
+        return results
--- a/packages/yuccarill-daemon/tests/controllers/rollout_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/rollout_world.py
@@ -11,20 +11,17 @@
 from twisted.internet import defer
 
 from yuccarill.core.blackboard import Blackboard
-from yuccarill.core.config import head
 from yuccarill.core.config import inventory
+from yuccarill.core.config import snapshot
 from yuccarill.core import errors
-from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ModelName
-from yuccarill.core.ids import Revision
 from yuccarill.core.ids import ScorerId
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
-from yuccarill.core.ids import WallTime
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.membership.instances import Instance
 from yuccarill.core.rollouts import step as step_module
@@ -188,7 +185,7 @@
     )
 
 
-def _head() -> head.Head:
+def _head() -> snapshot.Snapshot:
     trainer = inventory.Trainer(
         id=TRAINER,
         model=ModelName('m'),
@@ -197,10 +194,6 @@
         policy=inventory.StalenessFirst(),
     )
     scorer = inventory.Scorer(id=ScorerId('s'), address='127.0.0.1:9')
-    return head.Head(
-        revision=Revision(1),
-        change_id=ChangeId('c'),
-        author='a',
-        applied_at=WallTime(0.0),
-        inventory=inventory.Inventory(trainers=(trainer,), scorers=(scorer,)),
+    return snapshot.from_inventory(
+        inventory.Inventory(trainers=(trainer,), scorers=(scorer,))
     )
--- /dev/null
+++ b/packages/yuccarill-standins/src/yuccarill/standins/memory.py
@@ -0,0 +1,219 @@
+"""Stand in for the key-value service and the network on a given clock.
+
+For tests and measures of controllers in one process, with no sockets.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.wire import frames
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.membership.instances import Instance
+
+WATCH_SECONDS = 10.0
+
+
+class WriteFault(enum.Enum):
+    """Say what happens to one write."""
+
+    DROPPED = 'dropped'
+    REPLY_LOST = 'reply lost'
+    DELAYED = 'delayed'
+    DELAYED_THEN_DOWN = 'delayed, then the store is down'
+    DOWN_AFTER = 'confirmed, then the store is down'
+
+
+_DELAYING = (WriteFault.DELAYED, WriteFault.DELAYED_THEN_DOWN)
+_DOWNING = (WriteFault.DELAYED_THEN_DOWN, WriteFault.DOWN_AFTER)
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """Hold a value and the version that a later swap must name."""
+
+    version: int
+    value: bytes
+
+    @property
+    def is_absent(self) -> bool:
+        return self.version == 0
+
+
+class MemoryKeyValue:
+    """Offer compare-and-swap and watches in memory."""
+
+    def __init__(self, clock: Any, delay: float = 0.0) -> None:
+        self._clock = clock
+        self._delay = delay
+        self._entries_by_key: dict[str, Entry] = {}
+        self._version = 0
+        self._watchers_by_key: dict[str, list[defer.Deferred[None]]] = (
+            collections.defaultdict(list)
+        )
+        self._delayed: list[tuple[str, bytes, int]] = []
+        self.is_down = False
+        self.fault: WriteFault | None = None
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self.bytes_by_kind: collections.Counter[str] = collections.Counter()
+
+    async def get(self, key: str) -> Entry:
+        """Read a key."""
+        await self._travel('read')
+        return self._found(key, 'read')
+
+    async def watch(self, key: str, after: int) -> Entry:
+        """Read a key once its version passes the given one."""
+        await self._travel('watch')
+        if self.peek(key).version <= after:
+            watcher: defer.Deferred[None] = defer.Deferred()
+            watcher.addTimeout(
+                WATCH_SECONDS, self._clock, onTimeoutCancel=lambda *_: None
+            )
+            self._watchers_by_key[key].append(watcher)
+            await watcher
+            await self._sleep()
+        self._check()
+        return self._found(key, 'watch')
+
+    async def swap(self, key: str, value: bytes, expected: int) -> int:
+        """Write a key whose version is the expected one."""
+        fault, self.fault = self.fault, None
+        await self._travel('write')
+        self.bytes_by_kind['write'] += len(value)
+        self.is_down = fault in _DOWNING
+        if fault in _DELAYING:
+            self._delayed.append((key, value, expected))
+        if fault in _DELAYING or fault is WriteFault.DROPPED:
+            raise errors.StoreUnavailable('no reply')
+        version = self._write(key, value, expected)
+        await self._sleep()
+        if fault is WriteFault.REPLY_LOST:
+            raise errors.StoreUnavailable('no reply')
+        return version
+
+    def peek(self, key: str) -> Entry:
+        """Return what stands, at no cost."""
+        return self._entries_by_key.get(key, Entry(0, b''))
+
+    def land_delayed(self) -> None:
+        """Let writes arrive that were held up in the network."""
+        delayed, self._delayed = self._delayed, []
+        for key, value, expected in delayed:
+            try:
+                self._write(key, value, expected)
+            except errors.StoreConflict:
+                continue
+
+    def _write(self, key: str, value: bytes, expected: int) -> int:
+        if self.peek(key).version != expected:
+            raise errors.StoreConflict('Another write came first.')
+        self._version += 1
+        self._entries_by_key[key] = Entry(self._version, value)
+        for watcher in self._watchers_by_key.pop(key, []):
+            if not watcher.called:
+                watcher.callback(None)
+        return self._version
+
+    async def _travel(self, kind: str) -> None:
+        self.calls_by_kind[kind] += 1
+        await self._sleep()
+        self._check()
+
+    def _found(self, key: str, kind: str) -> Entry:
+        entry = self.peek(key)
+        self.bytes_by_kind[kind] += len(entry.value)
+        return entry
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise errors.StoreUnavailable('down')
+
+    def _sleep(self) -> defer.Deferred[None]:
+        return task.deferLater(self._clock, self._delay, lambda: None)
+
+
+class MemoryNetwork:
+    """Carry messages between instances in memory."""
+
+    def __init__(
+        self,
+        clock: Any,
+        delay: Callable[[Instance, Instance], float] = lambda *_: 0.0,
+    ) -> None:
+        self.clock = clock
+        self.delay = delay
+        self.handlers_by_id: dict[
+            InstanceId, Callable[[messages.Body], Awaitable[messages.Body]]
+        ] = {}
+        # Pairs of which the second hears nothing of the first.
+        self.silent: set[tuple[InstanceId, InstanceId]] = set()
+        self.sent_bytes_by_id: collections.Counter[InstanceId] = (
+            collections.Counter()
+        )
+        self.received_bytes_by_id: collections.Counter[InstanceId] = (
+            collections.Counter()
+        )
+        self.sent_by_kind: collections.Counter[str] = collections.Counter()
+
+    def peers_of(self, me: Instance) -> MemoryPeers:
+        """Return what an instance reaches its peers through."""
+        return MemoryPeers(self, me)
+
+    async def carry(
+        self, sender: Instance, receiver: Instance, body: messages.Body
+    ) -> messages.Body:
+        """Bring one message over, whole and decoded anew."""
+        data = frames.encode(messages.Envelope(1, False, body))
+        self.sent_bytes_by_id[sender.id] += len(data)
+        self.sent_by_kind[type(body).__name__] += 1
+        await task.deferLater(
+            self.clock, self.delay(sender, receiver), lambda: None
+        )
+        if (sender.id, receiver.id) in self.silent:
+            await defer.Deferred()
+        self.received_bytes_by_id[receiver.id] += len(data)
+        return next(iter(frames.Decoder().feed(data))).body
+
+
+class MemoryPeers:
+    """Send one instance's requests."""
+
+    def __init__(self, network: MemoryNetwork, me: Instance) -> None:
+        self._network = network
+        self._me = me
+
+    async def request(
+        self, peer: Instance, body: messages.Body, seconds: float
+    ) -> Any:
+        """Send a request to a peer and return its reply."""
+        exchange = defer.ensureDeferred(self._exchange(peer, body))
+        exchange.addTimeout(seconds, self._network.clock)
+        try:
+            return await exchange
+        except defer.TimeoutError as error:
+            raise errors.PeerUnavailable('no reply') from error
+
+    async def _exchange(
+        self, peer: Instance, body: messages.Body
+    ) -> messages.Body:
+        network = self._network
+        asked = await network.carry(self._me, peer, body)
+        handle = network.handlers_by_id.get(peer.id)
+        if handle is None:
+            raise errors.NotRun('refused')
+        reply = await handle(asked)
+        return await network.carry(peer, self._me, reply)
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -11,6 +11,7 @@
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import Revision
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import SessionId
 from yuccarill.core.ids import ShardNumber
@@ -70,6 +71,19 @@
     wanted: tuple[str, ...] = ()
 
 
+class ConfigurationFetch(Message, frozen=True, tag='configuration-fetch'):
+    """Ask for a configuration above a revision, whole."""
+
+    above: Revision
+
+
+class ConfigurationDocument(Message, frozen=True, tag='configuration'):
+    """Return the change that made a revision, and its inventory."""
+
+    change: bytes
+    inventory: bytes
+
+
 class Leaving(Message, frozen=True, tag='leaving'):
     """Tell that an instance takes no new work."""
 
@@ -222,6 +236,8 @@
     | RecordOffer
     | RecordExchange
     | RecordExchanged
+    | ConfigurationFetch
+    | ConfigurationDocument
     | Leaving
     | CallRequest
     | CallAnswer
