--- a/packages/yuccarill-core/tests/weights/fleet.py
+++ b/packages/yuccarill-core/tests/weights/fleet.py
@@ -50,6 +50,8 @@
     failures_left: int = 0
     lost_orders: int = 0
     lost_replies: int = 0
+    # Orders written to a connection that has gone silent.
+    silent_orders: int = 0
     # Grows at each restart: what ran before it has no effect.
     starts: int = 0
 
@@ -97,6 +99,7 @@
         self.stage_seconds: Callable[[], float] = lambda: 2.0
         self.failure_part = 0.0
         self.store_fails_until = 0.0
+        self.store_busy_until = 0.0
         self.store_newest = 1
         self.downloads: list[float] = []
         self.switched_at: list[float] = []
@@ -253,6 +256,9 @@
     def _arrive(
         self, engine: FakeEngine, order: Order, holder: Holder
     ) -> None:
+        if engine.silent_orders:
+            engine.silent_orders -= 1
+            return
         if not engine.is_up:
             return
         if engine.checks_fencing and holder.epoch < engine.epoch:
@@ -286,7 +292,8 @@
         if engine.failures_left or fails:
             engine.failures_left -= engine.failures_left > 0
             return OrderOutcome.FAILED
-        if is_stage and self.now < self.store_fails_until:
+        refused_until = max(self.store_fails_until, self.store_busy_until)
+        if is_stage and self.now < refused_until:
             return OrderOutcome.FAILED
         if is_stage:
             engine.staged = order.version
--- /dev/null
+++ b/packages/yuccarill-core/tests/weights/test_desk.py
@@ -0,0 +1,78 @@
+"""Test which orders a holder of engines sends."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.weights import desk
+from yuccarill.core.weights import orders
+
+TARGET = TargetId('e')
+NOW = Instant(100.0)
+STAGE, SWITCH = orders.OrderKind.STAGE, orders.OrderKind.SWITCH
+DONE, NOT_SENT = orders.OrderOutcome.DONE, orders.OrderOutcome.NOT_SENT
+
+
+def order(kind: orders.OrderKind, version: int) -> orders.Order:
+    return orders.Order(1, TARGET, kind, WeightVersion(version))
+
+
+def state(weight: int, staged: int = 0) -> orders.TargetState:
+    return orders.TargetState(
+        model=ModelName('m'),
+        weight_version=WeightVersion(weight),
+        staged_version=WeightVersion(staged),
+        epoch=Epoch(1),
+        in_flight=0,
+        queued=0,
+        seen_at=NOW,
+    )
+
+
+class DeskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.desk = desk.OrderDesk()
+        self.desk.hold(TARGET, Epoch(1), NOW)
+
+    # An order waits here, in a socket or before a pause of the process,
+    # while the engine goes on under other orders. Sent all the same it
+    # would take the engine back, or have it download while out of service.
+    @params(
+        (STAGE, 3, state(2), 1, None),
+        (STAGE, 3, state(2, 3), 1, DONE),
+        (STAGE, 3, state(4), 1, DONE),
+        (SWITCH, 3, state(2, 3), 1, None),
+        (SWITCH, 3, state(3), 1, DONE),
+        (SWITCH, 3, state(4), 1, DONE),
+        (SWITCH, 3, state(2), 1, NOT_SENT),
+        (SWITCH, 3, state(2, 4), 1, NOT_SENT),
+        (SWITCH, 3, None, 1, NOT_SENT),
+        (SWITCH, 3, state(2, 3), None, NOT_SENT),
+        (SWITCH, 3, state(2, 3), 2, NOT_SENT),
+    )
+    def test_begin(self, kind, version, read, epoch, expected) -> None:
+        self.desk.see(TARGET, read)
+        found = self.desk.begin(order(kind, version), epoch, NOW)
+        self.assertIs(expected, found)
+
+    def test_second_order_waits_for_the_first(self) -> None:
+        self.desk.see(TARGET, state(2, 3))
+        self.assertIsNone(self.desk.begin(order(SWITCH, 3), Epoch(1), NOW))
+        again = orders.Order(2, TARGET, STAGE, WeightVersion(4))
+        self.assertIs(NOT_SENT, self.desk.begin(again, Epoch(1), NOW))
+
+    def test_news_are_told_once_unless_lost(self) -> None:
+        self.assertEqual([], self.desk.news(NOW))
+        self.desk.see(TARGET, state(2))
+        self.assertEqual(1, len(self.desk.news(NOW)))
+        self.desk.see(TARGET, state(2))
+        self.assertEqual([], self.desk.news(NOW))
+        self.desk.unreport(TARGET)
+        self.assertEqual(1, len(self.desk.news(NOW)))
--- /dev/null
+++ b/packages/yuccarill-core/tests/weights/test_record.py
@@ -0,0 +1,112 @@
+"""Test what a model's holder makes of reports on one engine."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.weights import capacity
+from yuccarill.core.weights import orders
+from yuccarill.core.weights import record
+from yuccarill.core.weights import retries
+from yuccarill.core.weights import rollout
+from yuccarill.core.weights import tokens
+
+NOW = Instant(100.0)
+RETRIES = retries.RetryPolicy()
+Outcome, State = orders.OrderOutcome, record.WeightState
+
+
+def report(sequence: int, weight: int, staged: int = 0, **more):
+    return orders.Report(
+        target=TargetId('e'),
+        epoch=Epoch(more.pop('epoch', 1)),
+        sequence=sequence,
+        is_reachable=more.pop('is_reachable', True),
+        is_busy=False,
+        weight_version=WeightVersion(weight),
+        staged_version=WeightVersion(staged),
+        **more,
+    )
+
+
+class RecordTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.record = record.TargetRecord(TargetId('e'), DataCentreId('a'))
+        self.record.take(report(5, 1, 2), NOW, RETRIES)
+
+    def switch(self, number: int = 7) -> None:
+        kind = orders.OrderKind.SWITCH
+        order = orders.Order(number, TargetId('e'), kind, WeightVersion(2))
+        self.record.begin(order, Instant(NOW + 25))
+
+    @params(4, 5)
+    def test_overtaken_report_changes_nothing(self, sequence: int) -> None:
+        self.record.take(report(sequence, 0), NOW, RETRIES)
+        self.assertEqual(1, self.record.weight_version)
+
+    # The reply to an order is lost, or says done although the old version
+    # serves: only what the engine reports of itself decides.
+    @params(
+        (report(6, 2, order_number=7, outcome=Outcome.DONE), State.SERVING),
+        (report(6, 2, order_number=7, outcome=Outcome.SILENT), State.SERVING),
+        (report(6, 2), State.SERVING),
+        (report(6, 1, 2), State.SWITCHING),
+        (report(6, 1, order_number=3, outcome=Outcome.DONE), State.SWITCHING),
+        (report(6, 1, 2, order_number=7, outcome=Outcome.DONE), State.FAILED),
+        (report(1, 1, 2, epoch=2), State.FAILED),
+    )
+    def test_end_of_an_order(self, said, expected: State) -> None:
+        self.switch()
+        self.record.take(said, NOW, RETRIES)
+        self.assertIs(expected, self.record.state)
+
+    def test_order_without_reports_ends(self) -> None:
+        self.switch()
+        self.record.expire(Instant(NOW + 24), RETRIES)
+        self.assertIs(State.SWITCHING, self.record.state)
+        self.record.expire(Instant(NOW + 25), RETRIES)
+        self.assertIs(State.FAILED, self.record.state)
+
+    def test_numbers_of_two_epochs_differ(self) -> None:
+        # A predecessor's order that ends now carries its own number.
+        numbers = []
+        for epoch in (Epoch(1), Epoch(2)):
+            plan = rollout.ModelRollout(
+                {TargetId('e'): DataCentreId('a')},
+                0.5,
+                tokens.TokenSchedule(10.0, NOW),
+                epoch,
+            )
+            plan.observe(report(1, 1), NOW)
+            plan.see_newest(WeightVersion(2), NOW)
+            numbers += [o.number for o in plan.decide(Instant(NOW + 1))]
+        self.assertEqual(2, len(set(numbers)))
+
+    def test_lost_floor_lets_one_go(self) -> None:
+        # A data centre is lost for hours. Without this, no engine of the
+        # others would ever switch.
+        self.record.state = State.STAGED
+        lost = [
+            record.TargetRecord(TargetId(f'l{n}'), DataCentreId('a'))
+            for n in range(3)
+        ]
+        slack = capacity.Slack([self.record, *lost], 0.9)
+        self.assertEqual(1, slack.of(DataCentreId('a')))
+
+
+class TokensTest(unittest.TestCase):
+    def test_successor_adds_nothing_to_the_rate(self) -> None:
+        schedule = tokens.TokenSchedule(50.0, NOW)
+        self.assertFalse(schedule.take(NOW))
+        self.assertTrue(schedule.take(Instant(NOW + 0.03)))
+
+    def test_shares_add_up(self) -> None:
+        shares = [tokens.model_rate(50.0, n, 10) for n in (1, 2, 7)]
+        self.assertAlmostEqual(50.0, sum(shares))
