Show the audit trail and what stands to operators

The command audit had no route to ask, an apply could not be repeated under its change id, and status knew nothing of weights. The audit reply carries changes with the entries they touched and, on the newest page, the answering instance's refusals; both are typed messages shared with the command line.

--- a/packages/yuccarill-cli/src/yuccarill/cli/commands/apply.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/apply.py
@@ -34,20 +34,33 @@
 @click.option(
     '--author', default=getpass.getuser, help='Who the audit trail names.'
 )
+@click.option(
+    '--change-id',
+    default=lambda: uuid.uuid4().hex,
+    help='Repeats a change of unknown outcome; give its --base too.',
+)
 @click.pass_obj
 def command(
-    session: Session, file: pathlib.Path, base: int | None, author: str
+    session: Session,
+    file: pathlib.Path,
+    base: int | None,
+    author: str,
+    change_id: str,
 ) -> None:
     """Make FILE the next revision.
 
     The change is refused if another one came after --base.
     """
     loaded = documents.load(file)
-    session.run(_apply(session, loaded, base, author))
+    session.run(_apply(session, loaded, base, author, ChangeId(change_id)))
 
 
 async def _apply(
-    session: Session, loaded: Loaded, base: int | None, author: str
+    session: Session,
+    loaded: Loaded,
+    base: int | None,
+    author: str,
+    change_id: ChangeId,
 ) -> None:
     if base is None:
         standing = await standing_module.read(session)
@@ -60,7 +73,7 @@
         author=author,
         base=Revision(base),
         document=loaded.plain,
-        change_id=ChangeId(uuid.uuid4().hex),
+        change_id=change_id,
     )
     reply = await _send(session, loaded, request)
     click.echo(
@@ -105,7 +118,9 @@
         )
     raise failures.CommandFailure(
         f'{failure.message}\nThe outcome of change {request.change_id} is '
-        'unknown. Look for it with "yuccarill audit" before applying again.',
+        'unknown. Look for it with "yuccarill audit", or apply it again with '
+        f'--base {request.base} --change-id {request.change_id}, which makes '
+        'one revision at most.',
         ExitCode.OUTCOME_UNKNOWN,
     ) from failure
 
@@ -113,8 +128,7 @@
 async def _show_conflict(session: Session, loaded: Loaded) -> None:
     standing = await standing_module.read(session)
     click.echo(standing_module.describe(standing), err=True)
-    click.echo('Applying the file to it would change:', err=True)
-    differences.print_list(
-        differences.between(standing.inventory, loaded.inventory),
-        to_stderr=True,
-    )
+    found = differences.between(standing.inventory, loaded.inventory)
+    text = 'would change:' if found else 'would change nothing.'
+    click.echo(f'Applying the file to it {text}', err=True)
+    differences.print_list(found, to_stderr=True)
--- a/packages/yuccarill-cli/src/yuccarill/cli/commands/show.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/show.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import click
-import msgspec
 
 from yuccarill.cli import output
 from yuccarill.cli.output import OutputForm
@@ -35,10 +34,10 @@
         f'{times.shown(standing.applied_at)}, change {standing.change_id}.'
     )
     for section in operators.Inventory.__struct_fields__:
-        entries = msgspec.to_builtins(getattr(standing.inventory, section))
+        entries = getattr(standing.inventory, section)
         if entries:
             click.echo(f'\n{section}')
-            _print_entries(entries)
+            _print_entries([output.plain(entry) for entry in entries])
 
 
 def _print_entries(entries: list[dict[str, object]]) -> None:
--- a/packages/yuccarill-cli/src/yuccarill/cli/differences.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/differences.py
@@ -104,10 +104,7 @@
         return {'rules': msgspec.to_builtins(entries)} if entries else {}
     return {
         str(getattr(entry, 'id', None) or getattr(entry, 'name', '')): (
-            {
-                field: msgspec.to_builtins(getattr(entry, field))
-                for field in entry.__struct_fields__
-            }
+            output.plain(entry)
         )
         for entry in entries
     }
--- a/packages/yuccarill-cli/src/yuccarill/cli/output.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/output.py
@@ -62,6 +62,14 @@
     return _EMPTY if value is None else msgspec.json.encode(value).decode()
 
 
+def plain(entry: msgspec.Struct) -> dict[str, Any]:
+    """Return an entry's keys with plain values, defaults among them."""
+    return {
+        key: msgspec.to_builtins(getattr(entry, key))
+        for key in entry.__struct_fields__
+    }
+
+
 def _cell(value: object) -> str:
     if isinstance(value, enum.Enum):
         value = value.value
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/operators.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from yuccarill.core import errors
-from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import Revision
+from yuccarill.daemon.api import audit_view
 from yuccarill.daemon.api import replies
+from yuccarill.wire import operators
 
 if TYPE_CHECKING:
     from twisted.web.iweb import IRequest
@@ -20,16 +18,6 @@
     from yuccarill.daemon.controllers import configuration
 
 
-class ApplyRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Ask for a document to become the next revision."""
-
-    author: str
-    base: Revision
-    document: Any
-    # Repeats of one change id make one revision at most.
-    change_id: ChangeId | None = None
-
-
 class OperatorApi:
     """Answer operators."""
 
@@ -55,19 +43,33 @@
     @app.route('/configuration', methods=['PUT'])
     @replies.answering_errors
     async def apply(self, request: IRequest) -> bytes:
-        asked = replies.decode(request, ApplyRequest)
+        asked = replies.decode(request, operators.ApplyRequest)
         result = await self._configuration.apply(
-            asked.author, asked.base, asked.document
+            asked.author, asked.base, asked.document, asked.change_id
         )
         return replies.as_json(
             request,
-            {
-                'outcome': result.outcome.value,
-                'revision': result.revision,
-                'change_id': result.change_id,
-            },
+            operators.ApplyReply(
+                outcome=result.outcome.value,
+                revision=result.revision,
+                change_id=result.change_id,
+            ),
+        )
+
+    @app.route('/audit', methods=['GET'])
+    @replies.answering_errors
+    async def audit(self, request: IRequest) -> bytes:
+        page = await self._configuration.audit()
+        return replies.as_json(
+            request, audit_view.reply(page, self._configuration.refusals)
         )
 
+    @app.route('/audit/<int:last>', methods=['GET'])
+    @replies.answering_errors
+    async def audit_before(self, request: IRequest, last: int) -> bytes:
+        page = await self._configuration.audit(Revision(last))
+        return replies.as_json(request, audit_view.reply(page))
+
     @app.route('/status', methods=['GET'])
     @replies.answering_errors
     async def status(self, request: IRequest) -> bytes:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/status_view.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/status_view.py
@@ -47,9 +47,17 @@
         )
 
     def _targets(self) -> Iterator[operators.TargetStatus]:
-        for target, count in self._blackboard.in_flight_by_id.items():
-            if count:
-                yield operators.TargetStatus(id=target, in_flight=count)
+        in_flight_by_id = self._blackboard.in_flight_by_id
+        states_by_id = self._blackboard.targets_by_id
+        busy = {target for target, count in in_flight_by_id.items() if count}
+        for target in sorted(busy | states_by_id.keys()):
+            state = states_by_id.get(target)
+            yield operators.TargetStatus(
+                id=target,
+                in_flight=in_flight_by_id.get(target, 0),
+                weight_version=state.weight_version if state else None,
+                staged_version=state.staged_version if state else None,
+            )
 
     def _trainers(self) -> Iterator[operators.TrainerStatus]:
         head = self._blackboard.head
--- a/packages/yuccarill-wire/src/yuccarill/wire/operators.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -31,11 +32,11 @@
 class ApplyRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Ask for a document to become the next revision."""
 
-    author: str
-    base: Revision
+    author: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+    base: Annotated[Revision, msgspec.Meta(ge=0)]
     document: Any
     # Repeats of one change id make one revision at most.
-    change_id: ChangeId | None = None
+    change_id: Annotated[ChangeId, msgspec.Meta(max_length=100)] | None = None
 
 
 class ApplyReply(msgspec.Struct, frozen=True, kw_only=True):
