Keep finished samples on two disks of different data centres

Cause: finished samples stood in their holder's memory alone. A holder that died after its manifest was written took the decided bytes with it, and one that died earlier made its trainer wait for every sample again.

Ruled out: a log with leader, followers and watermarks per trainer; refusing below two copies; a sync a sample; see docs/design/rollouts.md.

The holder stores samples in batches on two disks of different data centres, makes missing copies again before the decision, and names the disks in the manifest. A successor serves the same bytes from them and takes over what they keep of an undecided step. Closed steps are dropped, at the latest when a disk compares its steps with the trainers' progress.

Not caught: dropping stale samples when they are taken over; the decision judges them again.

Not measured yet: cost of a sync and of a sample on a real disk.

--- a/packages/yuccarill-core/src/yuccarill/core/errors.py
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -34,6 +34,7 @@
     STORE_CONFLICT = 3002
     PEER_UNAVAILABLE = 3101
     FRAME_INVALID = 3102
+    DISK_FULL = 3201
     STEP_CONFLICT = 4001
     STEP_PENDING = 4002
     GROUP_FAILED = 4003
@@ -233,6 +234,13 @@
     http_status = 400
 
 
+class DiskFull(PlatformError):
+    """Refuse samples for which a disk has no room."""
+
+    code = ResultCode.DISK_FULL
+    http_status = 507
+
+
 class RolloutError(YuccarillError):
     """Report a trainer's step that can't go on as asked."""
 
--- a/packages/yuccarill-core/src/yuccarill/core/explanations.py
+++ b/packages/yuccarill-core/src/yuccarill/core/explanations.py
@@ -72,6 +72,9 @@
     ResultCode.FRAME_INVALID: (
         'Look at the log for the peer; it may run another version.'
     ),
+    ResultCode.DISK_FULL: (
+        'Acknowledge delivered steps, or give the instance a larger disk.'
+    ),
     ResultCode.STEP_CONFLICT: 'Submit the step under the next number.',
     ResultCode.STEP_PENDING: 'Fetch the step again after the time given.',
     ResultCode.GROUP_FAILED: (
--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/work.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/work.py
@@ -10,11 +10,13 @@
 
 if TYPE_CHECKING:
     from yuccarill.core import errors
+    from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import SampleId
     from yuccarill.core.ids import StepNumber
     from yuccarill.core.ids import TrainerId
     from yuccarill.core.ids import WeightVersion
     from yuccarill.core.rollouts.records import Manifest
+    from yuccarill.core.rollouts.replicas import Disk
     from yuccarill.core.rollouts.sample import Finished
     from yuccarill.core.rollouts.sample import Place
     from yuccarill.core.rollouts.step import StepRequest
@@ -28,6 +30,8 @@
         self.request = request
         self.digest = request.digest
         self.finished_by_place: dict[Place, Finished] = {}
+        self.disks_by_place: dict[Place, tuple[Disk, ...]] = {}
+        self._places = frozenset(self.places())
         self.error: errors.YuccarillError | None = None
         self.manifest: Manifest | None = None
         self.body: bytes | None = None
@@ -55,16 +59,28 @@
             for member in range(group.samples)
         ]
 
-    def take(self, finished: Finished) -> bool:
+    def missing(self) -> list[Place]:
+        """Return the places that no sample fills yet."""
+        return [p for p in self.places() if p not in self.finished_by_place]
+
+    def take(self, finished: Finished, disks: tuple[Disk, ...] = ()) -> bool:
         """Take a sample unless its place is filled or the step decided."""
         place = sample_module.place_of(finished.id)
         # A hedged attempt or a scorer's second answer may come after the
         # first; a place counts once, or the step would seem whole early.
         if not self.is_open or place in self.finished_by_place:
             return False
+        if place not in self._places:
+            return False
         self.finished_by_place[place] = finished
+        self.disks_by_place[place] = disks
         return True
 
+    def stored_on(self) -> tuple[InstanceId, ...]:
+        """Return the instances that keep any of the samples."""
+        kept = self.disks_by_place.values()
+        return tuple(sorted({d.instance for disks in kept for d in disks}))
+
     def drop_stale(self, newest: WeightVersion, bound: int) -> list[Place]:
         """Drop the samples that are too old and return their places."""
         stale = [
@@ -76,6 +92,7 @@
         ]
         for place in stale:
             del self.finished_by_place[place]
+            del self.disks_by_place[place]
         return stale
 
     def in_order(self) -> list[Finished]:
@@ -98,3 +115,4 @@
         """Keep the bytes for further fetches, and only those."""
         self.body = body
         self.finished_by_place = {}
+        self.disks_by_place = {}
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -30,6 +30,7 @@
     from yuccarill.core.ids import TrainerId
     from yuccarill.core.rollouts.step import StepRequest
     from yuccarill.core.rollouts.work import StepWork
+    from yuccarill.daemon.controllers.sample_store import SampleStore
     from yuccarill.daemon.controllers.sampling import SampleMaker
 
     AskHolder = Callable[[InstanceId, TrainerId, StepNumber], Awaitable[bytes]]
@@ -50,6 +51,7 @@
         incarnation: Incarnation,
         ledger: step_ledger.StepLedger,
         maker: SampleMaker,
+        store: SampleStore,
         ask_holder: AskHolder,
         epoch_for: Callable[[str], Epoch | None],
     ) -> None:
@@ -57,6 +59,7 @@
         self._incarnation = incarnation
         self._ledger = ledger
         self._maker = maker
+        self._store = store
         self._ask_holder = ask_holder
         self._epoch_for = epoch_for
         self._work_by_key: dict[tuple[TrainerId, StepNumber], StepWork] = {}
@@ -162,6 +165,7 @@
         work = self._work_by_key.get((trainer_id, step))
         if work is not None:
             self._forget(work, errors.StepClosed(f'Step {step} is closed.'))
+        await self._store.drop(trainer_id, step)
 
     def _begin(self, trainer: Trainer, request: StepRequest) -> StepWork:
         key = (trainer.id, request.step)
@@ -177,9 +181,16 @@
         work = work_module.StepWork(trainer.id, request)
         self._work_by_key[key] = work
         log.info('Step started.', trainer=trainer.id, step=request.step)
-        self._maker.make(trainer, work, work.places(), self._changed)
+        defer.ensureDeferred(self._start(trainer, work))
         return work
 
+    async def _start(self, trainer: Trainer, work: StepWork) -> None:
+        # A holder that crashed left what it had finished on the disks.
+        for finished in await self._store.recover(work.trainer, work.step):
+            work.take(finished)
+        work.drop_stale(self._newest(trainer.id), trainer.staleness_bound)
+        self._maker.make(trainer, work, work.missing(), self._changed)
+
     async def _claim(
         self, work: StepWork
     ) -> step_ledger.Claimed | records.Manifest:
@@ -237,9 +248,32 @@
         self._renew(trainer, work, newest)
         if not work.is_whole:
             raise _pending(work)
+        await self._keep_again(work)
         manifest = self._manifest(work, claimed.claim)
         work.decide(await self._ledger.decide(claimed, manifest))
 
+    async def _keep_again(self, work: StepWork) -> None:
+        # A disk that was replaced since, or recovered samples of which one
+        # copy was found, would leave a decided step on one disk only.
+        places = [
+            place
+            for place in work.finished_by_place
+            if not self._store.is_kept(work.disks_by_place[place])
+        ]
+        kept = [
+            defer.ensureDeferred(
+                self._store.keep(
+                    work.trainer, work.step, work.finished_by_place[place]
+                )
+            )
+            for place in places
+        ]
+        for place, disks in zip(
+            places, await defer.gatherResults(kept), strict=True
+        ):
+            if place in work.disks_by_place:
+                work.disks_by_place[place] = disks
+
     def _manifest(
         self, work: StepWork, claim: records.Claim
     ) -> records.Manifest:
@@ -253,6 +287,7 @@
             holder=self._blackboard.me.id,
             incarnation=self._incarnation,
             epoch=claim.epoch,
+            stored_on=work.stored_on(),
             revision=self._blackboard.head.revision,
             decided_at=WallTime(time.time()),
         )
@@ -280,8 +315,10 @@
         encoded = work.encoded_by_id() if work is not None else {}
         if manifest.sample_ids and manifest.sample_ids[0] in encoded:
             return delivery.encode(manifest, encoded)
-        if manifest.holder == self._blackboard.me.id:
-            return delivery.encode(manifest, {})
+        stored = await self._store.load(manifest)
+        is_mine = manifest.holder == self._blackboard.me.id
+        if is_mine or len(stored) == len(manifest.sample_ids):
+            return delivery.encode(manifest, stored)
         return await self._ask_holder(
             manifest.holder, manifest.trainer, manifest.step
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
@@ -26,6 +26,7 @@
     from yuccarill.daemon.adapters.engine import Chunk
     from yuccarill.daemon.adapters.scorer import ScorerAdapter
     from yuccarill.daemon.controllers.calls import CallController
+    from yuccarill.daemon.controllers.sample_store import SampleStore
 
 MAX_TRIES = 5
 SAMPLE_SECONDS = 60.0
@@ -40,11 +41,13 @@
         incarnation: Incarnation,
         calls: CallController,
         scorer: ScorerAdapter,
+        store: SampleStore,
     ) -> None:
         self._blackboard = blackboard
         self._incarnation = incarnation
         self._calls = calls
         self._scorer = scorer
+        self._store = store
         self._attempts = itertools.count(1)
 
     def make(
@@ -72,7 +75,9 @@
             except errors.YuccarillError as error:
                 last = error.message
                 continue
-            work.take(sample_module.finish(sample))
+            finished = sample_module.finish(sample)
+            disks = await self._store.keep(work.trainer, work.step, finished)
+            work.take(finished, disks)
             return
         raise errors.GroupFailed(
             f'Group {place.group} of step {work.step} can not be finished '
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -39,14 +39,11 @@
 from yuccarill.daemon.controllers import dissemination
 from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
-from yuccarill.daemon.controllers import rollouts
-from yuccarill.daemon.controllers import sampling
-from yuccarill.daemon.controllers import step_ledger
-from yuccarill.daemon.controllers import step_routing
 from yuccarill.daemon.controllers import targets
 from yuccarill.daemon.controllers import weights
 from yuccarill.daemon import logs
 from yuccarill.daemon.peers import peers
+from yuccarill.daemon import rollout_parts
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
@@ -119,18 +116,16 @@
                 ticket_lifetime=settings.address_validity + TICKET_SECONDS
             ),
         )
-        self._rollouts = rollouts.RolloutController(
+        self._rollouts = rollout_parts.RolloutParts(
             self._blackboard,
             incarnation,
-            step_ledger.StepLedger(store),
-            sampling.SampleMaker(
-                self._blackboard,
-                incarnation,
-                self._calls,
-                scorer.ScorerAdapter(client),
-            ),
-            step_routing.HolderClient(self._blackboard, self._peers).ask,
-            self._leases.epoch_for,
+            store,
+            self._membership,
+            self._leases,
+            self._peers,
+            self._calls,
+            scorer.ScorerAdapter(client),
+            settings.data_folder,
         )
         self._targets = targets.TargetController(
             self._blackboard,
@@ -149,15 +144,12 @@
             reactor,
         )
         self._leases.busy_duties = self._rollouts.busy_duties
-        self._steps = step_routing.StepRouting(
-            self._blackboard, self._leases, self._rollouts, self._peers
-        )
         self._site = site.build(
             root.build(
                 callers.CallerApi(
                     self._calls, self._membership, settings.address_validity
                 ),
-                trainers.TrainerApi(self._steps),
+                trainers.TrainerApi(self._rollouts.steps),
                 operators.OperatorApi(
                     self._blackboard,
                     self._configuration,
@@ -184,6 +176,8 @@
             self._leases,
         ):
             defer.ensureDeferred(following.follow()).addErrback(self._broken)
+        for work in self._rollouts.following():
+            defer.ensureDeferred(work).addErrback(self._broken)
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, settings.http_port, interface=settings.host, backlog=1024
         )
@@ -214,7 +208,14 @@
                 | messages.StepDelete()
                 | messages.VersionAnnounce()
             ):
-                return await self._steps.handle_here(body)
+                return await self._rollouts.steps.handle_here(body)
+            case (
+                messages.SamplesKeep()
+                | messages.SamplesList()
+                | messages.SamplesRead()
+                | messages.SamplesDrop()
+            ):
+                return await self._rollouts.handle_disk(body)
             case messages.RecordOffer() | messages.RecordExchange():
                 return self._dissemination.handle(body)
             case messages.WeightOrders() | messages.WeightQuery():
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
@@ -0,0 +1,113 @@
+"""Compose the parts of one instance that work on trainers' steps."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core import errors
+from yuccarill.core.rollouts import replicas
+from yuccarill.daemon.controllers import disk_store
+from yuccarill.daemon.controllers import rollouts
+from yuccarill.daemon.controllers import sample_store
+from yuccarill.daemon.controllers import sampling
+from yuccarill.daemon.controllers import step_ledger
+from yuccarill.daemon.controllers import step_routing
+from yuccarill.daemon.storage import disk_log
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.ids import Incarnation
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.daemon.adapters.key_value import KeyValueAdapter
+    from yuccarill.daemon.adapters.scorer import ScorerAdapter
+    from yuccarill.daemon.controllers.calls import CallController
+    from yuccarill.daemon.controllers.leases import LeaseController
+    from yuccarill.daemon.controllers.membership import MembershipController
+    from yuccarill.daemon.peers.peers import Peers
+    from yuccarill.wire import messages
+
+DISK_SECONDS = 5.0
+
+
+class RolloutParts:
+    """Hold what makes, keeps and delivers samples."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        incarnation: Incarnation,
+        key_value: KeyValueAdapter,
+        membership: MembershipController,
+        leases: LeaseController,
+        peers: Peers,
+        calls: CallController,
+        scorer: ScorerAdapter,
+        data_folder: str | None,
+    ) -> None:
+        self._blackboard = blackboard
+        self._peers = peers
+        ledger = step_ledger.StepLedger(key_value)
+        self._disk: disk_store.DiskStore | None = None
+        self._mine: replicas.Disk | None = None
+        if data_folder is not None:
+            self._open(pathlib.Path(data_folder), ledger)
+        self._registry = disk_store.DiskRegistry(key_value, membership)
+        store = sample_store.SampleStore(self._registry, self._ask_disk)
+        maker = sampling.SampleMaker(
+            blackboard, incarnation, calls, scorer, store
+        )
+        controller = rollouts.RolloutController(
+            blackboard,
+            incarnation,
+            ledger,
+            maker,
+            store,
+            step_routing.HolderClient(blackboard, peers).ask,
+            leases.epoch_for,
+        )
+        self.busy_duties = controller.busy_duties
+        self.steps = step_routing.StepRouting(
+            blackboard, leases, controller, peers
+        )
+
+    def following(self) -> list[Awaitable[None]]:
+        """Return what runs until the process ends."""
+        works = [self._registry.follow(self._mine)]
+        if self._disk is not None:
+            works.append(self._disk.follow())
+        return list(works)
+
+    async def handle_disk(self, body: messages.DiskRequest) -> messages.Body:
+        """Answer a peer's request to this instance's disk.
+
+        Raises NotRun if it has none.
+        """
+        if self._disk is None:
+            raise errors.NotRun('This instance has no data folder.')
+        return await self._disk.handle(body)
+
+    def _open(
+        self, folder: pathlib.Path, ledger: step_ledger.StepLedger
+    ) -> None:
+        opened = disk_log.DiskLog(folder / 'samples')
+        self._disk = disk_store.DiskStore(opened, ledger)
+        me = self._blackboard.me
+        self._mine = replicas.Disk(
+            instance=me.id,
+            data_centre=me.data_centre,
+            store_id=opened.store_id,
+        )
+
+    async def _ask_disk(
+        self, disk: InstanceId, body: messages.DiskRequest
+    ) -> Any:
+        if disk == self._blackboard.me.id:
+            return await self.handle_disk(body)
+        peer = self._blackboard.instances_by_id.get(disk)
+        if peer is None:
+            raise errors.PeerUnavailable(f'Instance {disk} is gone.')
+        return await self._peers.request(peer, body, DISK_SECONDS)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Finished samples on the disk of this instance."""
--- a/packages/yuccarill-daemon/tests/controllers/rollout_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/rollout_world.py
@@ -4,11 +4,14 @@
 
 import enum
 import itertools
+import pathlib
+import shutil
 from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 from twisted.internet import defer
+from twisted.internet import task
 
 from yuccarill.core.blackboard import Blackboard
 from yuccarill.core.config import inventory
@@ -24,12 +27,16 @@
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.membership.instances import Instance
+from yuccarill.core.rollouts import replicas
 from yuccarill.core.rollouts import step as step_module
 from yuccarill.daemon.adapters.engine import Chunk
 from yuccarill.daemon.adapters import key_value
+from yuccarill.daemon.controllers import disk_store
 from yuccarill.daemon.controllers import rollouts
+from yuccarill.daemon.controllers import sample_store
 from yuccarill.daemon.controllers import sampling
 from yuccarill.daemon.controllers import step_ledger
+from yuccarill.daemon.storage import disk_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -84,6 +91,7 @@
         self.version = WeightVersion(1)
         self.held: list[defer.Deferred[None]] = []
         self.holds = False
+        self.holds_after = 1 << 30
         self.fails = 0
         self.made = 0
 
@@ -92,7 +100,7 @@
     ) -> None:
         self.made += 1
         version = self.version
-        if self.holds:
+        if self.holds or self.made > self.holds_after:
             self.held.append(defer.Deferred())
             await self.held[-1]
         if self.fails:
@@ -109,38 +117,109 @@
             waiting.callback(None)
 
 
+class FakeDisk:
+    """Stand for a disk instance whose log is real."""
+
+    def __init__(self, world: World, name: str, centre: str) -> None:
+        self._world = world
+        self.name = InstanceId(name)
+        self.centre = DataCentreId(centre)
+        self.folder = world.folder / name
+        self.is_up = True
+        self.open()
+
+    def open(self) -> None:
+        """Start on what the folder holds, and enter the registry."""
+        self.log = disk_log.DiskLog(self.folder, segment_bytes=400)
+        ledger = step_ledger.StepLedger(self._world.store)
+        self.store = disk_store.DiskStore(self.log, ledger, self._world.clock)
+        mine = replicas.Disk(
+            instance=self.name,
+            data_centre=self.centre,
+            store_id=self.log.store_id,
+        )
+        self._world.run(self._world.registry.refresh(mine))
+
+    def replace(self) -> None:
+        """Lose the folder for good and start with an empty one."""
+        self.log.close()
+        shutil.rmtree(self.folder)
+        self.open()
+
+
 class World:
     """Hold what outlives a holder, and start holders."""
 
-    def __init__(self) -> None:
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self.clock = task.Clock()
         self.store = FakeStore()
         self.fleet = FakeFleet()
         self.holders: dict[str, rollouts.RolloutController] = {}
         self.epochs: dict[str, Epoch | None] = {}
+        self.folder = folder or pathlib.Path()
+        self.registry = disk_store.DiskRegistry(self.store, self, self.clock)
+        self.disks_by_id: dict[InstanceId, FakeDisk] = {}
+
+    def add_disk(self, name: str, centre: str) -> FakeDisk:
+        disk = FakeDisk(self, name, centre)
+        self.disks_by_id[disk.name] = disk
+        return disk
+
+    def live(self) -> list[Instance]:
+        return [
+            _instance(d.name) for d in self.disks_by_id.values() if d.is_up
+        ]
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine, and half a second of all else."""
+        outcome: list[Any] = []
+        defer.ensureDeferred(work).addBoth(outcome.append)
+        self.clock.pump([0.05] * 10)
+        if not outcome:
+            raise AssertionError('it still waits')
+        if hasattr(outcome[0], 'raiseException'):
+            outcome[0].raiseException()
+        return outcome[0]
+
+    def fetch(self, holder: Any) -> Any:
+        """Fetch step 1 as a trainer does, until it is whole."""
+        for _ in range(5):
+            try:
+                return self.run(holder.fetch(TRAINER, StepNumber(1)))
+            except errors.StepPending as error:
+                last = error
+        raise last
 
     def start(self, name: str, incarnation: str = 'i1') -> Any:
         """Start an instance, or restart it with nothing remembered."""
         blackboard = Blackboard(me=_instance(name), head=_head())
-
-        async def ask(holder: InstanceId, *key: Any) -> bytes:
-            return await self.holders[holder].fetch(*key)
-
+        identity = Incarnation(f'{name}{incarnation}')
+        store = sample_store.SampleStore(
+            self.registry, self._ask_disk, self.clock
+        )
         controller = rollouts.RolloutController(
             blackboard,
-            Incarnation(f'{name}{incarnation}'),
+            identity,
             step_ledger.StepLedger(self.store),
             sampling.SampleMaker(
-                blackboard,
-                Incarnation(f'{name}{incarnation}'),
-                self.fleet,
-                self.fleet,
+                blackboard, identity, self.fleet, self.fleet, store
             ),
-            ask,
+            store,
+            self._ask_holder,
             lambda duty: self.epochs.get(name, Epoch(0)),
         )
         self.holders[name] = controller
         return controller
 
+    async def _ask_holder(self, holder: InstanceId, *key: Any) -> bytes:
+        return await self.holders[holder].fetch(*key)
+
+    async def _ask_disk(self, name: InstanceId, body: Any) -> Any:
+        disk = self.disks_by_id[name]
+        if not disk.is_up:
+            raise errors.PeerUnavailable('down')
+        return await disk.store.handle(body)
+
 
 def request(
     step: int = 1, newest: int = 1, prompt: str = 'p'
@@ -155,17 +234,6 @@
     )
 
 
-def result_of(work: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine that has nothing to wait for."""
-    outcome: list[Any] = []
-    defer.ensureDeferred(work).addBoth(outcome.append)
-    if not outcome:
-        raise AssertionError('it still waits')
-    if hasattr(outcome[0], 'raiseException'):
-        outcome[0].raiseException()
-    return outcome[0]
-
-
 def oldest_of(body: bytes) -> int:
     """Return the oldest weight version in a delivery."""
     return min(
--- a/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
@@ -15,7 +15,6 @@
 
 from controllers import rollout_world
 from controllers.rollout_world import request
-from controllers.rollout_world import result_of
 from controllers.rollout_world import StoreFault
 from controllers.rollout_world import TRAINER
 
@@ -28,13 +27,13 @@
         self.first = self.world.start('a')
 
     def test_same_bytes_until_acknowledged(self) -> None:
-        result_of(self.first.submit(TRAINER, request()))
-        body = result_of(self.first.fetch(TRAINER, STEP))
-        self.assertEqual(body, result_of(self.first.fetch(TRAINER, STEP)))
-        result_of(self.first.acknowledge(TRAINER, STEP))
-        result_of(self.first.acknowledge(TRAINER, STEP))
+        self.world.run(self.first.submit(TRAINER, request()))
+        body = self.world.run(self.first.fetch(TRAINER, STEP))
+        self.assertEqual(body, self.world.run(self.first.fetch(TRAINER, STEP)))
+        self.world.run(self.first.acknowledge(TRAINER, STEP))
+        self.world.run(self.first.acknowledge(TRAINER, STEP))
         with self.assertRaises(errors.StepClosed):
-            result_of(self.first.fetch(TRAINER, STEP))
+            self.world.run(self.first.fetch(TRAINER, STEP))
         self.assertEqual({}, self.first._work_by_key)
         # Submitted, claimed, decided, marked and closed: five a step.
         self.assertEqual(5, self.world.store.writes)
@@ -43,10 +42,10 @@
         # The store takes each write, but its reply is lost. The holder sees
         # the key taken when it tries again; it must know its own manifest,
         # or the trainer would wait for a step that is decided.
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         self.world.store.faults = [StoreFault.REPLY_LOST]
-        body = result_of(self.first.fetch(TRAINER, STEP))
-        self.assertEqual(body, result_of(self.first.fetch(TRAINER, STEP)))
+        body = self.world.run(self.first.fetch(TRAINER, STEP))
+        self.assertEqual(body, self.world.run(self.first.fetch(TRAINER, STEP)))
 
     @params(0, 1, 2, 3, 4, 5)
     def test_any_write_reply_lost(self, position: int) -> None:
@@ -54,31 +53,31 @@
         # has one set of samples, and the step can't be made again.
         faults = [None] * position + [StoreFault.REPLY_LOST]
         self.world.store.faults = faults
-        result_of(self.first.submit(TRAINER, request()))
-        body = result_of(self.first.fetch(TRAINER, STEP))
+        self.world.run(self.first.submit(TRAINER, request()))
+        body = self.world.run(self.first.fetch(TRAINER, STEP))
         for _ in range(2):
             try:
-                result_of(self.first.acknowledge(TRAINER, STEP))
+                self.world.run(self.first.acknowledge(TRAINER, STEP))
                 break
             except errors.StoreUnavailable:
-                same = result_of(self.first.fetch(TRAINER, STEP))
+                same = self.world.run(self.first.fetch(TRAINER, STEP))
                 self.assertEqual(body, same)
         with self.assertRaises(errors.StepClosed):
-            result_of(self.first.submit(TRAINER, request()))
+            self.world.run(self.first.submit(TRAINER, request()))
 
     def test_two_holders_deliver_the_same(self) -> None:
         # Both were given the step and made their own samples, since each
         # believes it holds the trainer. Whichever decides first, the other
         # must return those bytes, never its own.
         second = self.world.start('b')
-        result_of(self.first.submit(TRAINER, request()))
-        result_of(second.submit(TRAINER, request()))
-        body = result_of(second.fetch(TRAINER, STEP))
-        self.assertEqual(body, result_of(self.first.fetch(TRAINER, STEP)))
+        self.world.run(self.first.submit(TRAINER, request()))
+        self.world.run(second.submit(TRAINER, request()))
+        body = self.world.run(second.fetch(TRAINER, STEP))
+        self.assertEqual(body, self.world.run(self.first.fetch(TRAINER, STEP)))
         with self.assertRaises(errors.StepClosed):
-            result_of(self.first.acknowledge(TRAINER, STEP))
-            result_of(second.acknowledge(TRAINER, STEP))
-            result_of(second.fetch(TRAINER, STEP))
+            self.world.run(self.first.acknowledge(TRAINER, STEP))
+            self.world.run(second.acknowledge(TRAINER, STEP))
+            self.world.run(second.fetch(TRAINER, STEP))
 
     def test_paused_holder_decides_too_late(self) -> None:
         # The first holder is paused right before it writes its manifest.
@@ -86,19 +85,19 @@
         # there, and the second delivers fresh samples. The first wakes up
         # and must not replace them.
         second = self.world.start('b')
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         self.world.epochs = {'a': Epoch(1), 'b': Epoch(2)}
         bodies = []
 
         def overtake(key: str) -> None:
             self.world.store.before_swap = lambda key: None
             self.world.fleet.version = WeightVersion(3)
-            result_of(second.announce(TRAINER, WeightVersion(3)))
-            result_of(second.submit(TRAINER, request()))
-            bodies.append(result_of(second.fetch(TRAINER, STEP)))
+            self.world.run(second.announce(TRAINER, WeightVersion(3)))
+            self.world.run(second.submit(TRAINER, request()))
+            bodies.append(self.world.run(second.fetch(TRAINER, STEP)))
 
         self.world.store.before_swap = overtake
-        late = result_of(self.first.fetch(TRAINER, STEP))
+        late = self.world.run(self.first.fetch(TRAINER, STEP))
         self.assertEqual(bodies, [late])
         self.assertEqual(3, rollout_world.oldest_of(late))
 
@@ -107,15 +106,15 @@
         # write a manifest of version 1 samples. The claim has changed by
         # then, so the samples are judged again and made anew.
         second = self.world.start('b')
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
 
         def announce(key: str) -> None:
             self.world.store.before_swap = lambda key: None
             self.world.fleet.version = WeightVersion(3)
-            result_of(second.announce(TRAINER, WeightVersion(3)))
+            self.world.run(second.announce(TRAINER, WeightVersion(3)))
 
         self.world.store.before_swap = announce
-        body = result_of(self.first.fetch(TRAINER, STEP))
+        body = self.world.fetch(self.first)
         self.assertEqual(3, rollout_world.oldest_of(body))
 
     def test_older_epoch_may_not_claim(self) -> None:
@@ -123,27 +122,27 @@
         # holds the trainer; the claim of its successor names a newer epoch.
         second = self.world.start('b')
         self.world.epochs = {'a': Epoch(1), 'b': Epoch(2)}
-        result_of(second.submit(TRAINER, request()))
+        self.world.run(second.submit(TRAINER, request()))
         with self.assertRaises(errors.ClaimLost):
-            result_of(self.first.submit(TRAINER, request()))
+            self.world.run(self.first.submit(TRAINER, request()))
 
     def test_store_down_at_delivery(self) -> None:
         # The trainer polls a whole step during an outage: it is told what
         # the step waits for and gets its bytes when the store is back.
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         self.world.store.is_down = True
         with self.assertRaisesRegex(errors.StepPending, 'key-value service'):
-            result_of(self.first.fetch(TRAINER, STEP))
+            self.world.run(self.first.fetch(TRAINER, STEP))
         self.world.store.is_down = False
-        result_of(self.first.fetch(TRAINER, STEP))
+        self.world.run(self.first.fetch(TRAINER, STEP))
 
     def test_submitted_while_store_is_down(self) -> None:
         # Samples are made during the outage and delivered after it.
         self.world.store.is_down = True
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         self.assertEqual(4, self.world.fleet.made)
         self.world.store.is_down = False
-        result_of(self.first.fetch(TRAINER, STEP))
+        self.world.run(self.first.fetch(TRAINER, STEP))
         self.assertEqual(4, self.world.fleet.made)
 
     def test_newest_version_is_told_once_the_store_is_back(self) -> None:
@@ -152,10 +151,10 @@
         # would judge by version 1.
         self.world.store.is_down = True
         with self.assertRaises(errors.StoreUnavailable):
-            result_of(self.first.announce(TRAINER, WeightVersion(3)))
+            self.world.run(self.first.announce(TRAINER, WeightVersion(3)))
         self.world.store.is_down = False
         self.world.fleet.version = WeightVersion(3)
-        result_of(self.first.submit(TRAINER, request(newest=3)))
+        self.world.run(self.first.submit(TRAINER, request(newest=3)))
         key = records.progress_key(TRAINER)
         progress = msgspec.json.decode(self.world.store.values_by_key[key][1])
         self.assertEqual(3, progress['newest_version'])
@@ -165,44 +164,44 @@
         # The holder dies with its memory before or after the decision. Not
         # decided: the trainer is told to submit again. Decided: nobody may
         # make the step again, since its bytes may have been received.
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         if decided:
-            result_of(self.first.fetch(TRAINER, STEP))
+            self.world.run(self.first.fetch(TRAINER, STEP))
         self.first = self.world.start('a', 'i2')
         expected = errors.SamplesLost if decided else errors.UnknownStep
         with self.assertRaises(expected):
-            result_of(self.first.fetch(TRAINER, STEP))
-        result_of(self.first.submit(TRAINER, request()))
+            self.world.run(self.first.fetch(TRAINER, STEP))
+        self.world.run(self.first.submit(TRAINER, request()))
         if decided:
             with self.assertRaises(errors.SamplesLost):
-                result_of(self.first.fetch(TRAINER, STEP))
+                self.world.run(self.first.fetch(TRAINER, STEP))
         else:
-            result_of(self.first.fetch(TRAINER, STEP))
+            self.world.run(self.first.fetch(TRAINER, STEP))
 
     def test_failed_group_is_told(self) -> None:
         # The engines fail every try of one sample. The trainer must learn
         # it with a code instead of polling for ever, and may submit again.
         self.world.fleet.fails = 100
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         with self.assertRaises(errors.GroupFailed):
-            result_of(self.first.fetch(TRAINER, STEP))
+            self.world.run(self.first.fetch(TRAINER, STEP))
         self.world.fleet.fails = 0
-        result_of(self.first.submit(TRAINER, request()))
-        result_of(self.first.fetch(TRAINER, STEP))
+        self.world.run(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.fetch(TRAINER, STEP))
 
     def test_other_groups_under_the_same_number(self) -> None:
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         for holder in (self.first, self.world.start('b')):
             with self.assertRaises(errors.StepConflict):
-                result_of(holder.submit(TRAINER, request(prompt='other')))
+                self.world.run(holder.submit(TRAINER, request(prompt='other')))
 
     def test_undelivered_step_is_not_acknowledged(self) -> None:
-        result_of(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.submit(TRAINER, request()))
         with self.assertRaises(errors.StepConflict):
-            result_of(self.first.acknowledge(TRAINER, STEP))
-        result_of(self.first.delete(TRAINER, STEP))
+            self.world.run(self.first.acknowledge(TRAINER, STEP))
+        self.world.run(self.first.delete(TRAINER, STEP))
         with self.assertRaises(errors.StepClosed):
-            result_of(self.first.submit(TRAINER, request()))
+            self.world.run(self.first.submit(TRAINER, request()))
 
 
 class StalenessTest(unittest.TestCase):
@@ -216,29 +215,31 @@
     ) -> None:
         # All samples are whole when the trainer tells a newer version. What
         # is too old by then is made anew before the step is delivered.
-        result_of(self.holder.submit(TRAINER, request()))
+        self.world.run(self.holder.submit(TRAINER, request()))
         self.world.fleet.version = WeightVersion(3)
-        result_of(self.holder.announce(TRAINER, WeightVersion(announced)))
-        body = result_of(self.holder.fetch(TRAINER, STEP))
+        self.world.run(self.holder.announce(TRAINER, WeightVersion(announced)))
+        body = self.world.run(self.holder.fetch(TRAINER, STEP))
         self.assertEqual(oldest, rollout_world.oldest_of(body))
         self.assertEqual(made, self.world.fleet.made)
 
     def test_announced_after_delivery(self) -> None:
         # The reply was lost and the trainer asks again after it announced a
         # newer version: the bytes stay, or it might learn from both sets.
-        result_of(self.holder.submit(TRAINER, request()))
-        body = result_of(self.holder.fetch(TRAINER, STEP))
-        result_of(self.holder.announce(TRAINER, WeightVersion(9)))
-        self.assertEqual(body, result_of(self.holder.fetch(TRAINER, STEP)))
+        self.world.run(self.holder.submit(TRAINER, request()))
+        body = self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.world.run(self.holder.announce(TRAINER, WeightVersion(9)))
+        self.assertEqual(
+            body, self.world.run(self.holder.fetch(TRAINER, STEP))
+        )
 
     def test_swap_while_generating(self) -> None:
         # Version 3 is announced while samples of version 1 are under way;
         # they finish late and must be made anew, not fill their places.
         self.world.fleet.holds = True
-        result_of(self.holder.submit(TRAINER, request()))
-        result_of(self.holder.announce(TRAINER, WeightVersion(3)))
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.run(self.holder.announce(TRAINER, WeightVersion(3)))
         self.world.fleet.version = WeightVersion(3)
         self.world.fleet.holds = False
         self.world.fleet.release()
-        body = result_of(self.holder.fetch(TRAINER, STEP))
+        body = self.world.fetch(self.holder)
         self.assertEqual(3, rollout_world.oldest_of(body))
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/controllers/test_sample_store.py
@@ -0,0 +1,148 @@
+"""Test that finished samples outlive their holder and one disk."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+import msgspec
+from nose2.tools import params
+
+from yuccarill.core import errors
+from yuccarill.core.ids import StepNumber
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.rollouts import records
+
+from controllers import rollout_world
+from controllers.rollout_world import request
+from controllers.rollout_world import TRAINER
+
+STEP = StepNumber(1)
+
+
+class SampleStoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.world = rollout_world.World(pathlib.Path(folder.name))
+        self.first = self.world.add_disk('d1', 'freising')
+        self.second = self.world.add_disk('d2', 'freising')
+        self.other = self.world.add_disk('d3', 'rosenheim')
+        self.holder = self.world.start('a')
+
+    def test_copies_in_two_data_centres(self) -> None:
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.run(self.holder.fetch(TRAINER, STEP))
+        stored_on = self._manifest()['stored_on']
+        self.assertEqual(2, len(stored_on))
+        self.assertIn('d3', stored_on)
+
+    @params(None, 'd1', 'd2', 'd3')
+    def test_holder_dies_after_the_decision(self, lost: str | None) -> None:
+        # The holder dies right after its manifest was written, and a disk
+        # instance with it. The trainer asks the successor and receives the
+        # bytes that it may have received before.
+        self.world.run(self.holder.submit(TRAINER, request()))
+        body = self.world.run(self.holder.fetch(TRAINER, STEP))
+        if lost is not None:
+            self.world.disks_by_id[lost].is_up = False
+        successor = self.world.start('b')
+        del self.world.holders['a']
+        self.assertEqual(body, self.world.run(successor.fetch(TRAINER, STEP)))
+
+    def test_damaged_copy_is_passed_over(self) -> None:
+        # A disk flips bytes in its copies; their checksums tell, and the
+        # other copy is delivered.
+        self.world.run(self.holder.submit(TRAINER, request()))
+        body = self.world.run(self.holder.fetch(TRAINER, STEP))
+        for path in self.other.folder.glob('*.log'):
+            path.write_bytes(path.read_bytes().replace(b'spans', b'spins'))
+        successor = self.world.start('b')
+        self.assertEqual(body, self.world.run(successor.fetch(TRAINER, STEP)))
+
+    def test_unfinished_step_is_resumed(self) -> None:
+        # The holder dies with three of four samples on disks. The trainer
+        # submits again; the successor makes only the one that is missing.
+        self.world.fleet.holds_after = 3
+        self.world.run(self.holder.submit(TRAINER, request()))
+        with self.assertRaises(errors.StepPending):
+            self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.world.fleet.holds_after = 9
+        successor = self.world.start('b')
+        self.world.run(successor.submit(TRAINER, request()))
+        self.world.fetch(successor)
+        self.assertEqual(5, self.world.fleet.made)
+
+    def test_stale_samples_are_not_resumed(self) -> None:
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.fleet.version = WeightVersion(3)
+        successor = self.world.start('b')
+        self.world.run(successor.submit(TRAINER, request(newest=3)))
+        body = self.world.fetch(successor)
+        self.assertEqual(3, rollout_world.oldest_of(body))
+
+    def test_disk_replaced_before_the_decision(self) -> None:
+        # A disk instance comes back with an empty folder under its old
+        # name. Its copies are gone, so they are made again before the step
+        # is decided; then the other disk is lost, too.
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.other.replace()
+        body = self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.first.is_up = self.second.is_up = False
+        del self.world.holders['a']
+        successor = self.world.start('b')
+        self.assertEqual(body, self.world.run(successor.fetch(TRAINER, STEP)))
+
+    @params((1, 2), (2, 1), (3, 0))
+    def test_fewer_disks_than_wanted(self, down: int, copies: int) -> None:
+        # Disk instances are down for good: the trainer goes on with the
+        # copies that can be had, and the manifest names them.
+        for name in ('d3', 'd2', 'd1')[:down]:
+            self.world.disks_by_id[name].is_up = False
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.assertEqual(copies, len(self._manifest()['stored_on']))
+
+    def test_disk_that_refuses_is_replaced_by_the_next(self) -> None:
+        # The disk of one data centre is full; its samples go elsewhere.
+        self.other.log._max_bytes = -1
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.assertEqual(['d1', 'd2'], sorted(self._manifest()['stored_on']))
+
+    def test_copy_counts_only_once_it_is_synced(self) -> None:
+        # One disk takes the write but fails to sync it; a loss of power
+        # would take the copy, so the samples go to the next disk as well.
+        with mock.patch.object(
+            self.other.log, 'sync', autospec=True, side_effect=OSError
+        ):
+            self.world.run(self.holder.submit(TRAINER, request()))
+            self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.assertEqual(['d1', 'd2'], sorted(self._manifest()['stored_on']))
+
+    def test_space_is_given_back(self) -> None:
+        # One disk is away when the step is closed; it drops the samples
+        # when it next compares its steps with the trainer's progress.
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.run(self.holder.fetch(TRAINER, STEP))
+        self.other.is_up = False
+        self.world.run(self.holder.acknowledge(TRAINER, STEP))
+        self.assertEqual([], self.first.log.steps())
+        self.assertEqual([], self.second.log.steps())
+        self.assertNotEqual([], self.other.log.steps())
+        self.world.run(self.other.store.tidy())
+        self.assertEqual([], self.other.log.steps())
+
+    def test_open_step_is_not_tidied(self) -> None:
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.run(self.other.store.tidy())
+        self.assertNotEqual([], self.other.log.steps())
+
+    def _manifest(self) -> dict[str, list[str]]:
+        key = records.step_key(TRAINER, STEP)
+        found: dict[str, list[str]] = msgspec.json.decode(
+            self.world.store.values_by_key[key][1]
+        )
+        return found
