Name every fault of the settings at once, and list them in a page

click ended at the first missing or mistyped flag, so an operator learned of one fault a start. The flags are now plain texts; one reader converts and checks them all and names flag and variable. Flags, conversion, help and the page come from the annotations of one data class, and a test holds docs/settings.md to it.

Also refused now: a host that is "any address", which peers would connect to and find themselves, equal ports, and a data folder that does not exist. A variable that begins with YUCCARILL_ and is no setting is warned of, not refused: it may belong to a newer version.

Added a setting for the level of log lines; enumerations are logged by value.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 from typing import Any
+from typing import TYPE_CHECKING
 
 import click
 from twisted.internet import defer
@@ -14,39 +16,54 @@
 from yuccarill.daemon import instance
 from yuccarill.daemon import logs
 from yuccarill.daemon import metrics
-from yuccarill.daemon import settings as settings_module
-
-
-@click.command(context_settings={'auto_envvar_prefix': 'YUCCARILL'})
-@click.option('--instance', required=True, help='Name of this instance.')
-@click.option('--data-centre', required=True, help='Its data centre.')
-@click.option('--host', required=True, help='IP number to serve on.')
-@click.option('--http-port', required=True, type=int)
-@click.option('--peer-port', required=True, type=int)
-@click.option('--key-value', required=True, help='IP:PORT of the service.')
-@click.option('--instance-list', required=True, help='IP:PORT of the list.')
-@click.option('--weight-store', required=True, help='IP:PORT of the store.')
-@click.option('--data-folder', help='Folder on a disk, if there is one.')
-@click.option(
-    '--log-format', type=click.Choice(['text', 'json']), default='text'
-)
-@click.option('--statsd', help='IP:PORT of a statsd server.')
-@click.option('--address-validity', type=float, default=5.0)
-@click.option('--stop-timeout', type=float, default=30.0)
-@click.option('--weight-downloads', type=float, default=50.0)
-@click.option('--check-settings', is_flag=True, help='Check and end.')
-def main(check_settings: bool, **values: Any) -> None:
-    """Run one instance of yuccarill."""
-    settings = settings_module.Settings(**values)
+from yuccarill.daemon import setting_reader
+
+if TYPE_CHECKING:
+    from yuccarill.daemon.settings import Settings
+
+EXIT_SETTINGS_INVALID = 2
+
+
+def _options() -> list[click.Option]:
+    # The texts are converted by the reader, which names all faults; click
+    # would end at the first one.
+    return [
+        click.Option(
+            [setting.flag],
+            metavar='TEXT',
+            envvar=setting.variable,
+            show_envvar=True,
+            show_default=setting.default or False,
+            help=f'{setting.help} Write {setting.wanted}.',
+        )
+        for setting in setting_reader.all_settings()
+    ]
+
+
+def _read(text_by_name: dict[str, str | None]) -> Settings:
+    for warning in setting_reader.unknown_variables(os.environ):
+        click.echo(f'Warning: {warning}', err=True)
     try:
-        settings_module.check(settings)
+        return setting_reader.read(text_by_name)
     except errors.SettingsInvalid as error:
         click.echo(error.message, err=True)
-        sys.exit(2)
+        sys.exit(EXIT_SETTINGS_INVALID)
+
+
+@click.command(params=_options())
+@click.option(
+    '--check-settings',
+    is_flag=True,
+    envvar=setting_reader.PREFIX + setting_reader.CHECK_SETTINGS.upper(),
+    help='Check the settings and end.',
+)
+def main(check_settings: bool, **text_by_name: str | None) -> None:
+    """Run one instance of yuccarill."""
+    settings = _read(text_by_name)
     if check_settings:
         click.echo('The settings are valid.')
         return
-    logs.configure(settings.log_format)
+    logs.configure(settings.log_format, settings.log_level)
     metrics.configure(settings.statsd)
     process = instance.InstanceProcess(settings)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/logs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/logs.py
@@ -2,24 +2,38 @@
 
 from __future__ import annotations
 
+import enum
+import logging
 import sys
 from typing import Any
+from typing import TYPE_CHECKING
 
 import structlog
 
+from yuccarill.daemon.settings import LogFormat
+from yuccarill.daemon.settings import LogLevel
 
-def configure(log_format: str) -> None:
-    """Set how log lines are written."""
+if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+
+
+def configure(
+    log_format: LogFormat, log_level: LogLevel = LogLevel.INFO
+) -> None:
+    """Set how log lines are written, and from which level on."""
     renderer: Any = structlog.dev.ConsoleRenderer(colors=False)
-    if log_format == 'json':
+    if log_format is LogFormat.JSON:
         renderer = structlog.processors.JSONRenderer()
+    level = logging.getLevelNamesMapping()[log_level.name]
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
+            _plain,
             _prefix,
             renderer,
         ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
 
@@ -29,7 +43,18 @@
     return structlog.get_logger(part=part)
 
 
-def _prefix(logger: Any, name: str, event: Any) -> Any:
+def _plain(
+    _logger: Any, _name: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    for key, value in event.items():
+        if isinstance(value, enum.Enum):
+            event[key] = value.value
+    return event
+
+
+def _prefix(
+    _logger: Any, _name: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
     part = event.pop('part', 'instance')
     event['event'] = f'{part}: {event["event"]}'
     return event
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/settings.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/settings.py
@@ -1,68 +1,120 @@
-"""Settings of an instance, checked at start."""
+"""Settings of an instance, as docs/settings.md lists them."""
 
 from __future__ import annotations
 
+import enum
 import ipaddress
+import pathlib
+from typing import Annotated
 
 import msgspec
 
-from yuccarill.core import errors
+from yuccarill.core import addresses
+from yuccarill.daemon.setting_types import Check
+from yuccarill.daemon.setting_types import Help
 
 
-class Settings(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what flags and environment variables say."""
+class LogFormat(enum.Enum):
+    """Say how log lines are written."""
 
-    instance: str
-    data_centre: str
-    host: str
-    http_port: int
-    peer_port: int
-    key_value: str
-    instance_list: str
-    weight_store: str
-    data_folder: str | None = None
-    log_format: str = 'text'
-    statsd: str | None = None
-    # Seconds for which callers may keep an answer about addresses.
-    address_validity: float = 5.0
-    # Seconds after which a planned stop no longer waits.
-    stop_timeout: float = 30.0
-    # Downloads a second that the weight store may be asked for in all.
-    weight_downloads: float = 50.0
-
-
-def check(settings: Settings) -> None:
-    """Refuse settings that can't work.
-
-    Raises SettingsInvalid with every fault that was found.
-    """
-    faults = []
-    try:
-        ipaddress.ip_address(settings.host)
-    except ValueError:
-        faults.append(f'--host: {settings.host} is no IP number; write one')
-    for flag in ('key_value', 'instance_list', 'weight_store', 'statsd'):
-        address = getattr(settings, flag)
-        if address is not None and not _is_address(address):
-            name = flag.replace('_', '-')
-            faults.append(f'--{name}: {address} is wrong; write IP:PORT')
-    for flag in ('http_port', 'peer_port'):
-        port = getattr(settings, flag)
-        if not 0 < port < 65536:
-            name = flag.replace('_', '-')
-            faults.append(f'--{name}: {port} is no port; write 1 to 65535')
-    for flag in ('address_validity', 'stop_timeout', 'weight_downloads'):
-        if getattr(settings, flag) <= 0:
-            name = flag.replace('_', '-')
-            faults.append(f'--{name}: must be above 0')
-    if faults:
-        raise errors.SettingsInvalid('\n'.join(faults))
-
-
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(':')
+    TEXT = 'text'
+    JSON = 'json'
+
+
+class LogLevel(enum.Enum):
+    """Say from which level on log lines are written."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+def _is_host(text: str) -> bool:
+    # Peers and callers connect to what is written here, so "any address"
+    # would send them to themselves.
     try:
-        ipaddress.ip_address(host.strip('[]'))
-        return 0 < int(port) < 65536
+        number = ipaddress.ip_address(text)
     except ValueError:
         return False
+    return not (number.is_unspecified or number.is_multicast)
+
+
+def _is_folder(text: str) -> bool:
+    return pathlib.Path(text).is_dir()
+
+
+_Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r'\A[A-Za-z0-9][A-Za-z0-9._-]{0,99}\Z',
+        description='a name of letters, digits, ".", "_" and "-"',
+    ),
+]
+_Host = Annotated[
+    str,
+    msgspec.Meta(description='the IP number that others connect to'),
+    Check(_is_host),
+]
+_Port = Annotated[
+    int,
+    msgspec.Meta(
+        ge=1, le=addresses.MAX_PORT, description='a port, 1 to 65535'
+    ),
+]
+_Address = Annotated[
+    str,
+    msgspec.Meta(
+        description='an IP number and a port, as 127.0.0.1:9000',
+    ),
+    Check(addresses.is_address),
+]
+_Folder = Annotated[
+    str,
+    msgspec.Meta(description='a folder that exists'),
+    Check(_is_folder),
+]
+_Seconds = Annotated[
+    float,
+    msgspec.Meta(gt=0, le=86_400, description='seconds, above 0 to 86400'),
+]
+_Rate = Annotated[
+    float,
+    msgspec.Meta(gt=0, le=1e6, description='a number a second, above 0'),
+]
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what flags and environment variables say."""
+
+    instance: Annotated[_Name, Help('Name in the instance list.')]
+    data_centre: Annotated[_Name, Help('Data centre it stands in.')]
+    host: Annotated[_Host, Help('IP number to serve on.')]
+    http_port: Annotated[
+        _Port, Help('Port for callers, trainers and operators.')
+    ]
+    peer_port: Annotated[_Port, Help('Port for other instances.')]
+    key_value: Annotated[_Address, Help('The key-value service.')]
+    instance_list: Annotated[_Address, Help('The instance list.')]
+    weight_store: Annotated[_Address, Help('The weight store.')]
+    data_folder: Annotated[
+        _Folder | None, Help('Folder on a disk for bulk data, if any.')
+    ] = None
+    log_format: Annotated[LogFormat, Help('How log lines are written.')] = (
+        LogFormat.TEXT
+    )
+    log_level: Annotated[
+        LogLevel, Help('The lowest level of log lines that are written.')
+    ] = LogLevel.INFO
+    statsd: Annotated[
+        _Address | None, Help('A statsd server, if metrics are wanted.')
+    ] = None
+    address_validity: Annotated[
+        _Seconds, Help('How long callers may keep the addresses they got.')
+    ] = 5.0
+    stop_timeout: Annotated[
+        _Seconds, Help('How long a graceful shutdown waits at most.')
+    ] = 30.0
+    weight_downloads: Annotated[
+        _Rate, Help('Downloads the weight store may be asked for in all.')
+    ] = 50.0
