--- a/tools/control_fleet.py
+++ b/tools/control_fleet.py
@@ -53,24 +53,24 @@
             ],
         )
         ready = self._folder / 'platform.json'
-        _until(lambda: ready.exists() and ready.stat().st_size > 0)
+        until(lambda: ready.exists() and ready.stat().st_size > 0)
         self._platform = json.loads(ready.read_text())
         inventory = self._folder / 'inventory.json'
         self._document = json.loads(inventory.read_text())
-        ports = _free_ports(2 * self._count)
+        ports = free_ports(2 * self._count)
         for number in range(self._count):
             self._start_instance(number, ports[2 * number : 2 * number + 2])
         for port in self.http_ports:
-            _until(lambda port=port: self._status(port) is not None)
+            until(lambda port=port: self._status(port) is not None)
         self.change()
-        _until(lambda: self._in_force(self._revision))
+        until(lambda: self._in_force(self._revision))
 
     def change(self) -> float:
         """Apply a changed inventory; return when it was sent."""
         models = self._document['models']
         models[0]['serving_part'] = 0.4 + self._revision % 100 / 1000
         sent_at = time.monotonic()
-        reply = _send(
+        reply = send(
             'PUT',
             f'{LOOPBACK}:{self.http_ports[0]}/v1/operators/configuration',
             {
@@ -100,7 +100,7 @@
     def store_calls(self) -> dict[str, float]:
         """Return the key-value service's counts by kind."""
         url = f'{self._platform["key_value"]}/admin/calls'
-        return dict(_send('GET', url))
+        return dict(send('GET', url))
 
     def bytes_sent(self) -> list[int]:
         """Return what each instance sent its peers since its start."""
@@ -113,7 +113,7 @@
         """Return how often the instance list was read, if it tells."""
         try:
             url = f'{self._platform["instance_list"]}/admin/calls'
-            return float(sum(_send('GET', url).values()))
+            return float(sum(send('GET', url).values()))
         except OSError:
             return 0.0
 
@@ -134,7 +134,7 @@
             'state': 'live',
         }
         url = f'{self._platform["instance_list"]}/admin/instances'
-        _send('PUT', f'{url}/{entry["id"]}', entry)
+        send('PUT', f'{url}/{entry["id"]}', entry)
         words = [self._binary, '--instance', entry['id']]
         for name in ('data_centre', 'host', 'http_port', 'peer_port'):
             words += [f'--{name.replace("_", "-")}', str(entry[name])]
@@ -152,7 +152,7 @@
 
     def _status(self, port: int) -> Any:
         try:
-            return _send('GET', f'{LOOPBACK}:{port}/v1/operators/status')
+            return send('GET', f'{LOOPBACK}:{port}/v1/operators/status')
         except OSError:
             return None
 
@@ -187,7 +187,8 @@
     return toml
 
 
-def _send(method: str, address: str, value: Any = None) -> Any:
+def send(method: str, address: str, value: Any = None) -> Any:
+    """Send one request and return its decoded reply."""
     request = urllib.request.Request(
         f'http://{address}',
         method=method,
@@ -197,7 +198,8 @@
         return json.load(reply)
 
 
-def _until(condition: Any) -> None:
+def until(condition: Any) -> None:
+    """Wait until a condition holds, or end the program."""
     deadline = time.monotonic() + START_SECONDS
     while not condition():
         if time.monotonic() > deadline:
@@ -205,7 +207,8 @@
         time.sleep(0.05)
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
     with contextlib.ExitStack() as stack:
         opened = [
             stack.enter_context(socket.create_server((LOOPBACK, 0)))
