--- /dev/null
+++ b/packages/yuccarill-core/tests/config/test_deltas.py
@@ -0,0 +1,149 @@
+"""Test that deltas lead to what whole documents say."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+
+from yuccarill.core.config import deltas
+from yuccarill.core.config import follower
+from yuccarill.core.config import head as head_module
+from yuccarill.core.config import inventory as inventory_module
+from yuccarill.core.ids import ChangeId
+from yuccarill.core.ids import Revision
+from yuccarill.core.ids import WallTime
+
+NAMES = strategies.sampled_from('abcde')
+
+
+def _entries(
+    entry: type[inventory_module.Entry], **fields: object
+) -> strategies.SearchStrategy[tuple[object, ...]]:
+    return strategies.lists(
+        strategies.builds(entry, **fields),
+        unique_by=lambda e: getattr(e, 'id', None) or e.name,
+        max_size=5,
+    ).map(tuple)
+
+
+INVENTORIES = strategies.builds(
+    inventory_module.Inventory,
+    models=_entries(
+        inventory_module.Model,
+        name=NAMES,
+        serving_part=strategies.sampled_from((0.5, 0.7)),
+    ),
+    services=_entries(
+        inventory_module.Service,
+        name=NAMES,
+        not_repeatable=strategies.lists(NAMES).map(tuple),
+    ),
+    trainers=_entries(
+        inventory_module.Trainer,
+        id=NAMES,
+        model=NAMES,
+        scorer=NAMES,
+        staleness_bound=strategies.integers(0, 2),
+        policy=strategies.sampled_from(
+            (inventory_module.IdleFirst(), inventory_module.StalenessFirst())
+        ),
+    ),
+).map(deltas.canonical)
+
+
+def change(
+    revision: int,
+    inventory: inventory_module.Inventory,
+    delta: deltas.Delta | None,
+) -> head_module.Change:
+    """Return the change that made an inventory."""
+    return head_module.Change(
+        revision=Revision(revision),
+        change_id=ChangeId(f'c{revision}'),
+        author='a',
+        applied_at=WallTime(0.0),
+        digest=deltas.digest(inventory),
+        delta=delta,
+    )
+
+
+class DeltasTest(unittest.TestCase):
+    @seed(1)
+    @settings(max_examples=150, deadline=None, database=None)
+    @given(
+        strategies.lists(INVENTORIES, min_size=1, max_size=8),
+        strategies.data(),
+    )
+    def test_follows_like_whole_documents(
+        self,
+        edits: list[inventory_module.Inventory],
+        data: strategies.DataObject,
+    ) -> None:
+        # The naive follower replaces the whole document at each revision.
+        # The real one sees some heads, in any order, with as many changes
+        # as they happen to carry, and whole documents over gaps.
+        changes = []
+        held = inventory_module.Inventory()
+        for number, edited in enumerate(edits, 1):
+            delta = deltas.between(held, edited)
+            coded = msgspec.json.decode(
+                msgspec.json.encode(delta), type=deltas.Delta
+            )
+            changes.append(change(number, edited, coded))
+            held = edited
+        real = follower.Follower()
+        naive = 0
+        offers = strategies.integers(1, len(edits))
+        for last in data.draw(strategies.lists(offers, max_size=12)):
+            first = data.draw(strategies.integers(1, last))
+            head = head_module.Head(changes=tuple(changes[first - 1 : last]))
+            offered = real.offer(head)
+            if offered is follower.Offered.GAP:
+                self.assertGreater(first, naive + 1)
+            if offered is not follower.Offered.TAKEN:
+                offered = real.install(changes[last - 1], edits[last - 1])
+            self.assertEqual(last > naive, offered is follower.Offered.TAKEN)
+            naive = max(naive, last)
+            self.assertEqual(naive, real.revision)
+            self.assertEqual(edits[naive - 1], real.snapshot.inventory)
+
+    def test_refuses_a_delta_that_misses_the_digest(self) -> None:
+        # A fault doubles an entry's change on its way. The instance keeps
+        # what it has and asks for the whole document.
+        first, second = (
+            inventory_module.Inventory(
+                models=(inventory_module.Model(name=n),)
+            )
+            for n in 'ab'
+        )
+        real = follower.Follower()
+        real.install(change(1, first, None), first)
+        wrong = change(2, second, deltas.Delta(removed={'models': ['a']}))
+        head = head_module.Head(changes=(wrong,))
+        self.assertIs(follower.Offered.GAP, real.offer(head))
+        self.assertEqual(first, real.snapshot.inventory)
+        self.assertIs(follower.Offered.TAKEN, real.install(wrong, second))
+
+    def test_unknown_section_is_a_gap(self) -> None:
+        first = inventory_module.Inventory()
+        wrong = change(1, first, deltas.Delta(put={'unheard': [{'id': 'x'}]}))
+        offered = follower.Follower().offer(head_module.Head(changes=(wrong,)))
+        self.assertIs(follower.Offered.GAP, offered)
+
+    def test_trims_what_peers_pass_on(self) -> None:
+        big = deltas.Delta(put={'models': [{'name': 'x' * 1000}]})
+        changes = tuple(
+            change(n, inventory_module.Inventory(), big) for n in range(1, 9)
+        )
+        kept = head_module.trimmed(head_module.Head(changes=changes))
+        self.assertEqual([8], [c.revision for c in kept.changes])
+        self.assertIsNotNone(kept.changes[0].delta)
+        huge = deltas.Delta(put={'models': [{'name': 'x' * 20_000}]})
+        last = change(9, inventory_module.Inventory(), huge)
+        kept = head_module.trimmed(head_module.Head(changes=(last,)))
+        self.assertIsNone(kept.changes[0].delta)
