--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration_intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration_intake.py
@@ -178,7 +178,8 @@
     async def _ask_peers(self) -> int:
         asked = self._dissemination.partners()[:PEERS_AT_START]
         results = await defer.DeferredList(
-            [defer.ensureDeferred(self._ask(peer)) for peer in asked]
+            [defer.ensureDeferred(self._ask(peer)) for peer in asked],
+            consumeErrors=True,
         )
         return sum(answered for _, answered in results)
 
--- a/packages/yuccarill-daemon/tests/controllers/fleet.py
+++ b/packages/yuccarill-daemon/tests/controllers/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import Any
 
@@ -26,6 +27,23 @@
     return {'models': [{'name': name} for name in names]}
 
 
+class NodeStore:
+    """Reach the store until the process is killed."""
+
+    def __init__(self, store: memory.MemoryKeyValue) -> None:
+        self._store = store
+        self.is_killed = False
+
+    def __getattr__(self, name: str) -> Any:
+        return functools.partial(self._call, getattr(self._store, name))
+
+    async def _call(self, method: Any, *arguments: Any) -> Any:
+        result = await method(*arguments)
+        if self.is_killed:
+            await defer.Deferred()
+        return result
+
+
 class Node:
     """Run the controllers of one incarnation."""
 
@@ -36,14 +54,15 @@
         # The highest revision that was ever in force here.
         self.reached = 0
         peers = fleet.network.peers_of(me)
+        self._store = NodeStore(fleet.store)
         self.dissemination = dissemination.DisseminationController(
-            me, fleet, peers, fleet.store, random.Random(me.id), fleet.clock
+            me, fleet, peers, self._store, random.Random(me.id), fleet.clock
         )
         self.configuration = configuration.ConfigurationController(
             self.blackboard,
             self.dissemination,
             peers,
-            decisions.DecisionRunner(fleet.store, fleet.clock),
+            decisions.DecisionRunner(self._store, fleet.clock),
             fleet.clock,
         )
         fleet.network.handlers_by_id[me.id] = self._handle
@@ -61,6 +80,7 @@
 
     def kill(self) -> None:
         """End without a word."""
+        self._store.is_killed = True
         for following in self._following:
             following.cancel()
         del self._fleet.network.handlers_by_id[self.me.id]
--- a/packages/yuccarill-daemon/tests/controllers/test_configuration.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_configuration.py
@@ -66,6 +66,21 @@
         self.fleet.advance(IN_FORCE_SECONDS)
         self.assertEqual({30}, self.revisions())
 
+    def test_a_lost_copy_is_made_good(self) -> None:
+        # Nobody hears of a change but the watchers: all else are cut off
+        # while it goes down the tree. Nothing is sent again, but each finds
+        # a partner with a higher version at its next exchange.
+        self.fleet = fleet_module.Fleet(12)
+        self.start_with_revision_1(*range(12))
+        for number in range(12):
+            self.fleet.cut_off(number)
+        self.fleet.apply(0, 1, 'a', 'b')
+        self.fleet.advance(1.0)
+        self.assertEqual({1, 2}, self.revisions())
+        self.fleet.network.silent.clear()
+        self.fleet.advance(IN_FORCE_SECONDS)
+        self.assertEqual({2}, self.revisions())
+
     def test_starts_from_peers_while_the_store_is_away(self) -> None:
         # The store is down and an instance is replaced. The new one must
         # not serve before its peers have answered, and then what they have.
--- a/packages/yuccarill-standins/src/yuccarill/standins/memory.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/memory.py
@@ -200,10 +200,13 @@
         self, peer: Instance, body: messages.Body, seconds: float
     ) -> Any:
         """Send a request to a peer and return its reply."""
+        # A request that was given up on still arrives, and late.
+        reply: defer.Deferred[Any] = defer.Deferred()
         exchange = defer.ensureDeferred(self._exchange(peer, body))
-        exchange.addTimeout(seconds, self._network.clock)
+        exchange.addBoth(lambda result: reply.called or reply.callback(result))
+        reply.addTimeout(seconds, self._network.clock)
         try:
-            return await exchange
+            return await reply
         except defer.TimeoutError as error:
             raise errors.PeerUnavailable('no reply') from error
 
