Correct the instance list by probes and pass news of members on

Cause: every instance read the instance list each second and believed it: reads grew with the fleet, a crashed instance stayed in answers to callers until the list dropped it, one that left until the list showed it.

Ruled out: everybody probes everybody (each of 410 would send 409 probes a second); random partners, as SWIM has them, since each pair would open a stream of its own sooner or later and news would miss some at random; a sticky leaving flag and separate incarnation numbers, since one ordered statement a member does the same. A safeguard against an own pause in the judgement was tried and removed: its test passed without it, since the second try runs after waking.

Change: one statement a member, ordered by a version that only the member raises; merging keeps the highest, so doubled and reordered news changes nothing. A suspicion is refuted only when a probe reaches the member. News travels along the ring's edges until confirmed; digests find what was missed. Two instances a data centre read the list every 2 s, others every 10 min. Answers to callers name up to 8 instances, spread by a hash of the caller, its data centre first.

The test of ids in frames used the message Leaving, which is gone; it uses IndirectProbe now.

--- a/packages/yuccarill-core/src/yuccarill/core/blackboard.py
+++ b/packages/yuccarill-core/src/yuccarill/core/blackboard.py
@@ -10,7 +10,9 @@
     from yuccarill.core.config.snapshot import Snapshot
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import TargetId
+    from yuccarill.core.ids import WallTime
     from yuccarill.core.membership.instances import Instance
+    from yuccarill.core.membership.member import Member
     from yuccarill.core.weights.orders import TargetState
 
 
@@ -23,6 +25,9 @@
     instances_by_id: dict[InstanceId, Instance] = dataclasses.field(
         default_factory=dict
     )
+    members_by_id: dict[InstanceId, Member] = dataclasses.field(
+        default_factory=dict
+    )
     in_flight_by_id: collections.Counter[TargetId] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -31,3 +36,5 @@
         default_factory=dict
     )
     is_leaving: bool = False
+    # Set once it is leaving: what it promises callers ends by then.
+    serves_until: WallTime | None = None
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/membership/list_reading.py
@@ -0,0 +1,116 @@
+"""Decide who reads the instance list, when, and what it changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.membership.instances import InstanceState
+from yuccarill.core.membership import member as member_module
+from yuccarill.core.membership.member import MemberState
+from yuccarill.core.membership import placement
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.membership.instances import Instance
+    from yuccarill.core.membership.member import Member
+    from yuccarill.core.membership.view import View
+
+READERS_PER_DATA_CENTRE = 2
+READER_SECONDS = 2.0
+OTHERS_SECONDS = 600.0
+ALONE_SECONDS = 1.0
+# Reads in a row that must miss a member before it counts as gone.
+MISSED_READS = 2
+
+
+def is_reader(view: View) -> bool:
+    """Tell whether this instance reads the list for its data centre."""
+    me = view.me
+    near = [m.id for m in view.live() if m.data_centre == me.data_centre]
+    ranked = placement.rank(f'list/{me.data_centre}', near)
+    return me.id in ranked[:READERS_PER_DATA_CENTRE]
+
+
+def next_read_at(view: View, now: Instant, chance: random.Random) -> Instant:
+    """Choose when to read the list again."""
+    if len(view.members_by_id) == 1:
+        pause = ALONE_SECONDS
+    elif is_reader(view) or view.me.state is MemberState.LISTED_LEAVING:
+        pause = READER_SECONDS
+    else:
+        pause = OTHERS_SECONDS
+    return Instant(now + pause * chance.uniform(0.5, 1.5))
+
+
+class ListReading:
+    """Turn what the list shows into statements about members."""
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self._state_by_id: dict[InstanceId, InstanceState] = {}
+        self._missed_by_id: dict[InstanceId, int] = {}
+        # Members believed gone that the list shows again.
+        self.returned: list[Member] = []
+
+    def take(self, instances: Iterable[Instance]) -> list[Member]:
+        """Merge one read of the list and return the members it changed."""
+        listed_by_id = {instance.id: instance for instance in instances}
+        changed = [
+            member_id
+            for member_id, instance in listed_by_id.items()
+            if self._take_one(instance)
+        ]
+        changed += self._drop_missing(listed_by_id)
+        self._state_by_id = {i.id: i.state for i in listed_by_id.values()}
+        # Two sides of a cut that each read a list without the other would
+        # believe each other gone and never probe again.
+        self.returned = [
+            self._view.members_by_id[i.id]
+            for i in listed_by_id.values()
+            if i.state is InstanceState.LIVE
+            and self._view.members_by_id[i.id].state is MemberState.GONE
+        ]
+        return [self._view.members_by_id[i] for i in changed]
+
+    def _take_one(self, instance: Instance) -> bool:
+        view = self._view
+        is_news = view.offer(member_module.from_instance(instance))
+        former = self._state_by_id.get(instance.id)
+        is_leaving = instance.state is InstanceState.LEAVING
+        if instance.id == view.me.id and not is_leaving:
+            return view.answer_listing()
+        # A first read that shows oneself as leaving shows one's former
+        # process.
+        if instance.id == view.me.id and former is None:
+            return False
+        # Only the change counts: a list that lags still shows the former
+        # process as leaving when its successor has started under the same
+        # id, and would take the successor out on every read.
+        if is_leaving and former is not InstanceState.LEAVING:
+            is_news |= view.mark(instance.id, MemberState.LISTED_LEAVING)
+        return is_news
+
+    def _drop_missing(
+        self, listed_by_id: dict[InstanceId, Instance]
+    ) -> list[InstanceId]:
+        view = self._view
+        # A list that lacks its own reader is behind or partial. Members
+        # that it lacks may run as well as this process does.
+        if view.me.id not in listed_by_id:
+            return []
+        missing = [i for i in view.members_by_id if i not in listed_by_id]
+        missed = self._missed_by_id
+        self._missed_by_id = {i: missed.get(i, 0) + 1 for i in missing}
+        return [
+            member_id
+            for member_id, reads in self._missed_by_id.items()
+            if reads >= MISSED_READS
+            # An instance that answers probes runs, whatever a lagging
+            # list shows.
+            and view.members_by_id[member_id].state is not MemberState.ALIVE
+            and view.mark(member_id, MemberState.GONE)
+        ]
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -10,11 +10,13 @@
 
 from yuccarill.core.calls import paths
 from yuccarill.core import errors
+from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import WallTime
+from yuccarill.core.membership import addresses as address_choice
 from yuccarill.daemon.api import replies
 from yuccarill.daemon.controllers.attempts import Call
 
@@ -62,11 +64,17 @@
     @app.route('/addresses', methods=['GET'])
     @replies.answering_errors
     async def addresses(self, request: IRequest) -> bytes:
-        live = self._membership.live()
+        ticket = str(self._calls.new_ticket())
+        chosen = address_choice.choose(
+            self._membership.live(),
+            # Callers that give no name are rotated by their tickets.
+            replies.argument(request, 'caller') or ticket,
+            DataCentreId(replies.argument(request, 'data_centre')),
+        )
         answer = Addresses(
-            [f'{instance.host}:{instance.http_port}' for instance in live],
-            WallTime(time.time() + self._validity),
-            str(self._calls.new_ticket()),
+            [f'{instance.host}:{instance.http_port}' for instance in chosen],
+            self._membership.answer_valid_until(self._validity),
+            ticket,
         )
         return replies.as_json(request, answer)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/replies.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/replies.py
@@ -98,6 +98,12 @@
     return content
 
 
+def argument(request: IRequest, name: str) -> str:
+    """Return an argument of a request's address, or an empty text."""
+    values = request.args.get(name.encode(), [b''])
+    return str(values[0].decode(errors='replace'))
+
+
 def decode(request: IRequest, kind: Any) -> Any:
     """Decode a request's JSON body to a type.
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/membership.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/membership.py
@@ -1,48 +1,153 @@
-"""Follow the instance list."""
+"""Know which instances there are and which may be given work."""
 
 from __future__ import annotations
 
+import random
+import time
+from typing import Any
 from typing import TYPE_CHECKING
 
+from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
 
 from yuccarill.core import errors
-from yuccarill.core.membership.instances import InstanceState
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import WallTime
+from yuccarill.core.membership import list_reading
+from yuccarill.core.membership import member as member_module
+from yuccarill.core.membership.member import MemberState
+from yuccarill.core.membership import view as view_module
+from yuccarill.daemon.controllers import probing
 from yuccarill.daemon import logs
+from yuccarill.wire import messages
 
 if TYPE_CHECKING:
     from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.ids import Incarnation
     from yuccarill.core.membership.instances import Instance
     from yuccarill.daemon.adapters.instance_list import InstanceListAdapter
+    from yuccarill.daemon.peers.peers import Peers
 
 log = logs.for_part('membership')
 
-POLL_SECONDS = 1.0
+TICK_SECONDS = 1.0
 
 
 class MembershipController:
-    """Keep the blackboard's instances as the list shows them."""
+    """Keep a view of the members and show it on the blackboard."""
 
     def __init__(
-        self, blackboard: Blackboard, instance_list: InstanceListAdapter
+        self,
+        blackboard: Blackboard,
+        instance_list: InstanceListAdapter,
+        peers: Peers,
+        incarnation: Incarnation,
+        clock: Any = reactor,
     ) -> None:
         self._blackboard = blackboard
         self._instance_list = instance_list
+        self._clock = clock
+        self._chance = random.Random(incarnation)
+        me = member_module.from_instance(
+            blackboard.me, incarnation, int(time.time() * 1000)
+        )
+        self._view = view_module.View(me)
+        self._listing = list_reading.ListReading(self._view)
+        self._probes = probing.ProbeController(
+            self._view, peers, self._chance, clock
+        )
+        self._read_at = Instant(clock.seconds())
+        self._was_reader = False
+        self._is_reading = False
+        self._is_list_down = False
+        self._shown_changes = 0
 
     async def follow(self) -> None:
-        """Read the list until the process ends."""
+        """Read the list and probe until the process ends."""
+        # Instances started together would all probe at the same instants.
+        await self._pause(self._chance.uniform(0.0, TICK_SECONDS))
         while True:
-            try:
-                instances = await self._instance_list.read()
-                self._blackboard.instances_by_id = {
-                    instance.id: instance for instance in instances
-                }
-            except errors.StoreUnavailable as error:
-                log.warning('List not read.', cause=error.message)
-            await task.deferLater(reactor, POLL_SECONDS, lambda: None)
+            self.step()
+            await self._pause(TICK_SECONDS)
+
+    def step(self) -> None:
+        """Read the list if it is due and probe the neighbours once."""
+        if self._is_read_due():
+            defer.ensureDeferred(self._read())
+        self._probes.tick()
+        self._show()
 
     def live(self) -> list[Instance]:
         """Return the instances that may be given new work."""
-        instances = self._blackboard.instances_by_id.values()
-        return [i for i in instances if i.state is InstanceState.LIVE]
+        return [member.as_instance() for member in self._view.live()]
+
+    def answer_valid_until(self, validity: float) -> WallTime:
+        """Return until when callers may keep an answer given now."""
+        valid_until = WallTime(time.time() + validity)
+        # A leaving instance would wait for its own answers without end if
+        # each moved the time until which it has to serve.
+        return min(valid_until, self._blackboard.serves_until or valid_until)
+
+    def leave(self) -> None:
+        """Tell all instances to give this one no new work."""
+        self._view.leave()
+        self._probes.spread([self._view.me])
+        self._show()
+
+    async def handle(
+        self,
+        body: messages.Probe | messages.IndirectProbe | messages.ViewRequest,
+    ) -> messages.Body:
+        """Answer a peer's question about members."""
+        match body:
+            case messages.Probe():
+                reply = self._probes.take_probe(body)
+                self._show()
+                return reply
+            case messages.IndirectProbe():
+                return await self._probes.take_indirect(body)
+            case messages.ViewRequest():
+                return self._probes.take_view_request()
+
+    def _is_read_due(self) -> bool:
+        is_reader = list_reading.is_reader(self._view)
+        if is_reader and not self._was_reader:
+            self._read_at = Instant(self._clock.seconds())
+        self._was_reader = is_reader
+        is_due = self._clock.seconds() >= self._read_at
+        return is_due and not self._is_reading
+
+    async def _read(self) -> None:
+        self._is_reading = True
+        try:
+            instances = await self._instance_list.read()
+        except errors.StoreUnavailable as error:
+            # The last view stays, corrected by probes.
+            if not self._is_list_down:
+                log.warning('List not read; look at it.', cause=error.message)
+            self._is_list_down = True
+        else:
+            self._is_list_down = False
+            self._probes.spread(self._listing.take(instances))
+            self._probes.look_again(self._listing.returned)
+        self._is_reading = False
+        now = Instant(self._clock.seconds())
+        self._read_at = list_reading.next_read_at(
+            self._view, now, self._chance
+        )
+
+    def _show(self) -> None:
+        if self._shown_changes == self._view.changes:
+            return
+        self._shown_changes = self._view.changes
+        members = self._view.members_by_id
+        self._blackboard.members_by_id = members
+        self._blackboard.instances_by_id = {
+            m.id: m.as_instance()
+            for m in members.values()
+            if m.state is not MemberState.GONE
+        }
+
+    def _pause(self, seconds: float) -> Any:
+        return task.deferLater(self._clock, seconds, lambda: None)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -80,6 +80,8 @@
         self._membership = membership.MembershipController(
             self._blackboard,
             instance_list.InstanceListAdapter(client, settings.instance_list),
+            self._peers,
+            incarnation,
         )
         self._dissemination = dissemination.DisseminationController(
             self._blackboard.me,
@@ -187,6 +189,7 @@
     async def stop(self) -> None:
         """Finish what is in flight, then end."""
         self._blackboard.is_leaving = True
+        self._membership.leave()
         now = time.monotonic()
         served_until = now + self._settings.address_validity
         given_up_at = now + self._settings.stop_timeout
@@ -216,6 +219,12 @@
                 | messages.SamplesDrop()
             ):
                 return await self._rollouts.handle_disk(body)
+            case (
+                messages.Probe()
+                | messages.IndirectProbe()
+                | messages.ViewRequest()
+            ):
+                return await self._membership.handle(body)
             case messages.RecordOffer() | messages.RecordExchange():
                 return self._dissemination.handle(body)
             case messages.WeightOrders() | messages.WeightQuery():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/link.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/link.py
@@ -49,27 +49,27 @@
             return self._stream
         # Two requests that each dialled would leave a stream that nobody
         # watches or closes; the second one waits for the first one's.
-        if self._is_dialling:
-            waiter: defer.Deferred[None] = defer.Deferred()
-            self._waiters.append(waiter)
-            await waiter
-        else:
-            await self._connect(peer)
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._waiters.append(waiter)
+        if not self._is_dialling:
+            defer.ensureDeferred(self._connect(peer))
+        await waiter
         assert self._stream is not None
         return self._stream
 
     async def _connect(self, peer: Instance) -> None:
         wait = self._retry_at - self._local.clock.seconds()
         if wait > 0:
-            raise _unreachable(peer, wait)
+            self._fail(_unreachable(peer, wait))
+            return
         self._is_dialling = True
         new = stream.PeerStream(self._local, peer.id)
         try:
             await self._dial(peer, new)
             await new.opened
-        except Exception as error:
+        except Exception:
             self._fail(_unreachable(peer, self._back_off()))
-            raise _unreachable(peer, self._delay()) from error
+            return
         self._failures = 0
         self._stream = new
         self._finish(None)
@@ -84,9 +84,6 @@
         self._retry_at = Instant(self._local.clock.seconds() + wait)
         return wait
 
-    def _delay(self) -> float:
-        return max(0.0, self._retry_at - self._local.clock.seconds())
-
     def _fail(self, error: errors.NotRun) -> None:
         self._finish(failure.Failure(error))
 
--- a/packages/yuccarill-daemon/tests/peers/memory.py
+++ b/packages/yuccarill-daemon/tests/peers/memory.py
@@ -15,7 +15,7 @@
 from yuccarill.wire import messages
 
 
-ASK = messages.Leaving(instance=InstanceId('x'), incarnation=Incarnation('x'))
+ASK = messages.ViewRequest()
 
 # A socket never hands over more than this at once.
 READ_BYTES = 64 * 1024
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -19,6 +19,7 @@
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WeightVersion
+from yuccarill.core.membership.member import Member
 from yuccarill.core.weights.orders import Order
 from yuccarill.core.weights.orders import Report
 
@@ -85,11 +86,42 @@
     inventory: bytes
 
 
-class Leaving(Message, frozen=True, tag='leaving'):
-    """Tell that an instance takes no new work."""
+class Probe(Message, frozen=True, tag='probe'):
+    """Ask whether an instance is alive and tell it news of members."""
 
-    instance: InstanceId
-    incarnation: Incarnation
+    sender: InstanceId
+    # Equal views have equal digests.
+    digest: int
+    records: tuple[Member, ...] = ()
+
+
+class ProbeReply(Message, frozen=True, tag='probed'):
+    """Confirm a probe and the news it carried."""
+
+    digest: int
+    records: tuple[Member, ...] = ()
+
+
+class IndirectProbe(Message, frozen=True, tag='indirect'):
+    """Ask an instance to probe another."""
+
+    target: Member
+
+
+class IndirectResult(Message, frozen=True, tag='result'):
+    """Tell whether another instance was reached."""
+
+    was_reached: bool
+
+
+class ViewRequest(Message, frozen=True, tag='view-request'):
+    """Ask for all statements about members."""
+
+
+class ViewReply(Message, frozen=True, tag='view'):
+    """Return all statements about members."""
+
+    records: tuple[Member, ...]
 
 
 class CallRequest(Message, frozen=True, tag='call'):
@@ -291,7 +323,12 @@
     | RecordExchanged
     | ConfigurationFetch
     | ConfigurationDocument
-    | Leaving
+    | Probe
+    | ProbeReply
+    | IndirectProbe
+    | IndirectResult
+    | ViewRequest
+    | ViewReply
     | CallRequest
     | CallAnswer
     | CallRefusal
--- a/packages/yuccarill-wire/tests/test_frames.py
+++ b/packages/yuccarill-wire/tests/test_frames.py
@@ -11,7 +11,11 @@
 
 from yuccarill.core.dissemination.record import Record
 from yuccarill.core import errors
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
+from yuccarill.core.membership.member import Member
+from yuccarill.core.membership.member import MemberState
 from yuccarill.wire import frames
 from yuccarill.wire import messages
 
@@ -48,6 +52,16 @@
             pass
 
     def test_instance_ids_survive(self) -> None:
-        body = messages.Leaving(instance=InstanceId('i'), incarnation='x')
+        member = Member(
+            id=InstanceId('i'),
+            data_centre=DataCentreId('a'),
+            host='127.0.0.1',
+            http_port=1,
+            peer_port=2,
+            incarnation=Incarnation('x'),
+            version=3,
+            state=MemberState.LEAVING,
+        )
+        body = messages.IndirectProbe(target=member)
         data = frames.encode(messages.Envelope(1, True, body))
         self.assertEqual(body, next(frames.Decoder().feed(data)).body)
