Settle an apply whose reply was lost by the audit trail

After a lost reply the command read what one instance had in force, which lags behind the platform, and asked the silent address first, for another 10 s. It now reads the audit trail, from the other addresses first. The trail also tells when another change made the next revision: then this one never will, and the exit code is that of a conflict.

--- a/packages/yuccarill-cli/src/yuccarill/cli/commands/apply.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/apply.py
@@ -13,6 +13,7 @@
 from yuccarill.cli.exit_codes import ExitCode
 from yuccarill.cli import failures
 from yuccarill.cli import standing as standing_module
+from yuccarill.core import errors
 from yuccarill.core.ids import ChangeId
 from yuccarill.core.ids import Revision
 from yuccarill.wire import operators
@@ -90,38 +91,50 @@
         return await session.write(
             'operators/configuration', request, operators.ApplyReply, what
         )
-    except failures.CommandFailure as failure:
-        match failure.exit_code:
-            case ExitCode.CONFLICT:
-                await _show_conflict(session, loaded)
-            case ExitCode.OUTCOME_UNKNOWN:
-                return await _settle(session, request, failure)
+    except failures.OutcomeUnknown as failure:
+        return await _settle(session, request, failure)
+    except failures.Refused as refusal:
+        if refusal.exit_code == ExitCode.CONFLICT:
+            await _show_conflict(session, loaded)
         raise
 
 
 async def _settle(
     session: Session,
     request: operators.ApplyRequest,
-    failure: failures.CommandFailure,
+    failure: failures.OutcomeUnknown,
 ) -> operators.ApplyReply:
-    """Look whether a change stands; it is not sent again."""
-    standing = None
+    """Look whether a change stands; it is not sent again.
+
+    Raises Refused if it never will, and the failure if that is open.
+    """
+    # The audit trail is read from the platform, so it does not lag as what
+    # an instance has in force does.
+    page = None
     try:
-        standing = await standing_module.read(session)
+        page = await session.read(
+            'operators/audit', operators.AuditReply, failure.address
+        )
     except failures.CommandFailure as error:
         click.echo(error.message, err=True)
-    if standing is not None and standing.change_id == request.change_id:
-        return operators.ApplyReply(
-            outcome='applied',
-            revision=standing.revision,
-            change_id=standing.change_id,
-        )
-    raise failures.CommandFailure(
-        f'{failure.message}\nThe outcome of change {request.change_id} is '
-        'unknown. Look for it with "yuccarill audit", or apply it again with '
-        f'--base {request.base} --change-id {request.change_id}, which makes '
-        'one revision at most.',
-        ExitCode.OUTCOME_UNKNOWN,
+    made = Revision(request.base + 1)
+    for change in page.changes if page else ():
+        if change.revision != made:
+            continue
+        if change.change_id == request.change_id:
+            return operators.ApplyReply(
+                revision=made, change_id=change.change_id
+            )
+        raise failures.refused(
+            errors.RevisionConflict(
+                f'Revision {made} was made by {change.author} instead; see '
+                '"yuccarill diff".'
+            )
+        ) from failure
+    raise failures.OutcomeUnknown(
+        f'{failure.message}\nLook for it with "yuccarill audit", or apply '
+        f'it again with --base {request.base} --change-id '
+        f'{request.change_id}, which makes one revision at most.'
     ) from failure
 
 
--- a/packages/yuccarill-cli/src/yuccarill/cli/failures.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/failures.py
@@ -41,6 +41,15 @@
         super().__init__(message, ExitCode.UNREACHABLE)
 
 
+class OutcomeUnknown(CommandFailure):
+    """Show that a write was sent and no reply came."""
+
+    def __init__(self, message: str, address: str = '') -> None:
+        super().__init__(message, ExitCode.OUTCOME_UNKNOWN)
+        # The address that fell silent, the last one to ask again.
+        self.address = address
+
+
 def refused(error: errors.YuccarillError) -> Refused:
     """Return the failure that shows an error of the core."""
     return Refused(error.code, error.code.name, error.message)
--- a/packages/yuccarill-cli/src/yuccarill/cli/http_transport.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/http_transport.py
@@ -58,7 +58,16 @@
         except _NOT_CONNECTED as error:
             raise NotSent(str(error)) from error
         except Exception as error:
-            raise NoReply(str(error) or type(error).__name__) from error
+            raise NoReply(_cause(error)) from error
+
+
+def _cause(error: Exception) -> str:
+    """Return why no reply came, in a form for people."""
+    reasons = getattr(error, 'reasons', None)
+    inner = reasons[0].value if reasons else error
+    if isinstance(inner, defer.CancelledError | defer.TimeoutError):
+        return 'no reply in time'
+    return str(inner) or type(inner).__name__
 
 
 def run(work: Awaitable[Any]) -> Any:
--- a/packages/yuccarill-cli/src/yuccarill/cli/session.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/session.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from yuccarill.cli.exit_codes import ExitCode
 from yuccarill.cli import failures
 from yuccarill.cli import transport as transport_module
 from yuccarill.wire import operators
@@ -46,13 +45,13 @@
         result: Kind = self._run(work)
         return result
 
-    async def read(self, path: str, kind: type[Kind]) -> Kind:
-        """Read from the first address that answers.
+    async def read(self, path: str, kind: type[Kind], last: str = '') -> Kind:
+        """Read from the first address that answers, one being asked last.
 
         Raises Unreachable or Refused.
         """
         causes = []
-        for address in self.addresses:
+        for address in sorted(self.addresses, key=lambda a: a == last):
             try:
                 return await self.read_at(address, path, kind)
             except failures.Unreachable as failure:
@@ -83,8 +82,7 @@
     ) -> Kind:
         """Write once, at the first address that can be reached.
 
-        Raises Unreachable, Refused, or CommandFailure if the outcome of
-        what was sent is unknown.
+        Raises Unreachable, Refused or OutcomeUnknown.
         """
         causes = []
         body = msgspec.json.encode(value)
@@ -100,10 +98,10 @@
                 # The next address would not know of a change that this one
                 # is still writing, and the operator would be told of a
                 # conflict with the own change.
-                raise failures.CommandFailure(
+                raise failures.OutcomeUnknown(
                     f'Instance {address} did not answer ({error}). {what} '
                     'may or may not stand.',
-                    ExitCode.OUTCOME_UNKNOWN,
+                    address,
                 ) from error
         raise failures.Unreachable(
             '\n'.join([*causes, f'{what} was not sent; try again.'])
--- a/packages/yuccarill-cli/tests/commands/test_apply.py
+++ b/packages/yuccarill-cli/tests/commands/test_apply.py
@@ -21,6 +21,13 @@
     'inventory': {'models': [{'name': 'm', 'serving_part': 0.5}]},
 }
 APPLIED = {'outcome': 'applied', 'revision': 5, 'change_id': 'c'}
+CHANGE = {
+    'base': 4,
+    'revision': 5,
+    'author': 'amina',
+    'at': 0.0,
+    'result': 'applied',
+}
 CONFLICT = errors.RevisionConflict('Revision 5 by amina stands.')
 
 
@@ -61,18 +68,31 @@
 
     # The instance takes the change and falls silent. Sent again, the change
     # could run into itself and be reported as a conflict. So the command
-    # only reads: the change id tells whether the change stands.
-    @params((True, ExitCode.OK), (False, ExitCode.OUTCOME_UNKNOWN))
+    # only reads, from the other address first: the audit trail tells
+    # whether this change or another one made the next revision.
+    @params(
+        ('own', ExitCode.OK, 'Revision 5 stands'),
+        ('other', ExitCode.CONFLICT, 'Revision 5 was made by amina instead'),
+        ('none', ExitCode.OUTCOME_UNKNOWN, '--base 4 --change-id'),
+        ('down', ExitCode.OUTCOME_UNKNOWN, '--base 4 --change-id'),
+    )
     def test_a_change_whose_reply_is_lost_is_not_sent_again(
-        self, stands: bool, expected: ExitCode
+        self, made: str, expected: ExitCode, shown: str
     ) -> None:
-        def standing(_body: object) -> dict[str, object]:
-            change_id = fake.bodies[0]['change_id'] if stands else 'earlier'
-            return {**STANDING, 'change_id': change_id}
+        def page(_body: object) -> object:
+            change_ids = {
+                'own': [fake.bodies[0]['change_id']],
+                'other': ['other'],
+                'none': [],
+            }
+            if made == 'down':
+                return fakes.refusal(errors.StoreUnavailable('Down.'))
+            entries = [{**CHANGE, 'change_id': c} for c in change_ids[made]]
+            return {'changes': entries}
 
-        fake = fakes.FakeTransport(transport.NoReply('timeout'), standing)
+        fake = fakes.FakeTransport(transport.NoReply('timeout'), page)
         result = fakes.invoke(fake, 'apply', str(self.file), '--base', '4')
-        self.assertEqual(expected, result.exit_code)
-        methods = [method for _, method, _ in fake.sent]
-        self.assertEqual(['PUT', 'GET'], methods)
-        self.assertIn(fake.bodies[0]['change_id'], result.output)
+        self.assertEqual(expected, result.exit_code, result.output)
+        sent = [(method, address) for address, method, _ in fake.sent]
+        self.assertEqual([('PUT', fakes.ADDRESS), ('GET', fakes.OTHER)], sent)
+        self.assertIn(shown, result.output)
