--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -42,8 +42,10 @@
 from yuccarill.daemon.controllers import targets
 from yuccarill.daemon.controllers import weights
 from yuccarill.daemon import logs
+from yuccarill.daemon import metrics
 from yuccarill.daemon.peers import peers
 from yuccarill.daemon import rollout_parts
+from yuccarill.daemon import vitals
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
@@ -184,6 +186,7 @@
             reactor, settings.http_port, interface=settings.host, backlog=1024
         )
         await endpoint.listen(self._site)
+        vitals.Vitals(self._blackboard, reactor).start()
         log.info('Serving.', port=settings.http_port)
 
     async def stop(self) -> None:
@@ -239,4 +242,5 @@
                 raise errors.FrameInvalid('This message is no request.')
 
     def _broken(self, failure: object) -> None:
+        metrics.count(metrics.Metric.PROCESS_CONTROLLERS_ENDED)
         log.error('A controller ended.', cause=str(failure)[:500])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
@@ -47,6 +47,24 @@
     PEER_BYTES_RECEIVED = Meter(
         'peers.bytes_received', Kind.COUNT, 'bytes', 'Read from peer streams'
     )
+    PROCESS_LOOP_DELAY = Meter(
+        'process.loop_delay',
+        Kind.TIMING,
+        'ms',
+        'How late a timer of the loop came',
+    )
+    PROCESS_MEMORY = Meter(
+        'process.memory', Kind.GAUGE, 'bytes', 'Resident memory'
+    )
+    PROCESS_CONTROLLERS_ENDED = Meter(
+        'process.controllers_ended',
+        Kind.COUNT,
+        'controllers',
+        'Parts of the process that ended by a fault',
+    )
+    CONFIG_REVISION = Meter(
+        'config.revision', Kind.GAUGE, 'revision', 'Revision in force'
+    )
 
 
 class _Client(statsd.StatsClient):
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/test_vitals.py
@@ -0,0 +1,33 @@
+"""Test the process's own metrics."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from twisted.internet import task
+
+from yuccarill.daemon import metrics
+from yuccarill.daemon.metrics import Metric
+from yuccarill.daemon import vitals
+
+
+class VitalsTest(unittest.TestCase):
+    def test_tells_how_late_the_loop_is(self) -> None:
+        clock = task.Clock()
+        view = vitals.Vitals(mock.Mock(head=None), clock)
+        with (
+            mock.patch.object(metrics, 'timing', autospec=True) as timing,
+            mock.patch.object(metrics, 'gauge', autospec=True) as gauge,
+        ):
+            view.start()
+            clock.advance(vitals.PERIOD_SECONDS + 0.25)
+            clock.advance(vitals.PERIOD_SECONDS)
+        self.assertEqual(
+            [
+                mock.call(Metric.PROCESS_LOOP_DELAY, 0.25),
+                mock.call(Metric.PROCESS_LOOP_DELAY, 0.0),
+            ],
+            timing.mock_calls,
+        )
+        self.assertIn(mock.call(Metric.CONFIG_REVISION, 0), gauge.mock_calls)
