Schedule samples by step, group and engine health

Cause: every sample of a step was started at once on the least loaded engine. A crashed engine drew and failed waiting samples, a broken stream lost its tokens, nothing was made ahead or shared by weight, a stale attempt ran to its end, and a sample whose scorer failed was generated again.

Change: a scheduler in core decides between trainers (weighted fair queueing with a step as the packet), engines (group already begun, bounded load, rest after a failure), resumes, hedges slow last ones, cuts off stale attempts and makes steps ahead within the staleness bound; SampleMaker carries it out. Spare groups, stages of a sample, and what a step waits for in words.

--- a/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
@@ -47,6 +47,9 @@
 _Part = Annotated[
     float, msgspec.Meta(ge=0, le=1, description='a number from 0 to 1')
 ]
+_Seconds = Annotated[
+    float, msgspec.Meta(ge=0, description='seconds, 0 or more')
+]
 _Address = Annotated[str, _ADDRESS]
 _Path = Annotated[str, _PATH]
 _Paths = Annotated[
@@ -130,6 +133,11 @@
     """Prefer fresh samples over a busy trainer."""
 
     steps_ahead: _Steps = 0
+    spare_groups: _Steps = 0
+    # The last part of a step that is generated twice where engines are free.
+    hedge_part: _Part = 0.02
+    # Seconds after which a generation is worth a second one.
+    hedge_after: _Seconds = 3.0
 
 
 class IdleFirst(Entry, frozen=True, tag='idle'):
@@ -137,6 +145,8 @@
 
     steps_ahead: _Steps = 1
     spare_groups: _Steps = 0
+    hedge_part: _Part = 0.05
+    hedge_after: _Seconds = 3.0
 
 
 TrainerPolicy = StalenessFirst | IdleFirst
--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/step.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/step.py
@@ -23,6 +23,8 @@
     step: StepNumber
     newest_version: WeightVersion
     groups: tuple[Group, ...]
+    # Groups that may be left out, where the trainer's policy allows it.
+    spare_groups: int = 0
 
     @property
     def size(self) -> int:
--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/work.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/work.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
+from yuccarill.core import errors
 from yuccarill.core.ids import GroupNumber
 from yuccarill.core.rollouts import delivery
 from yuccarill.core.rollouts import sample as sample_module
 
 if TYPE_CHECKING:
-    from yuccarill.core import errors
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import SampleId
     from yuccarill.core.ids import StepNumber
@@ -25,13 +26,22 @@
 class StepWork:
     """Collect a step's finished samples until they are decided on."""
 
-    def __init__(self, trainer: TrainerId, request: StepRequest) -> None:
+    def __init__(
+        self, trainer: TrainerId, request: StepRequest, spare_groups: int = 0
+    ) -> None:
         self.trainer = trainer
         self.request = request
         self.digest = request.digest
         self.finished_by_place: dict[Place, Finished] = {}
         self.disks_by_place: dict[Place, tuple[Disk, ...]] = {}
         self._places = frozenset(self.places())
+        spare = min(spare_groups, request.spare_groups)
+        self._needed = max(0, len(request.groups) - spare)
+        self._filled_by_group: collections.Counter[GroupNumber] = (
+            collections.Counter()
+        )
+        self._complete: set[GroupNumber] = set()
+        self._failed: set[GroupNumber] = set()
         self.error: errors.YuccarillError | None = None
         self.manifest: Manifest | None = None
         self.body: bytes | None = None
@@ -44,13 +54,17 @@
 
     @property
     def is_whole(self) -> bool:
-        return len(self.finished_by_place) == self.request.size
+        return len(self._complete) >= self._needed
 
     @property
     def is_open(self) -> bool:
         """Tell whether the step still takes samples."""
         return self.error is None and self.manifest is None
 
+    @property
+    def is_closed(self) -> bool:
+        return isinstance(self.error, errors.StepClosed)
+
     def places(self) -> list[Place]:
         """Return every place of the step, in the order of delivery."""
         return [
@@ -61,7 +75,17 @@
 
     def missing(self) -> list[Place]:
         """Return the places that no sample fills yet."""
-        return [p for p in self.places() if p not in self.finished_by_place]
+        return [
+            place
+            for place in self.places()
+            if place not in self.finished_by_place
+            and place.group not in self._failed
+        ]
+
+    def give_up(self, group: GroupNumber) -> bool:
+        """Leave a group out; tell whether the step can still be whole."""
+        self._failed.add(group)
+        return len(self.request.groups) - len(self._failed) >= self._needed
 
     def take(self, finished: Finished, disks: tuple[Disk, ...] = ()) -> bool:
         """Take a sample unless its place is filled or the step decided."""
@@ -74,6 +98,9 @@
             return False
         self.finished_by_place[place] = finished
         self.disks_by_place[place] = disks
+        self._filled_by_group[place.group] += 1
+        if self._filled_by_group[place.group] == self._size(place.group):
+            self._complete.add(place.group)
         return True
 
     def stored_on(self) -> tuple[InstanceId, ...]:
@@ -93,11 +120,18 @@
         for place in stale:
             del self.finished_by_place[place]
             del self.disks_by_place[place]
+            self._filled_by_group[place.group] -= 1
+            self._complete.discard(place.group)
         return stale
 
     def in_order(self) -> list[Finished]:
         """Return the samples in the order of delivery."""
-        return [self.finished_by_place[place] for place in self.places()]
+        chosen = set(sorted(self._complete)[: self._needed])
+        return [
+            self.finished_by_place[place]
+            for place in self.places()
+            if place.group in chosen
+        ]
 
     def encoded_by_id(self) -> dict[SampleId, bytes]:
         """Return the samples' bytes by their names."""
@@ -107,6 +141,9 @@
         """Return the digest of the samples that a manifest would name."""
         return delivery.digest(f.encoded for f in self.in_order())
 
+    def _size(self, group: GroupNumber) -> int:
+        return self.request.groups[group].samples
+
     def decide(self, manifest: Manifest) -> None:
         """Take the manifest that stands; nothing is made for it any more."""
         self.manifest = manifest
--- a/packages/yuccarill-core/tests/rollouts/test_work.py
+++ b/packages/yuccarill-core/tests/rollouts/test_work.py
@@ -5,6 +5,7 @@
 import unittest
 
 from yuccarill.core import errors
+from yuccarill.core.ids import GroupNumber
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
@@ -60,3 +61,29 @@
 
     def _all(self) -> list[sample.Finished]:
         return self.work.in_order()
+
+    def test_spare_group_may_be_left_out(self) -> None:
+        # One of two groups can't be finished. The step is whole without
+        # it, and delivers the other alone.
+        work = self._spare_work()
+        self.assertTrue(work.give_up(GroupNumber(0)))
+        for place in work.missing():
+            work.take(_finished(work, place, 1))
+        self.assertTrue(work.is_whole)
+        self.assertEqual(2, len(work.in_order()))
+        self.assertFalse(work.give_up(GroupNumber(1)))
+
+    def test_dropped_sample_makes_its_group_incomplete(self) -> None:
+        work = self._spare_work()
+        for place in work.places()[1:]:
+            work.take(_finished(work, place, 1))
+        self.assertTrue(work.is_whole)
+        work.drop_stale(WeightVersion(9), 1)
+        self.assertFalse(work.is_whole)
+
+    def _spare_work(self) -> work_module.StepWork:
+        asked = self.work.request
+        request = step.StepRequest(
+            asked.step, asked.newest_version, asked.groups, spare_groups=3
+        )
+        return work_module.StepWork(TrainerId('t'), request, spare_groups=1)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 from yuccarill.core.leases import shards
 from yuccarill.core.rollouts import delivery
 from yuccarill.core.rollouts import records
+from yuccarill.core.rollouts import stages
 from yuccarill.core.rollouts import work as work_module
 from yuccarill.daemon.controllers import step_ledger
 from yuccarill.daemon import logs
@@ -28,6 +30,7 @@
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import StepNumber
     from yuccarill.core.ids import TrainerId
+    from yuccarill.core.rollouts.stages import SampleStage
     from yuccarill.core.rollouts.step import StepRequest
     from yuccarill.core.rollouts.work import StepWork
     from yuccarill.daemon.controllers.sample_store import SampleStore
@@ -111,7 +114,7 @@
         if work.error is not None:
             raise work.error
         if work.manifest is None and not work.is_whole:
-            raise _pending(work)
+            raise self._pending(work)
         lock = self._locks_by_work.setdefault(work, defer.DeferredLock())
         # Two fetches at once would decide twice; the second finds the body.
         body: bytes = await lock.run(
@@ -136,6 +139,7 @@
         """
         trainer = self._trainer(trainer_id)
         newest = self._raise_newest(trainer_id, version)
+        self._maker.raise_newest(trainer_id, newest)
         for work in self._open_work(trainer_id):
             self._renew(trainer, work, newest)
         known = await self._ledger.announce(trainer_id, version)
@@ -178,7 +182,9 @@
             return work
         if work is not None:
             self._forget(work, work.error)
-        work = work_module.StepWork(trainer.id, request)
+        work = work_module.StepWork(
+            trainer.id, request, trainer.policy.spare_groups
+        )
         self._work_by_key[key] = work
         log.info('Step started.', trainer=trainer.id, step=request.step)
         defer.ensureDeferred(self._start(trainer, work))
@@ -189,7 +195,7 @@
         for finished in await self._store.recover(work.trainer, work.step):
             work.take(finished)
         work.drop_stale(self._newest(trainer.id), trainer.staleness_bound)
-        self._maker.make(trainer, work, work.missing(), self._changed)
+        self._maker.make(trainer, work, self._changed)
 
     async def _claim(
         self, work: StepWork
@@ -228,12 +234,12 @@
                 await self._decide(work)
             except errors.StoreUnavailable as error:
                 work.waits_for = 'the key-value service, to be decided'
-                raise _pending(work) from error
+                raise self._pending(work) from error
             except errors.ClaimLost:
                 self._claims_by_work.pop(work, None)
                 work.waits_for = 'its claim'
         if work.manifest is None:
-            raise _pending(work)
+            raise self._pending(work)
         work.deliver(await self._body(work.manifest, work))
         assert work.body is not None
         log.info('Step delivered.', trainer=work.trainer, step=work.step)
@@ -247,7 +253,7 @@
         newest = claimed.claim.newest_version
         self._renew(trainer, work, newest)
         if not work.is_whole:
-            raise _pending(work)
+            raise self._pending(work)
         await self._keep_again(work)
         manifest = self._manifest(work, claimed.claim)
         work.decide(await self._ledger.decide(claimed, manifest))
@@ -329,7 +335,7 @@
         stale = work.drop_stale(newest, trainer.staleness_bound)
         if stale:
             log.info('Samples too old.', step=work.step, count=len(stale))
-            self._maker.make(trainer, work, stale, self._changed)
+            self._maker.again(work, stale)
 
     def _changed(self, work: StepWork) -> None:
         if work.error is not None:
@@ -339,6 +345,23 @@
         if work.is_open:
             self._renew(trainer, work, self._newest(work.trainer))
 
+    def stages(
+        self, trainer_id: TrainerId, step: StepNumber
+    ) -> collections.Counter[SampleStage]:
+        """Return how many of a step's samples are at each stage here."""
+        work = self._work_by_key.get((trainer_id, step))
+        return self._maker.stages(work) if work else collections.Counter()
+
+    def _pending(self, work: StepWork) -> errors.StepPending:
+        waits_for = work.waits_for
+        if not work.is_whole:
+            counted = stages.describe(self._maker.stages(work))
+            waits_for = f'its samples ({counted})'
+        return errors.StepPending(
+            f'Step {work.step} of {work.trainer} waits for {waits_for}.',
+            retry_after=PENDING_SECONDS,
+        )
+
     def _open_work(self, trainer_id: TrainerId) -> list[StepWork]:
         return [
             work
@@ -359,8 +382,8 @@
     def _forget(
         self, work: StepWork, reason: errors.YuccarillError | None
     ) -> None:
-        # Attempts under way end when they see that the work is not open.
         work.error = reason
+        self._maker.end(work)
         key = (work.trainer, work.step)
         if self._work_by_key.get(key) is work:
             del self._work_by_key[key]
@@ -379,13 +402,3 @@
         raise errors.UnknownTrainer(
             f'Trainer {trainer_id} is not in the inventory; check its name.'
         )
-
-
-def _pending(work: StepWork) -> errors.StepPending:
-    done, size = len(work.finished_by_place), work.request.size
-    waits_for = work.waits_for if work.is_whole else 'its samples'
-    return errors.StepPending(
-        f'Step {work.step} of {work.trainer} has {done} of {size} samples '
-        f'and waits for {waits_for}.',
-        retry_after=PENDING_SECONDS,
-    )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
@@ -1,35 +1,54 @@
-"""Make, score and hand over the samples of a step."""
+"""Carry out what the scheduler decides: generate, score and keep samples."""
 
 from __future__ import annotations
 
-import itertools
+import collections
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
 
 from yuccarill.core import errors
+from yuccarill.core.ids import Instant
 from yuccarill.core.rollouts import sample as sample_module
+from yuccarill.core.rollouts import scheduler
+from yuccarill.core.rollouts import stages
+from yuccarill.core.rollouts.stages import SampleStage
+from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.config.inventory import Engine
     from yuccarill.core.config.inventory import Trainer
+    from yuccarill.core.ids import GroupNumber
     from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import SampleId
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.ids import TrainerId
+    from yuccarill.core.ids import WeightVersion
+    from yuccarill.core.rollouts.plan import Attempt
     from yuccarill.core.rollouts.sample import Place
     from yuccarill.core.rollouts.sample import Sample
-    from yuccarill.core.rollouts.sample import Span
     from yuccarill.core.rollouts.work import StepWork
     from yuccarill.daemon.adapters.engine import Chunk
+    from yuccarill.daemon.adapters.engine import EngineAdapter
     from yuccarill.daemon.adapters.scorer import ScorerAdapter
-    from yuccarill.daemon.controllers.calls import CallController
     from yuccarill.daemon.controllers.sample_store import SampleStore
 
-MAX_TRIES = 5
-SAMPLE_SECONDS = 60.0
+log = logs.for_part('rollouts')
+
+# Of a whole generation; a stream without progress ends much earlier.
+SAMPLE_SECONDS = 600.0
+# Engines that rest and attempts that grow old are looked at this often.
+PUMP_SECONDS = 0.25
+SCORE_TRIES = 8
+SCORE_RETRY_SECONDS = 0.5
 
 
 class SampleMaker:
@@ -39,99 +58,249 @@
         self,
         blackboard: Blackboard,
         incarnation: Incarnation,
-        calls: CallController,
+        engines: EngineAdapter,
         scorer: ScorerAdapter,
         store: SampleStore,
+        clock: Any = reactor,
     ) -> None:
         self._blackboard = blackboard
         self._incarnation = incarnation
-        self._calls = calls
+        self._engines = engines
         self._scorer = scorer
         self._store = store
-        self._attempts = itertools.count(1)
+        self._clock = clock
+        self._scheduler = scheduler.Scheduler()
+        self._streams_by_attempt: dict[Attempt, defer.Deferred[None]] = {}
+        self._on_change_by_work: dict[
+            StepWork, Callable[[StepWork], None]
+        ] = {}
+        self._finishing_by_work: dict[StepWork, dict[Place, SampleStage]] = (
+            collections.defaultdict(dict)
+        )
+        self._is_pumping = False
+        # Samples that are generated, scored or stored right now.
+        self.active = 0
+
+    async def follow(self) -> None:
+        """Look after attempts until the process ends."""
+        while True:
+            self.pump()
+            await task.deferLater(self._clock, PUMP_SECONDS, lambda: None)
 
     def make(
         self,
         trainer: Trainer,
         work: StepWork,
-        places: Iterable[Place],
         on_change: Callable[[StepWork], None],
     ) -> None:
-        """Begin to fill places; report each change of the work."""
-        for place in places:
-            made = defer.ensureDeferred(self._fill(trainer, work, place))
-            made.addErrback(self._fail, work)
-            made.addCallback(lambda _: on_change(work))
-
-    async def _fill(
-        self, trainer: Trainer, work: StepWork, place: Place
-    ) -> None:
-        last = 'no try was made'
-        for _ in range(MAX_TRIES):
-            if not work.is_open:
-                return
-            try:
-                sample = await self._sample(trainer, work, place)
-            except errors.YuccarillError as error:
-                last = error.message
-                continue
-            finished = sample_module.finish(sample)
-            disks = await self._store.keep(work.trainer, work.step, finished)
-            work.take(finished, disks)
+        """Begin to fill a step's places; report each change of the work."""
+        self._on_change_by_work[work] = on_change
+        self._scheduler.open_step(trainer, work)
+        self.pump()
+
+    def again(self, work: StepWork, places: Iterable[Place]) -> None:
+        """Fill places whose samples were dropped."""
+        self._scheduler.again(work, places)
+        self.pump()
+
+    def end(self, work: StepWork) -> None:
+        """Cut off what is made for a step that needs nothing more."""
+        self._on_change_by_work.pop(work, None)
+        self._finishing_by_work.pop(work, None)
+        self._scheduler.close_step(work)
+        self.pump()
+
+    def raise_newest(self, trainer: TrainerId, version: WeightVersion) -> None:
+        """Cut off what is too old for a trainer's newest version."""
+        self._scheduler.raise_newest(trainer, version)
+        self.pump()
+
+    def stages(self, work: StepWork) -> collections.Counter[SampleStage]:
+        """Return how many of a step's samples are at each stage."""
+        plan = self._scheduler.plan_of(work)
+        finishing = self._finishing_by_work.get(work, {})
+        return stages.count(work, plan, finishing)
+
+    def pump(self) -> None:
+        """Carry out what the scheduler decides now."""
+        # An attempt may end within the call that starts it and pump again.
+        if self._is_pumping:
             return
-        raise errors.GroupFailed(
-            f'Group {place.group} of step {work.step} can not be finished '
-            f'({last}); submit the step again or delete it.'
-        )
+        self._is_pumping = True
+        try:
+            engines_by_id = self._set_engines()
+            while True:
+                orders = self._scheduler.orders(self._now())
+                if not orders.start and not orders.cancel:
+                    break
+                for attempt in orders.cancel:
+                    stream = self._streams_by_attempt.pop(attempt, None)
+                    if stream is not None:
+                        stream.cancel()
+                for attempt in orders.start:
+                    self._begin(attempt, engines_by_id[attempt.engine])
+        finally:
+            self._is_pumping = False
 
-    async def _sample(
-        self, trainer: Trainer, work: StepWork, place: Place
-    ) -> Sample:
-        spans: tuple[Span, ...] = ()
+    def _set_engines(self) -> dict[TargetId, Engine]:
+        head = self._blackboard.head
+        engines = head.inventory.engines if head is not None else ()
+        ids_by_model: dict[Any, list[TargetId]] = {}
+        for engine in engines:
+            ids_by_model.setdefault(engine.model, []).append(engine.id)
+        for model, ids in ids_by_model.items():
+            self._scheduler.set_engines(model, ids)
+        return {engine.id: engine for engine in engines}
+
+    def _begin(self, attempt: Attempt, engine: Engine) -> None:
+        stream = defer.ensureDeferred(self._run(attempt, engine))
+        if not stream.called:
+            self._streams_by_attempt[attempt] = stream
+        stream.addErrback(self._broken, attempt.plan.work)
+        stream.addCallback(lambda _: self.pump())
+
+    async def _run(self, attempt: Attempt, engine: Engine) -> None:
+        work = attempt.plan.work
+        in_flight = self._blackboard.in_flight_by_id
+        in_flight[engine.id] += 1
+        self.active += 1
+        try:
+            await self._generate(attempt, engine)
+        except errors.YuccarillError as error:
+            if not self._scheduler.failed(attempt, self._now()):
+                self._give_up(work, attempt.place.group, error.message)
+            return
+        finally:
+            in_flight[engine.id] -= 1
+            self.active -= 1
+            self._streams_by_attempt.pop(attempt, None)
+        if self._scheduler.generated(attempt, self._now()):
+            finishing = defer.ensureDeferred(self._finish(attempt))
+            finishing.addErrback(self._broken, work)
+
+    async def _generate(self, attempt: Attempt, engine: Engine) -> None:
+        work, place = attempt.plan.work, attempt.place
+        asked = work.request.groups[place.group]
 
         def take(chunk: Chunk) -> None:
-            nonlocal spans
             if chunk.weight_version is None:
                 raise errors.AnswerCut('The engine named no weight version.')
-            spans = sample_module.append(
-                spans, chunk.weight_version, chunk.tokens
+            attempt.spans = sample_module.append(
+                attempt.spans, chunk.weight_version, chunk.tokens
             )
+            if not self._scheduler.progress(
+                attempt, chunk.weight_version, len(chunk.tokens), self._now()
+            ):
+                self._clock.callLater(0, self.pump)
 
-        name = self._name(work, place)
-        asked = work.request.groups[place.group]
-        await self._calls.generate(
-            trainer.model,
-            {
-                'request_id': name,
-                'prompt': asked.prompt,
-                'max_tokens': asked.max_tokens,
-                # The members of a group differ by their seed alone.
-                'seed': place.member,
-            },
-            SAMPLE_SECONDS,
-            take,
+        request = {
+            'request_id': self._name(attempt),
+            'prompt': asked.prompt,
+            # The members of a group differ by their seed alone.
+            'seed': place.member,
+            'max_tokens': asked.max_tokens,
+            'resume_tokens': [
+                token for span in attempt.spans for token in span.tokens
+            ],
+        }
+        await self._engines.generate(
+            engine.address, request, SAMPLE_SECONDS, take
+        )
+        if not attempt.spans:
+            raise errors.AnswerCut(f'Engine {engine.id} made no token.')
+
+    async def _finish(self, attempt: Attempt) -> None:
+        work, place = attempt.plan.work, attempt.place
+        sample = sample_module.Sample(
+            id=self._name(attempt), group=place.group, spans=attempt.spans
         )
-        sample = sample_module.Sample(id=name, group=place.group, spans=spans)
+        finishing = self._finishing_by_work[work]
+        finishing[place] = SampleStage.GENERATED
+        self.active += 1
+        try:
+            scored = await self._score(work, sample)
+            if scored is None:
+                return
+            finishing[place] = SampleStage.SCORED
+            finished = sample_module.finish(scored)
+            disks = await self._store.keep(work.trainer, work.step, finished)
+            work.take(finished, disks)
+        finally:
+            self.active -= 1
+            finishing.pop(place, None)
+        if work.is_whole:
+            self._scheduler.settle(work)
+            self.pump()
+        self._report(work)
+
+    async def _score(self, work: StepWork, sample: Sample) -> Sample | None:
+        # A scorer that fails or is late is asked again: the tokens stand,
+        # and making them anew would cost far more.
+        last = 'it was not asked'
+        for number in range(SCORE_TRIES):
+            if not work.is_open:
+                return None
+            finishing = self._finishing_by_work[work]
+            finishing[sample_module.place_of(sample.id)] = SampleStage.SCORING
+            try:
+                score = await self._scorer.score(
+                    self._scorer_address(work), sample
+                )
+                return msgspec.structs.replace(sample, score=score)
+            except errors.YuccarillError as error:
+                last = error.message
+            finishing[sample_module.place_of(sample.id)] = (
+                SampleStage.GENERATED
+            )
+            await task.deferLater(
+                self._clock, SCORE_RETRY_SECONDS * number, lambda: None
+            )
+        self._give_up(work, sample.group, last)
+        return None
+
+    def _scorer_address(self, work: StepWork) -> str:
         head = self._blackboard.head
-        assert head is not None
-        scorers = {s.id: s for s in head.inventory.scorers}
-        address = scorers[trainer.scorer].address
-        score = await self._scorer.score(address, sample)
-        return msgspec.structs.replace(sample, score=score)
+        trainers = head.inventory.trainers if head is not None else ()
+        for trainer in trainers:
+            if trainer.id == work.trainer and head is not None:
+                scorers = {s.id: s for s in head.inventory.scorers}
+                return scorers[trainer.scorer].address
+        raise errors.UnknownTrainer(f'Trainer {work.trainer} was removed.')
+
+    def _give_up(self, work: StepWork, group: GroupNumber, cause: str) -> None:
+        if not work.is_open or work.give_up(group):
+            return
+        work.error = errors.GroupFailed(
+            f'Group {group} of step {work.step} can not be finished '
+            f'({cause}); submit the step again or delete it.'
+        )
+        log.error('Step failed.', trainer=work.trainer, cause=cause)
+        self._report(work)
+        self.end(work)
 
-    def _name(self, work: StepWork, place: Place) -> SampleId:
+    def _broken(self, failure: Any, work: StepWork) -> None:
+        if failure.check(defer.CancelledError):
+            return
+        log.error('Sample broke off.', cause=str(failure)[:500])
+        if work.is_open:
+            work.error = errors.GroupFailed(
+                f'Step {work.step} broke off by a fault of this program.'
+            )
+
+    def _report(self, work: StepWork) -> None:
+        on_change = self._on_change_by_work.get(work)
+        if on_change is not None:
+            on_change(work)
+
+    def _name(self, attempt: Attempt) -> SampleId:
+        work = attempt.plan.work
         return sample_module.sample_id(
             work.trainer,
             work.step,
-            place,
+            attempt.place,
             self._incarnation,
-            next(self._attempts),
+            attempt.number,
         )
 
-    def _fail(self, failure: defer.Failure, work: StepWork) -> None:
-        if not work.is_open:
-            return
-        error = failure.value
-        if not isinstance(error, errors.YuccarillError):
-            error = errors.GroupFailed(f'Step {work.step} broke off: {error}')
-        work.error = error
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -127,7 +127,7 @@
             self._membership,
             self._leases,
             self._peers,
-            self._calls,
+            engine.EngineAdapter(client),
             scorer.ScorerAdapter(client),
             settings.data_folder,
         )
@@ -197,7 +197,8 @@
         served_until = now + self._settings.address_validity
         given_up_at = now + self._settings.stop_timeout
         while time.monotonic() < given_up_at:
-            if time.monotonic() >= served_until and not self._calls.active:
+            is_busy = self._calls.active or self._rollouts.active
+            if time.monotonic() >= served_until and not is_busy:
                 break
             await task.deferLater(reactor, STOP_CHECK_SECONDS, lambda: None)
         await self._leases.release_all()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
@@ -22,9 +22,9 @@
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
+    from yuccarill.daemon.adapters.engine import EngineAdapter
     from yuccarill.daemon.adapters.key_value import KeyValueAdapter
     from yuccarill.daemon.adapters.scorer import ScorerAdapter
-    from yuccarill.daemon.controllers.calls import CallController
     from yuccarill.daemon.controllers.leases import LeaseController
     from yuccarill.daemon.controllers.membership import MembershipController
     from yuccarill.daemon.peers.peers import Peers
@@ -44,7 +44,7 @@
         membership: MembershipController,
         leases: LeaseController,
         peers: Peers,
-        calls: CallController,
+        engines: EngineAdapter,
         scorer: ScorerAdapter,
         data_folder: str | None,
     ) -> None:
@@ -57,14 +57,14 @@
             self._open(pathlib.Path(data_folder), ledger)
         self._registry = disk_store.DiskRegistry(key_value, membership)
         store = sample_store.SampleStore(self._registry, self._ask_disk)
-        maker = sampling.SampleMaker(
-            blackboard, incarnation, calls, scorer, store
+        self._maker = sampling.SampleMaker(
+            blackboard, incarnation, engines, scorer, store
         )
         controller = rollouts.RolloutController(
             blackboard,
             incarnation,
             ledger,
-            maker,
+            self._maker,
             store,
             step_routing.HolderClient(blackboard, peers).ask,
             leases.epoch_for,
@@ -74,9 +74,14 @@
             blackboard, leases, controller, peers
         )
 
+    @property
+    def active(self) -> int:
+        """Return how many samples are being made right now."""
+        return self._maker.active
+
     def following(self) -> list[Awaitable[None]]:
         """Return what runs until the process ends."""
-        works = [self._registry.follow(self._mine)]
+        works = [self._registry.follow(self._mine), self._maker.follow()]
         if self._disk is not None:
             works.append(self._disk.follow())
         return list(works)
--- a/packages/yuccarill-daemon/tests/controllers/rollout_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/rollout_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import itertools
 import pathlib
@@ -24,6 +25,7 @@
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import ScorerId
 from yuccarill.core.ids import StepNumber
+from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.membership.instances import Instance
@@ -37,6 +39,7 @@
 from yuccarill.daemon.controllers import sampling
 from yuccarill.daemon.controllers import step_ledger
 from yuccarill.daemon.storage import disk_log
+from yuccarill.wire import messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,6 +54,8 @@
 
     DOWN = 'down'
     REPLY_LOST = 'reply lost'
+    # The write takes effect, then nothing is answered for a while.
+    DOWN_AFTER = 'down after'
 
 
 class FakeStore:
@@ -79,43 +84,85 @@
         version = next(self._versions)
         self.values_by_key[key] = (version, value)
         self.writes += 1
-        if fault is StoreFault.REPLY_LOST:
+        self.is_down = fault is StoreFault.DOWN_AFTER
+        if fault is not None:
             raise errors.StoreUnavailable('reply lost')
         return version
 
 
-class FakeFleet:
-    """Stand for engines and the scorer; hold back what a test asks for."""
+class Gates:
+    """Hold work back at named places until a test lets it go on."""
 
     def __init__(self) -> None:
+        self.shut: set[str] = set()
+        self._waiting_by_name: dict[str, list[defer.Deferred[None]]] = (
+            collections.defaultdict(list)
+        )
+
+    async def arrive(self, name: str) -> None:
+        if name in self.shut:
+            waiting: defer.Deferred[None] = defer.Deferred()
+            self._waiting_by_name[name].append(waiting)
+            await waiting
+
+    def open(self) -> None:
+        """Let all go on, and hold nothing back any more."""
+        self.shut = set()
+        for name in list(self._waiting_by_name):
+            for waiting in self._waiting_by_name.pop(name):
+                if not waiting.called:
+                    waiting.callback(None)
+
+    def cut(self, *names: str) -> None:
+        """Fail what is held back, as a broken connection does."""
+        for name in names:
+            for waiting in self._waiting_by_name.pop(name, []):
+                if not waiting.called:
+                    waiting.errback(errors.AnswerCut('cut'))
+
+
+class FakeFleet:
+    """Stand for engines and the scorer.
+
+    A token tells its weight version and its position in the sample.
+    """
+
+    def __init__(self, gates: Gates) -> None:
         self.version = WeightVersion(1)
-        self.held: list[defer.Deferred[None]] = []
-        self.holds = False
+        self.gates = gates
         self.holds_after = 1 << 30
         self.fails = 0
+        self.scorer_fails = 0
         self.made = 0
 
     async def generate(
-        self, model: Any, request: dict[str, Any], seconds: float, take: Any
+        self, address: str, request: dict[str, Any], seconds: float, take: Any
     ) -> None:
         self.made += 1
-        version = self.version
-        if self.holds or self.made > self.holds_after:
-            self.held.append(defer.Deferred())
-            await self.held[-1]
+        if self.made > self.holds_after:
+            self.gates.shut.add('assigned')
+        await self.gates.arrive('assigned')
         if self.fails:
             self.fails -= 1
             raise errors.AnswerCut('the engine broke off')
-        take(Chunk(version, (1, self.made)))
+        half = request['max_tokens'] // 2
+        start = len(request['resume_tokens'])
+        self._take(take, start, half)
+        await self.gates.arrive('generating')
+        self._take(take, max(start, half), request['max_tokens'])
+
+    def _take(self, take: Any, start: int, end: int) -> None:
+        tokens = tuple(self.version * 1000 + n for n in range(start, end))
+        if tokens:
+            take(Chunk(self.version, tokens))
 
     async def score(self, address: str, sample: Any) -> float:
+        await self.gates.arrive('scoring')
+        if self.scorer_fails:
+            self.scorer_fails -= 1
+            raise errors.AnswerCut('the scorer failed')
         return 0.5
 
-    def release(self) -> None:
-        held, self.held = self.held, []
-        for waiting in held:
-            waiting.callback(None)
-
 
 class FakeDisk:
     """Stand for a disk instance whose log is real."""
@@ -153,7 +200,8 @@
     def __init__(self, folder: pathlib.Path | None = None) -> None:
         self.clock = task.Clock()
         self.store = FakeStore()
-        self.fleet = FakeFleet()
+        self.gates = Gates()
+        self.fleet = FakeFleet(self.gates)
         self.holders: dict[str, rollouts.RolloutController] = {}
         self.epochs: dict[str, Epoch | None] = {}
         self.folder = folder or pathlib.Path()
@@ -197,13 +245,15 @@
         store = sample_store.SampleStore(
             self.registry, self._ask_disk, self.clock
         )
+        maker = sampling.SampleMaker(
+            blackboard, identity, self.fleet, self.fleet, store, self.clock
+        )
+        defer.ensureDeferred(maker.follow())
         controller = rollouts.RolloutController(
             blackboard,
             identity,
             step_ledger.StepLedger(self.store),
-            sampling.SampleMaker(
-                blackboard, identity, self.fleet, self.fleet, store
-            ),
+            maker,
             store,
             self._ask_holder,
             lambda duty: self.epochs.get(name, Epoch(0)),
@@ -216,6 +266,8 @@
 
     async def _ask_disk(self, name: InstanceId, body: Any) -> Any:
         disk = self.disks_by_id[name]
+        if isinstance(body, messages.SamplesKeep):
+            await self.gates.arrive('scored')
         if not disk.is_up:
             raise errors.PeerUnavailable('down')
         return await disk.store.handle(body)
@@ -261,7 +313,18 @@
         staleness_bound=BOUND,
         policy=inventory.StalenessFirst(),
     )
+    engines = tuple(
+        inventory.Engine(
+            id=TargetId(f'e{number}'),
+            model=ModelName('m'),
+            address=f'127.0.0.1:{number}',
+            data_centre=DataCentreId('freising'),
+        )
+        for number in (1, 2, 3)
+    )
     scorer = inventory.Scorer(id=ScorerId('s'), address='127.0.0.1:9')
     return snapshot.from_inventory(
-        inventory.Inventory(trainers=(trainer,), scorers=(scorer,))
+        inventory.Inventory(
+            engines=engines, trainers=(trainer,), scorers=(scorer,)
+        )
     )
--- a/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
@@ -181,12 +181,14 @@
     def test_failed_group_is_told(self) -> None:
         # The engines fail every try of one sample. The trainer must learn
         # it with a code instead of polling for ever, and may submit again.
-        self.world.fleet.fails = 100
+        self.world.fleet.fails = 1 << 30
         self.world.run(self.first.submit(TRAINER, request()))
+        self.world.clock.pump([1.0] * 400)
         with self.assertRaises(errors.GroupFailed):
             self.world.run(self.first.fetch(TRAINER, STEP))
         self.world.fleet.fails = 0
         self.world.run(self.first.submit(TRAINER, request()))
+        self.world.clock.pump([1.0] * 60)
         self.world.run(self.first.fetch(TRAINER, STEP))
 
     def test_other_groups_under_the_same_number(self) -> None:
@@ -235,11 +237,10 @@
     def test_swap_while_generating(self) -> None:
         # Version 3 is announced while samples of version 1 are under way;
         # they finish late and must be made anew, not fill their places.
-        self.world.fleet.holds = True
+        self.world.gates.shut = {'generating'}
         self.world.run(self.holder.submit(TRAINER, request()))
         self.world.run(self.holder.announce(TRAINER, WeightVersion(3)))
         self.world.fleet.version = WeightVersion(3)
-        self.world.fleet.holds = False
-        self.world.fleet.release()
+        self.world.gates.open()
         body = self.world.fetch(self.holder)
         self.assertEqual(3, rollout_world.oldest_of(body))
--- a/packages/yuccarill-daemon/tests/controllers/test_sample_store.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_sample_store.py
@@ -70,6 +70,7 @@
         with self.assertRaises(errors.StepPending):
             self.world.run(self.holder.fetch(TRAINER, STEP))
         self.world.fleet.holds_after = 9
+        self.world.gates.shut = set()
         successor = self.world.start('b')
         self.world.run(successor.submit(TRAINER, request()))
         self.world.fetch(successor)
--- a/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
@@ -14,6 +14,8 @@
     import pathlib
 
 INSTANCES = 6
+# The first instances have a disk, each in a data centre of its own.
+DISK_INSTANCES = 3
 
 
 def prepare(folder: pathlib.Path) -> None:
@@ -33,6 +35,9 @@
         for number in range(INSTANCES)
     ]
     lines = [_line(instance, known.platform) for instance in instances]
+    for number in range(DISK_INSTANCES):
+        data = (folder / 'data' / instances[number]['id']).resolve()
+        lines[number] = f'{lines[number].rstrip()} --data-folder {data}\n'
     (folder / 'instances.json').write_text(json.dumps(instances))
     (folder / 'instances.txt').write_text(''.join(lines))
     first = places.address_of(instances[0])
