Bound what one step may ask for

A step could ask for a billion samples of one prompt, and an instance would have begun to make them; numbers past 64 bits ended in an internal error of a codec. Both are refused now with code 1001, or 1007 where the number stands in the path. With the bounds taken out the eight new rows fail.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/trainers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -9,6 +10,7 @@
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WeightVersion
+from yuccarill.core.rollouts import step as step_module
 from yuccarill.core.rollouts.step import StepRequest
 from yuccarill.daemon.api import replies
 
@@ -17,11 +19,15 @@
 
     from yuccarill.daemon.controllers.step_routing import StepRouting
 
+_STEP = f'<int(max={step_module.MAX_NUMBER}):step>'
+
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Tell the newest weight version that a trainer has made."""
 
-    newest_version: WeightVersion
+    newest_version: Annotated[
+        WeightVersion, msgspec.Meta(ge=0, le=step_module.MAX_NUMBER)
+    ]
 
 
 class TrainerApi:
@@ -39,14 +45,14 @@
         await self._steps.submit(TrainerId(trainer), asked)
         return replies.as_json(request, {'step': asked.step}, 202)
 
-    @app.route('/<trainer>/steps/<int:step>', methods=['GET'])
+    @app.route(f'/<trainer>/steps/{_STEP}', methods=['GET'])
     @replies.answering_errors
     async def fetch(self, request: IRequest, trainer: str, step: int) -> bytes:
         body = await self._steps.fetch(TrainerId(trainer), StepNumber(step))
         request.setHeader('Content-Type', 'application/json')
         return body
 
-    @app.route('/<trainer>/steps/<int:step>/acknowledgement', methods=['PUT'])
+    @app.route(f'/<trainer>/steps/{_STEP}/acknowledgement', methods=['PUT'])
     @replies.answering_errors
     async def acknowledge(
         self, request: IRequest, trainer: str, step: int
@@ -54,7 +60,7 @@
         await self._steps.acknowledge(TrainerId(trainer), StepNumber(step))
         return replies.as_json(request, {'step': step})
 
-    @app.route('/<trainer>/steps/<int:step>', methods=['DELETE'])
+    @app.route(f'/<trainer>/steps/{_STEP}', methods=['DELETE'])
     @replies.answering_errors
     async def delete(
         self, request: IRequest, trainer: str, step: int
--- a/packages/yuccarill-daemon/tests/api/test_site.py
+++ b/packages/yuccarill-daemon/tests/api/test_site.py
@@ -31,6 +31,12 @@
     return '\r\n'.join([*lines, *headers, '', '']).encode('latin-1') + body
 
 
+def _step(**changed: object) -> bytes:
+    groups = [{'prompt': 'p', 'samples': 1}]
+    step = {'step': 1, 'newest_version': 1, 'groups': groups}
+    return json.dumps({**step, **changed}).encode()
+
+
 class MemoryTransport:
     """Keep what is written; the library's own one brings in trial."""
 
@@ -99,6 +105,23 @@
             400,
             ResultCode.BAD_REQUEST,
         ),
+        (_request(f'GET {STEPS}/{2**64}'), 404, ResultCode.UNKNOWN_PATH),
+        *(
+            (
+                _request(f'POST {STEPS}', body=_step(**wrong)),
+                400,
+                ResultCode.BAD_REQUEST,
+            )
+            for wrong in (
+                {'step': 2**70},
+                {'newest_version': -1},
+                {'groups': []},
+                {'groups': [{'prompt': 'p', 'samples': 0}]},
+                {'groups': [{'prompt': 'p', 'samples': 10**9}]},
+                {'groups': [{'prompt': 'p', 'samples': 1, 'max_tokens': 0}]},
+                {'groups': [{'prompt': 'p', 'samples': 4096}] * 17},
+            )
+        ),
         (
             _request('PUT /v1/operators/configuration', body=b'{"base":0}'),
             400,
