Create the data folders of the demonstration

Cause: the demonstration gives three instances a data folder, and instances refuse one that does not exist since settings are checked at start.

Change: the folders are made before the instances start.

--- a/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
@@ -37,6 +37,7 @@
     lines = [_line(instance, known.platform) for instance in instances]
     for number in range(DISK_INSTANCES):
         data = (folder / 'data' / instances[number]['id']).resolve()
+        data.mkdir(parents=True, exist_ok=True)
         lines[number] = f'{lines[number].rstrip()} --data-folder {data}\n'
     (folder / 'instances.json').write_text(json.dumps(instances))
     (folder / 'instances.txt').write_text(''.join(lines))
