Refuse addresses that no endpoint can reach

IPv6 numbers and "any address" passed the check of inventories and settings and failed later: every endpoint of an instance is one of IPv4. Both are now refused in one place for inventories, settings and the command line.

--- a/packages/yuccarill-core/src/yuccarill/core/addresses.py
+++ b/packages/yuccarill-core/src/yuccarill/core/addresses.py
@@ -7,11 +7,18 @@
 MAX_PORT = 65535
 
 
-def is_address(text: str) -> bool:
-    """Tell whether a text is an IP number and a port."""
-    host, _, port = text.rpartition(':')
+def is_host(text: str) -> bool:
+    """Tell whether a text is an IP number that others can connect to."""
+    # The endpoints are those of IPv4. Peers and callers connect to what is
+    # written, so "any address" would send them to themselves.
     try:
-        ipaddress.ip_address(host.strip('[]'))
+        number = ipaddress.IPv4Address(text)
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+    return not (number.is_unspecified or number.is_multicast)
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP number and a port."""
+    host, _, port = text.rpartition(':')
+    return is_host(host) and port.isdecimal() and 0 < int(port) <= MAX_PORT
--- a/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/inventory.py
@@ -30,7 +30,7 @@
     description='the first part of a path, with no "/"',
 )
 _ADDRESS = msgspec.Meta(
-    max_length=60, description='an IP number and a port, as 127.0.0.1:9101'
+    max_length=60, description='an IPv4 number and a port, as 127.0.0.1:9101'
 )
 _Share = Annotated[
     int,
--- a/packages/yuccarill-core/src/yuccarill/core/config/rules.py
+++ b/packages/yuccarill-core/src/yuccarill/core/config/rules.py
@@ -41,7 +41,7 @@
             if not addresses.is_address(entry.address):
                 yield (
                     f'{section} {entry.id}, address: {entry.address!a} is '
-                    'wrong; write an IP number and a port, as 127.0.0.1:9101'
+                    'wrong; write an IPv4 number and a port, as 127.0.0.1:9101'
                 )
 
 
--- a/packages/yuccarill-core/tests/config/test_reader.py
+++ b/packages/yuccarill-core/tests/config/test_reader.py
@@ -75,6 +75,8 @@
         (VALID.replace('"m"', '"x"', 1), "engines e, model: 'm' is not desc"),
         (VALID.replace('127.0.0.1:9000', 'host:1'), 'write an IP'),
         (VALID.replace('127.0.0.1:9000', '127.0.0.1:0'), 'write an IP'),
+        (VALID.replace('127.0.0.1:9000', '[::1]:9000'), 'write an IPv4'),
+        (VALID.replace('127.0.0.1:9000', '0.0.0.0:9000'), 'write an IPv4'),
         (VALID + '[[models]]\nname = "m"', "models: 'm' stands twice"),
     )
     def test_refuses(self, text: str, expected: str) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 from typing import NamedTuple
 
 import statsd
@@ -94,8 +93,8 @@
 class _Client(statsd.StatsClient):
     """Drop a datagram rather than wait for the socket's buffer."""
 
-    def __init__(self, host: str, port: int, is_ipv6: bool) -> None:
-        super().__init__(host, port, prefix=PREFIX, ipv6=is_ipv6)
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(host, port, prefix=PREFIX)
         # A full buffer would hold the loop, and with it every caller; the
         # library already drops what raises an OSError.
         self._sock.setblocking(False)
@@ -112,8 +111,7 @@
     _client = None
     if address is not None:
         host, _, port = address.rpartition(':')
-        number = ipaddress.ip_address(host.strip('[]'))
-        _client = _Client(str(number), int(port), number.version == 6)
+        _client = _Client(host, int(port))
 
 
 def count(metric: Metric, value: int = 1) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/settings.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 import pathlib
 from typing import Annotated
 
@@ -30,16 +29,6 @@
     ERROR = 'error'
 
 
-def _is_host(text: str) -> bool:
-    # Peers and callers connect to what is written here, so "any address"
-    # would send them to themselves.
-    try:
-        number = ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return not (number.is_unspecified or number.is_multicast)
-
-
 def _is_folder(text: str) -> bool:
     return pathlib.Path(text).is_dir()
 
@@ -53,8 +42,8 @@
 ]
 _Host = Annotated[
     str,
-    msgspec.Meta(description='the IP number that others connect to'),
-    Check(_is_host),
+    msgspec.Meta(description='the IPv4 number that others connect to'),
+    Check(addresses.is_host),
 ]
 _Port = Annotated[
     int,
@@ -65,7 +54,7 @@
 _Address = Annotated[
     str,
     msgspec.Meta(
-        description='an IP number and a port, as 127.0.0.1:9000',
+        description='an IPv4 number and a port, as 127.0.0.1:9000',
     ),
     Check(addresses.is_address),
 ]
--- a/packages/yuccarill-daemon/tests/test_settings.py
+++ b/packages/yuccarill-daemon/tests/test_settings.py
@@ -24,7 +24,7 @@
     'peer_port': '8200',
     'key_value': '127.0.0.1:1',
     'instance_list': '127.0.0.1:2',
-    'weight_store': '[::1]:3',
+    'weight_store': '127.0.0.1:3',
 }
 
 
@@ -47,6 +47,8 @@
         ('instance', 'a/b'),
         ('host', 'localhost'),
         ('host', '0.0.0.0'),
+        ('host', '::1'),
+        ('statsd', '[::1]:8125'),
         ('http_port', '0'),
         ('http_port', '8200'),
         ('peer_port', '65536'),
