--- /dev/null
+++ b/tools/configuration_fleet.py
@@ -0,0 +1,218 @@
+"""Many instances' controllers in one process on a simulated clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import base
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.blackboard import Blackboard
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.membership.instances import Instance
+from yuccarill.daemon.controllers import configuration
+from yuccarill.daemon.controllers import decisions
+from yuccarill.daemon.controllers import dissemination
+from yuccarill.standins import memory
+from yuccarill.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REGIONS = 5
+DATA_CENTRES = 11
+# One way, in seconds.
+NEAR_SECONDS = 0.00025
+REGION_SECONDS = 0.0005
+FAR_SECONDS = 0.08
+STORE_SECONDS = 0.002
+
+
+class SimulatedClock:
+    """Run delayed calls in order with no wait between them."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._numbers = itertools.count()
+        self._calls: list[tuple[float, int, base.DelayedCall]] = []
+
+    def seconds(self) -> float:
+        """Return the simulated time."""
+        return self._now
+
+    def callLater(  # noqa: N802
+        self, delay: float, function: Callable[..., Any], *args: Any
+    ) -> base.DelayedCall:
+        """Call a function at a later simulated time."""
+        call = base.DelayedCall(
+            self._now + delay,
+            function,
+            args,
+            {},
+            lambda _: None,
+            lambda _: None,
+            self.seconds,
+        )
+        entry = (call.getTime(), next(self._numbers), call)
+        heapq.heappush(self._calls, entry)
+        return call
+
+    def run(self, seconds: float) -> None:
+        """Let simulated time pass."""
+        end = self._now + seconds
+        while self._calls and self._calls[0][0] <= end:
+            self._now, _, call = heapq.heappop(self._calls)
+            if call.active():
+                call.called = 1
+                call.func(*call.args)
+        self._now = end
+
+
+class FarStore:
+    """Reach the store from one region."""
+
+    def __init__(
+        self, store: memory.MemoryKeyValue, clock: SimulatedClock, far: float
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._far = far
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._store, name)
+
+        async def call(*arguments: Any) -> Any:
+            await self._travel()
+            result = await method(*arguments)
+            await self._travel()
+            return result
+
+        return call
+
+    def _travel(self) -> defer.Deferred[None]:
+        return task.deferLater(self._clock, self._far, lambda: None)
+
+
+class Fleet:
+    """Run the controllers of many instances."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.clock = SimulatedClock()
+        self.random = random.Random(seed)
+        self.store = memory.MemoryKeyValue(self.clock, STORE_SECONDS)
+        self.network = memory.MemoryNetwork(self.clock, _delay)
+        centres = min(DATA_CENTRES, max(3, count // 4))
+        self.instances = [
+            Instance(
+                id=InstanceId(f'i{n}'),
+                data_centre=DataCentreId(f'd{n % centres}'),
+                host='127.0.0.1',
+                http_port=1,
+                peer_port=1,
+            )
+            for n in range(count)
+        ]
+        self.boards: dict[InstanceId, Blackboard] = {}
+        self.controllers: dict[
+            InstanceId, configuration.ConfigurationController
+        ] = {}
+        self._following: dict[InstanceId, list[defer.Deferred[Any]]] = {}
+        for instance in self.instances:
+            self.start(instance)
+
+    def live(self) -> list[Instance]:
+        """Return all instances: nobody has noticed a loss yet."""
+        return self.instances
+
+    def start(self, me: Instance) -> None:
+        """Start one instance."""
+        peers = self.network.peers_of(me)
+        far = 0.0 if _region(me) == 0 else FAR_SECONDS
+        store = FarStore(self.store, self.clock, far)
+        spread = dissemination.DisseminationController(
+            me,
+            self,
+            peers,
+            store,
+            random.Random(self.random.random()),
+            self.clock,
+        )
+        board = Blackboard(me=me)
+        controller = configuration.ConfigurationController(
+            board,
+            spread,
+            peers,
+            decisions.DecisionRunner(store, self.clock),
+            self.clock,
+        )
+
+        async def handle(body: messages.Body) -> messages.Body:
+            if isinstance(body, messages.ConfigurationFetch):
+                return controller.handle(body)
+            return spread.handle(body)
+
+        self.network.handlers_by_id[me.id] = handle
+        self.boards[me.id] = board
+        self.controllers[me.id] = controller
+        self._following[me.id] = [
+            defer.ensureDeferred(part.follow()).addErrback(lambda _: None)
+            for part in (controller, spread)
+        ]
+
+    def kill(self, me: Instance) -> None:
+        """Take an instance away as a dead machine: it answers nothing."""
+
+        async def silence(_: messages.Body) -> messages.Body:
+            return await defer.Deferred()
+
+        self.network.handlers_by_id[me.id] = silence
+        for following in self._following[me.id]:
+            following.cancel()
+        del self.boards[me.id]
+
+    def apply(self, at: Instance, base: int, document: Any) -> list[Any]:
+        """Apply a document; the time of acceptance is listed."""
+        accepted: list[Any] = []
+        defer.ensureDeferred(
+            self.controllers[at.id].apply('operator', base, document)
+        ).addCallbacks(
+            lambda _: accepted.append(self.clock.seconds()), accepted.append
+        )
+        return accepted
+
+    def in_force_after(self, revision: int, limit: float) -> float:
+        """Return the seconds until all live instances have a revision."""
+        began = self.clock.seconds()
+        while self.clock.seconds() - began < limit:
+            if all(
+                board.head is not None and board.head.revision >= revision
+                for board in self.boards.values()
+            ):
+                break
+            self.clock.run(0.005)
+        return self.clock.seconds() - began
+
+    def traffic(self) -> dict[InstanceId, int]:
+        """Return the bytes sent and received by each instance."""
+        network = self.network
+        return {
+            i.id: network.sent_bytes_by_id[i.id]
+            + network.received_bytes_by_id[i.id]
+            for i in self.instances
+        }
+
+
+def _region(instance: Instance) -> int:
+    return int(instance.data_centre[1:]) % REGIONS
+
+
+def _delay(a: Instance, b: Instance) -> float:
+    if a.data_centre == b.data_centre:
+        return NEAR_SECONDS
+    return REGION_SECONDS if _region(a) == _region(b) else FAR_SECONDS
