Show the steps that trainers wait for in status

Status named a trainer's holder but not what it works on, so an operator could not tell an idle trainer from one that waits. Each instance now names the steps that it works on, and the command joins them.

--- a/packages/yuccarill-cli/src/yuccarill/cli/commands/status.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/commands/status.py
@@ -60,6 +60,9 @@
 def _print_trainers(found: survey.Survey) -> None:
     click.echo()
     output.print_table(
-        ['TRAINER', 'HOLDER'],
-        map(msgspec.structs.astuple, found.trainers),
+        ['TRAINER', 'HOLDER', 'OPEN STEPS'],
+        [
+            [t.id, t.holder, ', '.join(map(str, t.open_steps))]
+            for t in found.trainers
+        ],
     )
--- a/packages/yuccarill-cli/src/yuccarill/cli/survey.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/survey.py
@@ -84,7 +84,7 @@
     return Survey(
         instances=tuple(map(_seen, listed, replies)),
         targets=tuple(_targets(standing.inventory, known)),
-        trainers=first.trainers,
+        trainers=tuple(_trainers(first, replies)),
     )
 
 
@@ -144,5 +144,21 @@
         )
 
 
+def _trainers(
+    first: operators.StatusReply,
+    replies: list[operators.StatusReply | None],
+) -> Iterator[operators.TrainerStatus]:
+    """Return the trainers with the steps that any instance works on."""
+    told = [t for reply in replies if reply for t in reply.trainers]
+    for trainer in first.trainers:
+        steps = {
+            step
+            for status in told
+            if status.id == trainer.id
+            for step in status.open_steps
+        }
+        yield msgspec.structs.replace(trainer, open_steps=tuple(sorted(steps)))
+
+
 def _address(instance: Instance) -> str:
     return f'{instance.host}:{instance.http_port}'
--- a/packages/yuccarill-cli/tests/commands/test_reads.py
+++ b/packages/yuccarill-cli/tests/commands/test_reads.py
@@ -28,7 +28,7 @@
     'is_leaving': False,
     'instances': [INSTANCE, {**INSTANCE, 'id': 'entry-2'}],
     'targets': [{'id': 'e', 'in_flight': 2, 'weight_version': 7}],
-    'trainers': [{'id': 't', 'holder': 'entry-2'}],
+    'trainers': [{'id': 't', 'holder': 'entry-2', 'open_steps': [4]}],
 }
 STANDING = {
     'revision': 2,
@@ -72,6 +72,11 @@
         (['status'], SURVEY, 'Revision 2 is not known at entry-2.'),
         (['audit'], [AUDIT], 'applied  c       models m, models n'),
         (['audit', '--last', '2'], [AUDIT], 'Earlier changes: --last 1'),
+        (
+            ['status'],
+            SURVEY,
+            'TRAINER  HOLDER   OPEN STEPS\nt        entry-2  4',
+        ),
         (['explain', '1003'], [], 'What to do: Correct the name'),
     )
     def test_prints_for_people(
@@ -84,7 +89,7 @@
     @params(
         (['addresses'], [ADDRESSES], 'valid_until', 5.0),
         (['show'], [STANDING], 'author', 'amina'),
-        (['status'], SURVEY, 'trainers', [{'id': 't', 'holder': 'entry-2'}]),
+        (['status'], SURVEY, 'trainers', STATUS['trainers']),
         (['audit'], [AUDIT], 'previous', 1),
         (['explain', '1003'], [], 'name', 'UNKNOWN_SERVICE'),
     )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/status_view.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/status_view.py
@@ -8,10 +8,13 @@
 from yuccarill.wire import operators
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.core.ids import Incarnation
+    from yuccarill.core.ids import StepNumber
+    from yuccarill.core.ids import TrainerId
     from yuccarill.daemon.controllers.leases import LeaseController
     from yuccarill.daemon.peers.traffic import Traffic
 
@@ -24,11 +27,13 @@
         blackboard: Blackboard,
         incarnation: Incarnation,
         leases: LeaseController,
+        open_steps: Callable[[TrainerId], tuple[StepNumber, ...]],
         traffic: Traffic,
     ) -> None:
         self._blackboard = blackboard
         self._incarnation = incarnation
         self._leases = leases
+        self._open_steps = open_steps
         self._traffic = traffic
 
     def reply(self) -> operators.StatusReply:
@@ -64,5 +69,7 @@
         for trainer in head.inventory.trainers if head else ():
             holder = self._leases.holder_of(f'trainer/{trainer.id}')
             yield operators.TrainerStatus(
-                id=trainer.id, holder=holder.id if holder else None
+                id=trainer.id,
+                holder=holder.id if holder else None,
+                open_steps=self._open_steps(trainer.id),
             )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -130,6 +130,10 @@
             if work.is_open
         ]
 
+    def open_steps(self, trainer_id: TrainerId) -> tuple[StepNumber, ...]:
+        """Return a trainer's steps that this instance works on."""
+        return tuple(work.step for work in self._open_work(trainer_id))
+
     async def announce(
         self, trainer_id: TrainerId, version: WeightVersion
     ) -> WeightVersion:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -161,6 +161,7 @@
                         self._blackboard,
                         incarnation,
                         self._leases,
+                        self._rollouts.open_steps,
                         self._peers.traffic,
                     ),
                 ),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
@@ -70,6 +70,7 @@
             leases.epoch_for,
         )
         self.busy_duties = controller.busy_duties
+        self.open_steps = controller.open_steps
         self.steps = step_routing.StepRouting(
             blackboard, leases, controller, peers
         )
--- a/packages/yuccarill-daemon/tests/api/test_views.py
+++ b/packages/yuccarill-daemon/tests/api/test_views.py
@@ -56,7 +56,11 @@
             targets_by_id={'e': mock.Mock(weight_version=7, staged_version=8)},
         )
         view = status_view.StatusView(
-            blackboard, 'i', mock.Mock(), mock.Mock(sent=1, received=2)
+            blackboard,
+            'i',
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(sent=1, received=2),
         )
         shown = [
             (t.id, t.in_flight, t.weight_version) for t in view.reply().targets
--- a/packages/yuccarill-wire/src/yuccarill/wire/operators.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/operators.py
@@ -12,6 +12,7 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Revision
+from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import TrainerId
 from yuccarill.core.ids import WallTime
@@ -74,6 +75,8 @@
     id: TrainerId
     # The instance that works on the trainer's steps, if one is known.
     holder: InstanceId | None = None
+    # Steps that the answering instance works on.
+    open_steps: tuple[StepNumber, ...] = ()
 
 
 class StatusReply(msgspec.Struct, frozen=True, kw_only=True):
