--- a/packages/yuccarill-core/src/yuccarill/core/calls/limit.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/limit.py
@@ -28,8 +28,8 @@
     min_samples: int = 8
     # The part of a limit taken away at twice the pressure that is borne,
     # and the part at any pressure.
-    decrease: float = 0.1
-    max_decrease: float = 0.3
+    decrease: float = 0.2
+    max_decrease: float = 0.5
     # Growth in one window until the first pressure is seen.
     first_growth: float = 1.5
     # Times the calls in flight that an unused limit comes down to.
@@ -55,6 +55,7 @@
         self._served = 0
         self._window_from = Instant(-math.inf)
         self._has_seen_pressure = False
+        self._next_cut_at = Instant(-math.inf)
         self._unloaded = math.inf
         self._unloaded_next = math.inf
         self._learned_at = Instant(-math.inf)
@@ -83,7 +84,7 @@
             return
         latency = self._seconds / self._samples
         self._learn(latency, now)
-        self._move(self._pressure(latency), in_flight)
+        self._move(self._pressure(latency), latency, in_flight, now)
         self._seconds, self._samples, self._window_from = 0.0, 0, now
         self._queued, self._served = 0, 0
 
@@ -104,12 +105,19 @@
             self._unloaded_next = latency
             self._learned_at = now
 
-    def _move(self, pressure: float, in_flight: int) -> None:
+    def _move(
+        self, pressure: float, latency: float, in_flight: int, now: Instant
+    ) -> None:
         policy = self._policy
         if pressure > 1.0:
             self._has_seen_pressure = True
-            part = policy.decrease * (pressure - 1.0)
-            self.value *= 1.0 - min(part, policy.max_decrease)
+            # What was sent before a cut still fills the targets' queues
+            # for as long as a call takes; cutting again for the same
+            # queues would leave the targets idle afterwards.
+            if now >= self._next_cut_at:
+                part = policy.decrease * (pressure - 1.0)
+                self.value *= 1.0 - min(part, policy.max_decrease)
+                self._next_cut_at = Instant(now + latency)
         elif in_flight > self.value / 2:
             self.value += self._step()
         elif in_flight * policy.headroom < self.value:
@@ -121,4 +129,4 @@
     def _step(self) -> float:
         if not self._has_seen_pressure:
             return self.value * (self._policy.first_growth - 1.0)
-        return 1.0
+        return max(1.0, math.sqrt(self.value) / 8)
--- a/packages/yuccarill-core/src/yuccarill/core/calls/pool.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/pool.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from yuccarill.core.calls.load import TargetLoad
+from yuccarill.core.calls import prefixes
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import TargetId
@@ -44,6 +45,8 @@
     # Seconds over which a new or returned target comes to its full share.
     slow_start: float = 10.0
     slow_start_penalty: float = 2.0
+    # Calls that a target with a cached prefix may have more.
+    prefix_bonus: float = 2.0
 
 
 # A timeout alone may be one long call; a second one in a row is not.
@@ -106,6 +109,7 @@
             maxlen=_REMEMBERED
         )
         self._latency = 0.0
+        self._ring = prefixes.PrefixRing()
         # Calls that other instances usually have at a target.
         self._usual = 0.0
 
@@ -139,19 +143,30 @@
             if not is_first:
                 member.started_at = now
             self._put_in(member)
+        near = [m.id for m in self._near]
+        self._ring.update(near or list(self._members_by_id))
 
     def choose(
         self,
         now: Instant,
         tried: frozenset[TargetId] = frozenset(),
         is_urgent: bool = False,
+        prefix: str | None = None,
     ) -> TargetId | None:
-        """Return a target with probably little load, or none."""
+        """Return a target with probably little load, or none.
+
+        A prefix is what engines may have cached of a prompt.
+        """
         self._return_ejected(now)
         best: _Member | None = None
         best_cost = math.inf
-        for member in self._candidates(tried, is_urgent):
+        likely = self._ring.find(prefix) if prefix else None
+        if likely in tried:
+            likely = None
+        for member in self._candidates(tried, is_urgent, likely):
             cost = self._cost(member, now)
+            if member.id == likely:
+                cost -= self._policy.prefix_bonus
             if cost < best_cost:
                 best, best_cost = member, cost
         return best.id if best is not None else None
@@ -191,7 +206,10 @@
         if report is not None:
             others = member.load.report(report, now)
             self._usual += _LOAD_PART * (others - self._usual)
-            if others <= self._usual and member.group is not None:
+            # A report that lags says light of a target that is not; a call
+            # that took long there says otherwise.
+            is_light = others <= self._usual and seconds <= self._latency
+            if is_light and member.group is not None:
                 self._light.append(member)
 
     def fail(self, target: TargetId, failure: Failure, now: Instant) -> None:
@@ -205,9 +223,16 @@
             self._eject(member, now)
 
     def _candidates(
-        self, tried: frozenset[TargetId], is_urgent: bool
+        self,
+        tried: frozenset[TargetId],
+        is_urgent: bool,
+        likely: TargetId | None,
     ) -> list[_Member]:
         found = []
+        if likely is not None:
+            member = self._members_by_id[likely]
+            if member.group is not None:
+                found.append(member)
         for group in (self._near, self._far):
             if len(group) <= _SAMPLES:
                 found += group
--- a/packages/yuccarill-core/tests/calls/test_limit.py
+++ b/packages/yuccarill-core/tests/calls/test_limit.py
@@ -45,6 +45,15 @@
         self.assertLess(self.limit.value, before / 4)
         self.assertGreaterEqual(self.limit.value, 2.0)
 
+    def test_cuts_once_for_what_was_sent_before(self) -> None:
+        # Calls take 5 s. Those sent before a cut still queue at targets
+        # for that long; cutting for them in each window would leave the
+        # targets idle.
+        follow(self.limit, FREE, 10, seconds=5.0)
+        before = self.limit.value
+        follow(self.limit, QUEUED, 8, seconds=5.0, start=10.0)
+        self.assertGreaterEqual(self.limit.value, before / 2)
+
     def test_does_not_grow_unused(self) -> None:
         # A quiet night must not leave a limit that is none at the morning
         # rush: it comes down to a few times what is in flight.
--- a/packages/yuccarill-core/tests/calls/test_pool.py
+++ b/packages/yuccarill-core/tests/calls/test_pool.py
@@ -96,14 +96,16 @@
         self.assertEqual(5, self.pool.usable)
 
     def test_returns_an_ejected_target_slowly(self) -> None:
-        self.pool.update(targets(4), HERE, START)
+        # A target comes back with no calls, and every instance sees that
+        # at once. Its caches are cold; it must not get all new calls.
+        self.pool.update(targets(2), HERE, START)
         bad = TargetId('here0')
         self.pool.fail(bad, pool.Failure.NOT_CONNECTED, START)
-        self.assertNotIn(bad, self.counts(6))
+        self.assertEqual({'here1': 2}, self.counts(2))
         back = self.counts(2, START + 1.1)
-        self.assertEqual(4, self.pool.usable)
+        self.assertEqual(2, self.pool.usable)
         self.assertLessEqual(back[bad], 1)
-        later = self.counts(10, START + 20.0)
+        later = self.counts(4, START + 20.0)
         self.assertGreaterEqual(later[bad], 2)
 
     def test_avoids_a_slow_target(self) -> None:
--- /dev/null
+++ b/packages/yuccarill-core/tests/membership/test_shutdown.py
@@ -0,0 +1,94 @@
+"""Test the order and the limits of a graceful shutdown."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.membership import shutdown
+
+S = shutdown.StopStep
+POLICY = shutdown.StopPolicy(address_validity=5.0, stop_timeout=30.0)
+NOTHING = shutdown.InFlight()
+REQUEST = shutdown.InFlight(requests=1)
+STEP = shutdown.InFlight(steps=1)
+SAMPLE = shutdown.InFlight(samples=1)
+SHARD = shutdown.InFlight(shards=1)
+
+
+def ends(work_by_time: dict[float, shutdown.InFlight], hurry_at=None):
+    """Return when each step began, and the outcome."""
+    walk = shutdown.Shutdown(POLICY, Instant(0.0))
+    began: dict[shutdown.StopStep, float] = {}
+    in_flight = NOTHING
+    for tick in range(400):
+        now = tick / 4
+        in_flight = work_by_time.get(now, in_flight)
+        if now == hurry_at:
+            walk.hurry(Instant(now))
+        began.setdefault(walk.advance(Instant(now), in_flight), now)
+    return began, walk.outcome
+
+
+class ShutdownTest(unittest.TestCase):
+    @params(
+        ('idle', {}, None, 0.25, 8.25, 'complete'),
+        (
+            'request to the end',
+            {1.0: REQUEST, 9.0: NOTHING},
+            None,
+            0.25,
+            9.25,
+            'complete',
+        ),
+        ('request too long', {1.0: REQUEST}, None, 0.25, 30.0, 'cut'),
+        (
+            'late short request',
+            {8.0: REQUEST, 8.25: NOTHING},
+            None,
+            0.25,
+            8.5,
+            'complete',
+        ),
+        (
+            'step in time',
+            {0.0: STEP, 12.0: NOTHING},
+            None,
+            12.0,
+            12.75,
+            'complete',
+        ),
+        (
+            'step too long',
+            {0.0: STEP, 26.0: NOTHING},
+            None,
+            25.0,
+            25.75,
+            'complete',
+        ),
+        ('samples too long', {0.0: SAMPLE}, None, 0.25, 30.0, 'complete'),
+        ('store down', {0.0: SHARD}, None, 0.25, 30.25, 'complete'),
+        ('second signal', {}, 2.0, 0.25, 2.25, 'complete'),
+        ('second signal, busy', {1.0: REQUEST}, 2.0, 0.25, 3.0, 'cut'),
+        ('second signal, step', {0.0: STEP}, 2.0, 2.0, 2.75, 'complete'),
+    )
+    def test_times(self, name, work, hurry_at, handing, ended, outcome):
+        began, found = ends(work, hurry_at)
+        times = began[S.HANDING_OVER], began[S.ENDED]
+        self.assertEqual((handing, ended), times, name)
+        self.assertEqual(outcome, found.value, name)
+
+    @params(*shutdown.StopStep)
+    def test_second_signal_in_each_step(self, step) -> None:
+        # Whatever the first stop is at, the second signal ends it within
+        # its second, and a third one changes nothing.
+        work = {0.0: STEP, 4.0: SHARD, 6.0: REQUEST}
+        began, _ = ends(work)
+        at = began.get(step, 0.0)
+        hurried, _ = ends(work, at)
+        latest = at + POLICY.hurry + 0.5
+        self.assertLessEqual(hurried[S.ENDED], max(latest, began[S.ENDED]))
+        if step not in (S.ENDED, S.FINISHING):
+            self.assertLess(hurried[S.ENDED], began[S.ENDED])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/engine.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/engine.py
@@ -1,15 +1,18 @@
-"""Reach model engines over HTTP."""
+"""Generate tokens on model engines over HTTP."""
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
-import treq
+from twisted.internet import reactor
 
+from yuccarill.core.calls import load
 from yuccarill.core import errors
-from yuccarill.core.ids import WeightVersion
 from yuccarill.daemon.adapters import http
+from yuccarill.daemon.adapters.token_stream import Chunk
+from yuccarill.daemon.adapters.token_stream import TokenStream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,22 +20,17 @@
 # An engine's step takes under a second; a stream that makes no progress
 # for this long is silent.
 PROGRESS_SECONDS = 5.0
+_OK = 200
 
-
-class Chunk(msgspec.Struct, frozen=True):
-    """Hold tokens and the weight version that the engine reports."""
-
-    weight_version: WeightVersion | None = None
-    tokens: tuple[int, ...] = ()
-    done: bool = False
+__all__ = ['Chunk', 'EngineAdapter']
 
 
 class EngineAdapter:
     """Generate tokens on engines."""
 
-    def __init__(self, client: http.HttpClient) -> None:
+    def __init__(self, client: http.HttpClient, clock: Any = reactor) -> None:
         self._client = client
-        self._decoder = msgspec.json.Decoder(Chunk)
+        self._clock = clock
 
     async def generate(
         self,
@@ -40,35 +38,50 @@
         request: dict[str, object],
         seconds: float,
         on_chunk: Callable[[Chunk], None],
+        on_report: Callable[[load.LoadReport], None] = lambda _: None,
     ) -> None:
         """Stream one generation's chunks.
 
-        Raises AnswerCut if the stream ended before the engine said done.
+        Raises NotRun if the engine took none of it, AnswerCut if the
+        stream ended or went silent before the engine said done.
         """
-        is_done = False
-        rest = b''
-
-        def take(data: bytes) -> None:
-            nonlocal is_done, rest
-            *lines, rest = (rest + data).split(b'\n')
-            for line in lines:
-                chunk = self._decoder.decode(line)
-                is_done = is_done or chunk.done
-                if chunk.tokens:
-                    on_chunk(chunk)
-
         try:
             response = await self._client.request(
                 'POST',
                 f'http://{address}/v1/generate',
-                seconds=PROGRESS_SECONDS,
+                seconds=min(seconds, PROGRESS_SECONDS),
                 data=msgspec.json.encode(request),
             )
-            if response.code == 200:
-                await http.with_timeout(treq.collect(response, take), seconds)
         except Exception as error:
             raise errors.AnswerCut(
-                f'The engine at {address} broke off: {error}.'
+                f'The engine at {address} did not answer: {error!r}.'
             ) from error
-        if not is_done:
-            raise errors.AnswerCut(f'The engine at {address} broke off.')
+        _read_report(response, on_report)
+        stream = TokenStream(on_chunk, PROGRESS_SECONDS, self._clock)
+        response.deliverBody(stream)
+        if response.code != _OK:
+            stream.finished.cancel()
+            stream.finished.addErrback(lambda _: None)
+            raise errors.NotRun(
+                f'The engine at {address} refused with {response.code}.',
+                retry_after=1.0,
+            )
+        try:
+            await stream.finished.addTimeout(seconds, self._clock)
+        except errors.YuccarillError as error:
+            raise errors.AnswerCut(
+                f'The engine at {address} broke off. {error.message}'
+            ) from error
+        except Exception as error:
+            raise errors.AnswerCut(
+                f'The engine at {address} broke off: {error!r}.'
+            ) from error
+
+
+def _read_report(
+    response: Any, on_report: Callable[[load.LoadReport], None]
+) -> None:
+    values = response.headers.getRawHeaders(load.HEADER, [''])
+    report = load.parse(values[0])
+    if report is not None:
+        on_report(report)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/target.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/target.py
@@ -18,6 +18,7 @@
 
 from yuccarill.core.calls.attempt import Step
 from yuccarill.core.calls.ledger import Answer
+from yuccarill.core.calls import load
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
@@ -37,6 +38,11 @@
     query: str
     content_type: str
     body: bytes
+    # 0 goes before higher ones where the target heeds it.
+    priority: int = 0
+    # Counts the attempts of one request, so that a target that passes it
+    # on can tell an extra attempt from a first one.
+    attempt: int = 1
     # Nothing is sent after the first; the answer is awaited to the second.
     connect_by: Instant
     answer_by: Instant
@@ -49,6 +55,13 @@
         return f'http://{address}/{path}{query}'
 
 
+class TargetReply(msgspec.Struct, frozen=True):
+    """Hold an answer and what its target said of its load."""
+
+    answer: Answer
+    report: load.LoadReport | None = None
+
+
 class TargetAdapter:
     """Send calls to targets."""
 
@@ -61,7 +74,7 @@
         address: str,
         request: TargetRequest,
         on_step: Callable[[Step], None],
-    ) -> Answer:
+    ) -> TargetReply:
         """Send one call and return its whole answer.
 
         Raises NotRun if no byte was sent, else OutcomeUnknown.
@@ -92,8 +105,9 @@
                 'may have run.'
             ) from error
         on_step(Step.ANSWERED)
-        types = response.headers.getRawHeaders('Content-Type', [''])
-        return Answer(response.code, types[0], body)
+        answer = Answer(response.code, _header(response, 'Content-Type'), body)
+        report = load.parse(_header(response, load.HEADER))
+        return TargetReply(answer, report)
 
     def _send(
         self, agent: Any, address: str, request: TargetRequest
@@ -109,6 +123,8 @@
             headers={
                 'Content-Type': request.content_type,
                 'Yuccarill-Request-Id': request.request_id,
+                'Yuccarill-Priority': str(request.priority),
+                'Yuccarill-Attempt': str(request.attempt),
             },
         )
 
@@ -121,6 +137,11 @@
         return max(0.0, deadline - self._now())
 
 
+def _header(response: Any, name: str) -> str:
+    value: str = response.headers.getRawHeaders(name, [''])[0]
+    return value
+
+
 @implementer(iweb.IAgentEndpointFactory)
 class _Connection:
     """Note when a connection is open, the first point of no return."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -10,6 +10,7 @@
 
 from yuccarill.core.calls import paths
 from yuccarill.core import errors
+from yuccarill.core.ids import CallerId
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ModelName
@@ -92,6 +93,7 @@
                 body=replies.body(request),
                 deadline=Instant(time.monotonic() + _seconds(request)),
                 ticket=ticket,
+                caller=_caller(request),
             )
         except errors.RequestError as error:
             # This message starts nothing, but an earlier one under the
@@ -124,7 +126,8 @@
             request.write(msgspec.json.encode(chunk) + b'\n')
 
         try:
-            await self._calls.generate(
+            await self._calls.generate_for(
+                _caller(request),
                 ModelName(model),
                 {
                     'request_id': _request_id(request),
@@ -148,6 +151,11 @@
     return request.getHeader(name) or default
 
 
+def _caller(request: IRequest) -> CallerId | None:
+    value = _header(request, 'Yuccarill-Caller', '')
+    return CallerId(value) if value else None
+
+
 def _request_id(request: IRequest) -> RequestId:
     value = _header(request, 'Yuccarill-Request-Id', '')
     if not value:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/site.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/site.py
@@ -9,6 +9,7 @@
 from twisted.web import server
 
 from yuccarill.core import errors
+from yuccarill.daemon.api import draining
 from yuccarill.daemon.api import replies
 from yuccarill.daemon import logs
 
@@ -27,12 +28,17 @@
 
     _received = 0
     _is_refused = False
+    _is_counted = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Take the announced length, none if the body comes in chunks."""
         # The base class keeps long bodies in a file. Most instances have no
         # disk, and the limit is small enough for memory.
         self.content = io.BytesIO()
+        self._is_counted = True
+        # The channel is gone once the connection is lost.
+        self._site = self.channel.site
+        self._site.begin(self)
         if length is not None and length > replies.MAX_BODY_BYTES:
             self._refuse(length)
 
@@ -50,9 +56,31 @@
 
     def process(self) -> None:
         """Answer, unless the request is refused already."""
-        if not self._is_refused:
+        if self._is_refused:
+            return
+        try:
+            self._site.check(self)
+        except errors.YuccarillError as error:
+            self.write(replies.as_error(self, error))
+            self.finish()
+        else:
             super().process()
 
+    def finish(self) -> None:
+        """End the answer."""
+        self._end()
+        super().finish()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Take the loss of the connection before the answer's end."""
+        self._end()
+        super().connectionLost(reason)
+
+    def _end(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._site.end()
+
     def _refuse(self, length: int) -> None:
         self._is_refused = True
         self.content = io.BytesIO()
@@ -68,8 +96,10 @@
         self.channel.loseConnection()
 
 
-def build(resource: Any) -> server.Site:
+def build(resource: Any) -> draining.DrainingSite:
     """Return the site that serves a tree of resources."""
     # Forms are no part of the interfaces; the library would parse
     # megabytes of them before any handler saw the request.
-    return server.Site(resource, BoundedRequest, parsePOSTFormSubmission=False)
+    return draining.DrainingSite(
+        resource, BoundedRequest, parsePOSTFormSubmission=False
+    )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/application.py
@@ -13,6 +13,7 @@
 from twisted.internet import reactor
 
 from yuccarill.core import errors
+from yuccarill.core.membership.shutdown import StopOutcome
 from yuccarill.daemon import instance
 from yuccarill.daemon import logs
 from yuccarill.daemon import metrics
@@ -21,7 +22,10 @@
 if TYPE_CHECKING:
     from yuccarill.daemon.settings import Settings
 
+EXIT_FAILED = 1
 EXIT_SETTINGS_INVALID = 2
+# A stop that cut off work in flight, by its time limit or a second signal.
+EXIT_CUT = 3
 
 
 def _options() -> list[click.Option]:
@@ -66,13 +70,25 @@
     logs.configure(settings.log_format, settings.log_level)
     metrics.configure(settings.statsd)
     process = instance.InstanceProcess(settings)
+    has_signal = False
+    exit_code = 0
 
     def stop(*_: object) -> None:
         reactor.callFromThread(begin_stop)
 
     def begin_stop() -> None:
+        nonlocal has_signal
         stopped = defer.ensureDeferred(process.stop())
-        stopped.addBoth(lambda _: reactor.stop())
+        # A second signal hurries the first one's stop, which ends it.
+        if not has_signal:
+            has_signal = True
+            stopped.addCallbacks(end, failed)
+
+    def end(outcome: StopOutcome) -> None:
+        nonlocal exit_code
+        if outcome is StopOutcome.CUT:
+            exit_code = EXIT_CUT
+        reactor.stop()
 
     def begin() -> None:
         signal.signal(signal.SIGTERM, stop)
@@ -80,10 +96,13 @@
         started.addErrback(failed)
 
     def failed(failure: Any) -> None:
+        nonlocal exit_code
+        exit_code = EXIT_FAILED
         logs.for_part('instance').error(
-            'Not started.', cause=failure.getErrorMessage()
+            'Not started or not stopped.', cause=failure.getErrorMessage()
         )
         reactor.stop()
 
     reactor.callWhenRunning(begin)
     reactor.run()
+    sys.exit(exit_code)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/calls.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import reactor
 
+from yuccarill.core.calls import dispatcher
 from yuccarill.core.calls import ledger
 from yuccarill.core.calls import paths
 from yuccarill.core import errors
@@ -15,6 +16,7 @@
 from yuccarill.daemon.controllers.attempts import Call
 from yuccarill.daemon.controllers import generations
 from yuccarill.daemon.controllers import homes
+from yuccarill.daemon.controllers import lines
 from yuccarill.daemon.controllers import once
 
 if TYPE_CHECKING:
@@ -24,6 +26,7 @@
     from yuccarill.core.calls.ledger import Answer
     from yuccarill.core.calls.ticket import Ticket
     from yuccarill.core.config.inventory import Service
+    from yuccarill.core.ids import CallerId
     from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import RequestId
@@ -47,12 +50,16 @@
         engines: EngineAdapter,
         peers: Peers,
         limits: ledger.Limits = ledger.Limits(),
+        policy: dispatcher.Policy = dispatcher.Policy(),
         now: Callable[[], Any] = time.monotonic,
         wall_now: Callable[[], float] = time.time,
         clock: Any = reactor,
     ) -> None:
         self._blackboard = blackboard
-        self._attempts = attempts.AttemptController(blackboard, targets, now)
+        self._lines = lines.Lines(blackboard, now, clock, policy)
+        self._attempts = attempts.AttemptController(
+            self._lines, targets, now, clock
+        )
         self._once = once.OnceController(
             blackboard,
             incarnation,
@@ -64,7 +71,7 @@
         )
         self._homes = homes.HomeController(blackboard, self._once, peers, now)
         self._generations = generations.GenerationController(
-            blackboard, engines
+            self._lines, engines, now
         )
         self._active = 0
 
@@ -112,13 +119,30 @@
         seconds: float,
         on_chunk: Callable[[Chunk], None],
     ) -> None:
-        """Stream one generation from an engine."""
+        """Stream one generation for a trainer's step."""
         self._active += 1
         try:
             await self._generations.generate(model, request, seconds, on_chunk)
         finally:
             self._active -= 1
 
+    async def generate_for(
+        self,
+        caller: CallerId | None,
+        model: ModelName,
+        request: dict[str, object],
+        seconds: float,
+        on_chunk: Callable[[Chunk], None],
+    ) -> None:
+        """Stream one generation for a caller."""
+        self._active += 1
+        try:
+            await self._generations.generate(
+                model, request, seconds, on_chunk, caller, False
+            )
+        finally:
+            self._active -= 1
+
     def _service(self, name: ServiceName) -> Service:
         head = self._blackboard.head
         if head is None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/homes.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/homes.py
@@ -56,6 +56,7 @@
             content_type=call.content_type,
             body=call.body,
             time_left=call.deadline - self._now() - RETURN_SECONDS,
+            caller=call.caller,
         )
         seconds = max(0.0, call.deadline - self._now())
         reply = await self._ask(home, request, seconds)
@@ -112,6 +113,7 @@
             body=body.body,
             deadline=Instant(self._now() + body.time_left),
             ticket=body.ticket,
+            caller=body.caller,
         )
 
     async def _ask(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -41,6 +41,8 @@
 log = logs.for_part('rollouts')
 
 PENDING_SECONDS = 0.2
+# Until a leaving holder's shard is worked on by the next one.
+HAND_OVER_SECONDS = 1.0
 # A claim is lost to each announcement and to another holder's claim.
 DECIDE_TRIES = 3
 
@@ -184,6 +186,11 @@
                     f'Step {request.step} was submitted with other groups.'
                 )
             return work
+        if self._blackboard.is_leaving:
+            raise errors.NotRun(
+                'This instance leaves and starts no step; submit it again.',
+                retry_after=HAND_OVER_SECONDS,
+            )
         if work is not None:
             self._forget(work, work.error)
         work = work_module.StepWork(
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/shutdown.py
@@ -0,0 +1,116 @@
+"""Stop an instance without cutting off what is in flight."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import WallTime
+from yuccarill.core.membership import shutdown
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from yuccarill.core.blackboard import Blackboard
+    from yuccarill.daemon.api.draining import DrainingSite
+    from yuccarill.daemon.controllers.leases import LeaseController
+    from yuccarill.daemon.controllers.membership import MembershipController
+    from yuccarill.daemon.peers.peers import Peers
+    from yuccarill.daemon.rollout_parts import RolloutParts
+
+log = logs.for_part('instance')
+
+CHECK_SECONDS = 0.05
+CLOSE_SECONDS = 2.0
+
+
+class ShutdownController:
+    """Carry out the steps of one graceful shutdown."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        policy: shutdown.StopPolicy,
+        membership: MembershipController,
+        leases: LeaseController,
+        rollouts: RolloutParts,
+        peers: Peers,
+        site: DrainingSite,
+        clock: Any,
+    ) -> None:
+        self._blackboard = blackboard
+        self._policy = policy
+        self._membership = membership
+        self._leases = leases
+        self._rollouts = rollouts
+        self._peers = peers
+        self._site = site
+        self._clock = clock
+        self._shutdown: shutdown.Shutdown | None = None
+        self._is_handed_over = False
+        self.ports: list[Any] = []
+
+    async def stop(self) -> shutdown.StopOutcome:
+        """Stop gracefully; asked a second time, end soon."""
+        if self._shutdown is not None:
+            log.warning('Second signal; ending soon.')
+            self._shutdown.hurry(self._now())
+            self._site.is_refusing = True
+            return self._shutdown.outcome
+        walk = shutdown.Shutdown(self._policy, self._now())
+        self._shutdown = walk
+        while walk.step is not shutdown.StopStep.ENDED:
+            before = walk.step
+            if walk.advance(self._now(), self._in_flight()) is not before:
+                self._enter(walk)
+            await self._pause()
+        await self._close()
+        log.info('Stopped.', outcome=walk.outcome.value)
+        return walk.outcome
+
+    def _enter(self, walk: shutdown.Shutdown) -> None:
+        log.info('Stop goes on.', step=walk.step.value)
+        match walk.step:
+            case shutdown.StopStep.LEAVING:
+                left = walk.serves_until - self._now()
+                self._blackboard.serves_until = WallTime(time.time() + left)
+                self._blackboard.is_leaving = True
+                self._site.is_leaving = True
+                self._membership.leave()
+            case shutdown.StopStep.HANDING_OVER:
+                released = defer.ensureDeferred(self._leases.release_all())
+                released.addErrback(self._not_released)
+                released.addBoth(self._handed_over)
+
+    def _in_flight(self) -> shutdown.InFlight:
+        return shutdown.InFlight(
+            requests=self._site.in_flight + self._peers.in_hand,
+            samples=self._rollouts.active,
+            steps=len(self._rollouts.busy_duties()),
+            shards=0 if self._is_handed_over else 1,
+        )
+
+    async def _close(self) -> None:
+        for port in self.ports:
+            await defer.maybeDeferred(port.stopListening)
+        self._site.close()
+        until = self._now() + CLOSE_SECONDS
+        while self._site.open_connections and self._now() < until:
+            await self._pause()
+
+    def _handed_over(self, _: object) -> None:
+        self._is_handed_over = True
+
+    def _not_released(self, failure: Any) -> None:
+        # The shards' next holders wait for the session to run out.
+        log.error('Shards not handed over.', cause=failure.getErrorMessage())
+
+    def _pause(self) -> defer.Deferred[None]:
+        return task.deferLater(self._clock, CHECK_SECONDS, lambda: None)
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -10,7 +10,6 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import reactor
-from twisted.internet import task
 
 from yuccarill.core.blackboard import Blackboard
 from yuccarill.core.calls import ledger
@@ -19,6 +18,7 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.membership.instances import Instance
+from yuccarill.core.membership import shutdown as shutdown_steps
 from yuccarill.daemon.adapters import engine
 from yuccarill.daemon.adapters import engine_weights
 from yuccarill.daemon.adapters import http
@@ -39,6 +39,7 @@
 from yuccarill.daemon.controllers import dissemination
 from yuccarill.daemon.controllers import leases
 from yuccarill.daemon.controllers import membership
+from yuccarill.daemon.controllers import shutdown
 from yuccarill.daemon.controllers import targets
 from yuccarill.daemon.controllers import weights
 from yuccarill.daemon import logs
@@ -49,11 +50,11 @@
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
+    from yuccarill.core.membership.shutdown import StopOutcome
     from yuccarill.daemon.settings import Settings
 
 log = logs.for_part('instance')
 
-STOP_CHECK_SECONDS = 0.05
 # Seconds for which a ticket outlives the addresses it was given out with,
 # so that a request sent at their end still arrives in time.
 TICKET_SECONDS = 30.0
@@ -167,11 +168,25 @@
                 ),
             )
         )
+        self._shutdown = shutdown.ShutdownController(
+            self._blackboard,
+            shutdown_steps.StopPolicy(
+                address_validity=settings.address_validity,
+                stop_timeout=settings.stop_timeout,
+            ),
+            self._membership,
+            self._leases,
+            self._rollouts,
+            self._peers,
+            self._site,
+            reactor,
+        )
 
     async def start(self) -> None:
         """Begin to serve."""
         settings = self._settings
-        await self._peers.listen(settings.host, settings.peer_port)
+        listening = await self._peers.listen(settings.host, settings.peer_port)
+        self._shutdown.ports.append(listening)
         for following in (
             self._configuration,
             self._membership,
@@ -186,24 +201,13 @@
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, settings.http_port, interface=settings.host, backlog=1024
         )
-        await endpoint.listen(self._site)
+        self._shutdown.ports.append(await endpoint.listen(self._site))
         vitals.Vitals(self._blackboard, reactor).start()
         log.info('Serving.', port=settings.http_port)
 
-    async def stop(self) -> None:
-        """Finish what is in flight, then end."""
-        self._blackboard.is_leaving = True
-        self._membership.leave()
-        now = time.monotonic()
-        served_until = now + self._settings.address_validity
-        given_up_at = now + self._settings.stop_timeout
-        while time.monotonic() < given_up_at:
-            is_busy = self._calls.active or self._rollouts.active
-            if time.monotonic() >= served_until and not is_busy:
-                break
-            await task.deferLater(reactor, STOP_CHECK_SECONDS, lambda: None)
-        await self._leases.release_all()
-        log.info('Stopped.')
+    async def stop(self) -> StopOutcome:
+        """Finish what is in flight; called again, end soon."""
+        return await self._shutdown.stop()
 
     async def _handle(self, body: messages.Body) -> messages.Body:
         match body:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/metrics.py
@@ -64,6 +64,30 @@
     CONFIG_REVISION = Meter(
         'config.revision', Kind.GAUGE, 'revision', 'Revision in force'
     )
+    CALLS_ATTEMPTS = Meter(
+        'calls.attempts', Kind.COUNT, 'attempts', 'Sent to targets'
+    )
+    CALLS_RETRIES = Meter(
+        'calls.retries', Kind.COUNT, 'attempts', 'Made after a failed one'
+    )
+    CALLS_HEDGES = Meter(
+        'calls.hedges', Kind.COUNT, 'attempts', 'Made beside a slow one'
+    )
+    CALLS_REFUSED = Meter(
+        'calls.refused', Kind.COUNT, 'requests', 'Not run, for want of room'
+    )
+    CALLS_UNKNOWN = Meter(
+        'calls.unknown', Kind.COUNT, 'requests', 'Ended with outcome unknown'
+    )
+    CALLS_SILENT = Meter(
+        'calls.silent', Kind.COUNT, 'attempts', 'Given up without an answer'
+    )
+    CALLS_RESUMED = Meter(
+        'calls.resumed', Kind.COUNT, 'streams', 'Gone on with elsewhere'
+    )
+    CALLS_WAIT = Meter(
+        'calls.wait', Kind.TIMING, 'ms', 'From a call to its admission'
+    )
 
 
 class _Client(statsd.StatsClient):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
@@ -69,6 +69,11 @@
         """Count the open streams of both directions."""
         return len(self._local.streams)
 
+    @property
+    def in_hand(self) -> int:
+        """Count the peers' requests that are being answered."""
+        return sum(each.in_hand for each in self._local.streams)
+
     async def listen(self, host: str, port: int) -> Any:
         """Accept streams of peers and watch all for silence."""
         factory = protocol.Factory.forProtocol(self.accept)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/stream.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/stream.py
@@ -43,7 +43,7 @@
         self._numbers = itertools.count(1)
         self._waiting_by_number: dict[int, defer.Deferred[Any]] = {}
         self._due_since: Instant | None = None
-        self._in_hand = 0
+        self.in_hand = 0
         self._received_bytes = 0
         self._end = ends.StreamEnd.LOST
         self._outbox = outbox.Outbox(self._on_progress, self._count_sent)
@@ -58,7 +58,7 @@
     @property
     def is_busy(self) -> bool:
         """Tell whether a request of either side is in flight."""
-        return bool(self._waiting_by_number or self._in_hand)
+        return bool(self._waiting_by_number or self.in_hand)
 
     def request(
         self, body: messages.Body, seconds: float
@@ -200,7 +200,7 @@
 
     def _serve(self, envelope: messages.Envelope) -> None:
         self.used_at = self._now()
-        if self._in_hand >= MAX_IN_HAND:
+        if self.in_hand >= MAX_IN_HAND:
             body = messages.Refusal(
                 code=errors.ResultCode.OVERLOADED,
                 text='Too many requests wait on the stream; try again.',
@@ -208,7 +208,7 @@
             )
             self._reply(envelope.number, body)
             return
-        self._in_hand += 1
+        self.in_hand += 1
         defer.ensureDeferred(self._answer(envelope))
 
     async def _answer(self, envelope: messages.Envelope) -> None:
@@ -225,7 +225,7 @@
             body = messages.Refusal(
                 code=errors.ResultCode.INTERNAL, text='Internal error.'
             )
-        self._in_hand -= 1
+        self.in_hand -= 1
         self._reply(envelope.number, body)
 
     def _reply(self, number: int, body: messages.Body) -> None:
--- a/packages/yuccarill-daemon/tests/api/test_site.py
+++ b/packages/yuccarill-daemon/tests/api/test_site.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 import unittest
 from unittest import mock
 
 from nose2.tools import params
 from twisted.internet import address
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.python import failure
 
+from yuccarill.core.calls import ledger
 from yuccarill.core import errors
 from yuccarill.core.errors import ResultCode
 from yuccarill.daemon.api import callers
@@ -184,3 +189,51 @@
         got, body = self._reply()
         self.assertEqual(status, got)
         self.assertNotIn('x', str(body['message']))
+
+    def _site(self) -> Any:
+        return self.channel.site
+
+    def test_counts_a_request_from_head_to_end(self) -> None:
+        # A stopping instance ends once nothing is in flight. A request
+        # whose body still arrives is, and so is one not answered yet.
+        answer: defer.Deferred = defer.Deferred()
+
+        async def run(call: object) -> object:
+            return await answer
+
+        self.calls.run.side_effect = run
+        data = _request(
+            f'POST {CALL}', 'Yuccarill-Request-Id: r', body=b'body'
+        )
+        for part in (data[:-2], data[-2:]):
+            self.channel.dataReceived(part)
+            self.assertEqual(1, self._site().in_flight)
+        answer.callback(ledger.Answer(200, 'text/plain', b'done'))
+        self.assertEqual(0, self._site().in_flight)
+        self.assertFalse(self.transport.disconnecting)
+
+    def test_lost_connection_is_no_longer_in_flight(self) -> None:
+        self.channel.dataReceived(_request(f'POST {CALL}', length=9))
+        self.channel.connectionLost(failure.Failure(error.ConnectionLost()))
+        self.assertEqual(0, self._site().in_flight)
+
+    def test_leaving_closes_kept_connections_after_an_answer(self) -> None:
+        # Kept open, the connection could bring the next request in the
+        # moment in which the process ends; the caller would see it cut.
+        self._site().is_leaving = True
+        self.channel.dataReceived(_request('GET /nothing'))
+        self.assertIn(b'Connection: close', self.transport.written)
+        self.assertTrue(self.transport.disconnecting)
+
+    @params(
+        ((), True, ResultCode.NOT_RUN),
+        (('Yuccarill-Ticket: t',), False, ResultCode.OUTCOME_UNKNOWN),
+    )
+    def test_refuses_after_a_second_signal(self, headers, not_run, code):
+        # Nothing of this message runs. Under a ticket an earlier message
+        # may have run, which this refusal must not deny.
+        self._site().is_refusing = True
+        self.channel.dataReceived(_request(f'POST {CALL}', *headers))
+        _, reply = self._reply()
+        self.assertEqual((not_run, code), (reply['not_run'], reply['code']))
+        self.assertEqual(0, self.calls.run.call_count)
--- a/packages/yuccarill-daemon/tests/controllers/call_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/call_world.py
@@ -4,6 +4,7 @@
 
 import collections
 from typing import Any
+from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 from twisted.internet import error as internet_error
@@ -11,13 +12,16 @@
 from twisted.python import failure
 
 from yuccarill.core.blackboard import Blackboard
+from yuccarill.core.calls import dispatcher
 from yuccarill.core.config import inventory
 from yuccarill.core.config import snapshot
 from yuccarill.core import errors
+from yuccarill.core.ids import CallerId
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import TargetId
@@ -26,8 +30,12 @@
 from yuccarill.daemon.controllers import attempts
 from yuccarill.daemon.controllers import calls
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 CENTRE = DataCentreId('here')
 SERVICE = ServiceName('billing')
+INTERNAL = CallerId('feed')
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
     b'Content-Length: 4\r\n\r\npaid'
@@ -40,6 +48,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.connecting: list[tuple[str, int, Any]] = []
+        self.refuses = False
 
     def connectTCP(  # noqa: N802
         self, host: str, port: int, factory: Any, *_: Any, **__: Any
@@ -47,6 +56,8 @@
         self.connecting.append((host, port, factory))
         connector = Connector(factory)
         factory.startedConnecting(connector)
+        if self.refuses:
+            connector.stopConnecting()
         return connector
 
 
@@ -171,7 +182,13 @@
 class World:
     """Hold three instances and two targets."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        policy: dispatcher.Policy | None = None,
+        engines: Any = None,
+    ) -> None:
+        self._engines = engines
+        self._policy = policy or dispatcher.Policy()
         self.reactor = Reactor()
         self.runs: collections.Counter[str] = collections.Counter()
         self.mute: set[InstanceId] = set()
@@ -187,6 +204,7 @@
             )
             for name in map(InstanceId, 'abc')
         }
+        self.boards: dict[InstanceId, Blackboard] = {}
         self.calls: dict[InstanceId, calls.CallController] = {}
         for name in self.instances:
             self.start(name, 'first')
@@ -195,23 +213,33 @@
         """Start an instance, in place of one that ran before."""
         board = Blackboard(me=self.instances[name])
         board.instances_by_id = dict(self.instances)
-        board.head = _snapshot()
+        self.boards[name] = board
+        self.configure(name, (81, 82))
         self.calls[name] = calls.CallController(
             board,
             Incarnation(incarnation),
             target_module.TargetAdapter(self.now, self.reactor),
-            None,  # type: ignore[arg-type]
+            self._engines,
             Peers(self),  # type: ignore[arg-type]
+            policy=self._policy,
             now=self.now,
             wall_now=lambda: 1e9 + self.now(),
             clock=self.reactor,
         )
 
+    def configure(self, name: InstanceId, ports: Iterable[int]) -> None:
+        """Put an inventory with targets at some ports in force."""
+        self.boards[name].head = _snapshot(ports)
+
     def now(self) -> Instant:
         return Instant(self.reactor.seconds())
 
     def send(
-        self, name: str, ticket: str | None, path: str = 'charges'
+        self,
+        name: str,
+        ticket: str | None,
+        path: str = 'charges',
+        caller: CallerId | None = None,
     ) -> Result:
         """Send the one request of a test through an instance."""
         call = attempts.Call(
@@ -222,6 +250,7 @@
             body=b'5 euro',
             deadline=Instant(self.now() + 10.0),
             ticket=ticket,
+            caller=caller,
         )
         return Result(self.calls[InstanceId(name)].run(call))
 
@@ -256,7 +285,7 @@
         self.error = reason.value
 
 
-def _snapshot() -> snapshot.Snapshot:
+def _snapshot(ports: Iterable[int]) -> snapshot.Snapshot:
     targets = tuple(
         inventory.Target(
             id=TargetId(f't{port}'),
@@ -264,9 +293,26 @@
             address=f'127.0.0.1:{port}',
             data_centre=CENTRE,
         )
-        for port in (81, 82)
+        for port in ports
     )
     service = inventory.Service(name=SERVICE, not_repeatable=('charges',))
+    caller = inventory.Caller(
+        id=INTERNAL, caller_class=inventory.CallerClass.INTERNAL
+    )
+    engines = tuple(
+        inventory.Engine(
+            id=TargetId(f'e{port}'),
+            model=ModelName('m'),
+            address=f'127.0.0.1:{port}',
+            data_centre=CENTRE,
+        )
+        for port in (91, 92, 93)
+    )
     return snapshot.from_inventory(
-        inventory.Inventory(services=(service,), targets=targets)
+        inventory.Inventory(
+            callers=(caller,),
+            services=(service,),
+            targets=targets,
+            engines=engines,
+        )
     )
--- a/packages/yuccarill-daemon/tests/controllers/test_once.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_once.py
@@ -10,7 +10,10 @@
 from twisted.internet import error as internet_error
 
 from controllers import call_world
+from yuccarill.core.calls import admission
 from yuccarill.core.calls.attempt import Step
+from yuccarill.core.calls import dispatcher
+from yuccarill.core.calls import limit
 from yuccarill.core import errors
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import RequestId
@@ -31,6 +34,11 @@
     CALLER_GONE = enum.auto()
 
 
+# The home lets in one call at a time, so that another one queues.
+ONE_PLACE = dispatcher.Policy(
+    limit=limit.LimitPolicy(initial=1.0, lowest=1.0, highest=1.0),
+    admission=admission.AdmissionPolicy(headroom=1.0),
+)
 # Faults after which a repeat gets the one answer, whatever the step.
 HARMLESS = {
     Fault.REPLY_LOST,
@@ -44,8 +52,9 @@
     """Drive one call through its steps, and through a fault at one."""
 
     def __init__(self, entry: str = 'b') -> None:
-        self.world = call_world.World()
+        self.world = call_world.World(ONE_PLACE)
         self._entry = entry
+        self._blocker: call_world.Connection | None = None
         self.ticket = str(self.world.calls[HOME].new_ticket())
         self.results: list[call_world.Result] = []
         self._first: call_world.Connection | None = None
@@ -60,6 +69,11 @@
 
     def reach(self, step: Step) -> None:
         """Bring the call's first attempt to a step."""
+        if step is Step.QUEUED:
+            self.world.send(HOME, None, path='status')
+            self._blocker = self.world.connection()
+            assert self._blocker is not None
+            self._blocker.open()
         if step >= Step.QUEUED:
             self.send(self._entry)
             self._first = self.world.connection()
@@ -102,6 +116,8 @@
 
     def go_on(self) -> None:
         """Let everything that still works do its part."""
+        if self._blocker is not None and self._blocker.transport.connected:
+            self._blocker.reply(call_world.ANSWER)
         if not self._is_frozen and self._first is not None:
             self._drive(self._first)
         while (connection := self.world.connection()) is not None:
--- a/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
@@ -26,6 +26,16 @@
         self.world = rollout_world.World()
         self.first = self.world.start('a')
 
+    def test_leaving_instance_begins_no_step(self) -> None:
+        # The instance is asked to stop while a step is under way. The
+        # trainer may repeat and fetch that one; a new one would be cut.
+        self.world.run(self.first.submit(TRAINER, request()))
+        self.first._blackboard.is_leaving = True
+        self.world.run(self.first.submit(TRAINER, request()))
+        self.world.run(self.first.fetch(TRAINER, STEP))
+        with self.assertRaises(errors.NotRun):
+            self.world.run(self.first.submit(TRAINER, request(step=2)))
+
     def test_same_bytes_until_acknowledged(self) -> None:
         self.world.run(self.first.submit(TRAINER, request()))
         body = self.world.run(self.first.fetch(TRAINER, STEP))
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from yuccarill.core.dissemination.record import Record
+from yuccarill.core.ids import CallerId
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import Incarnation
@@ -136,6 +137,7 @@
     body: bytes
     # Seconds left to the caller's deadline when the message was sent.
     time_left: float
+    caller: CallerId | None = None
 
 
 class CallAnswer(Message, frozen=True, tag='answer'):
