Fill free places of a switch at once and keep the store's limit in any second

Reports now let the next engines go after 40 ms, and a second try goes first.

The busiest second had 59 downloads of a limit of 50, the burst on top of the rate. The burst is now taken off what comes in: 50 of 50.

Finer virtual time showed a fault: a successor that took over during a switch did not count its predecessor's running orders as switching, and where the floor was lost it took one more engine out beside them. It counts them now; the test fails without it.

Tests of this change's own making that changed: the window of the store's rate is stricter (13 to 10), reads of states are at most 8 in any second, which gives 360 a minute and not 480, and all of them go to targets not read before while there are any (before: at least 400 different ones).

--- a/packages/yuccarill-core/src/yuccarill/core/weights/capacity.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/capacity.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections
+import dataclasses
 import math
 from typing import TYPE_CHECKING
 
@@ -27,29 +27,51 @@
     return max(0, min(wanted, engines - 1))
 
 
+@dataclasses.dataclass
+class _Tally:
+    total: int = 0
+    serving: int = 0
+    switching: int = 0
+
+    def slack(self, serving_part: float) -> int:
+        slack = self.serving - floor(self.total, serving_part)
+        # Engines lost to other faults may use up the floor's slack for
+        # hours. Waiting for them would leave all others on an old
+        # version; one at a time costs the least capacity.
+        if slack <= 0 and not self.switching:
+            return 1
+        return slack
+
+
+def _sum(tallies: list[_Tally]) -> _Tally:
+    return _Tally(
+        sum(tally.total for tally in tallies),
+        sum(tally.serving for tally in tallies),
+        sum(tally.switching for tally in tallies),
+    )
+
+
 class Slack:
     """Count how many more engines may go, in each data centre and in all."""
 
     def __init__(
         self, records: Iterable[TargetRecord], serving_part: float
     ) -> None:
-        total: collections.Counter[DataCentreId] = collections.Counter()
-        serving: collections.Counter[DataCentreId] = collections.Counter()
-        switching: collections.Counter[DataCentreId] = collections.Counter()
+        tallies: dict[DataCentreId, _Tally] = {}
         for record in records:
-            for place in (record.data_centre, EVERYWHERE):
-                total[place] += 1
-                serving[place] += record.is_serving
-                switching[place] += record.is_switching
-        self._slack_by_place: dict[DataCentreId, int] = {}
-        for place, count in total.items():
-            slack = serving[place] - floor(count, serving_part)
-            # Engines lost to other faults may use up the floor's slack for
-            # hours. Waiting for them would leave all others on an old
-            # version; one at a time costs the least capacity.
-            if slack <= 0 and not switching[place]:
-                slack = 1
-            self._slack_by_place[place] = slack
+            tally = tallies.get(record.data_centre)
+            if tally is None:
+                tally = tallies[record.data_centre] = _Tally()
+            tally.total += 1
+            if record.is_switching:
+                tally.switching += 1
+            elif record.is_serving:
+                tally.serving += 1
+        tallies[EVERYWHERE] = _sum(list(tallies.values()))
+        self._slack_by_place = {
+            place: tally.slack(serving_part)
+            for place, tally in tallies.items()
+        }
 
     def of(self, data_centre: DataCentreId) -> int:
         """Return how many more may go in a data centre."""
--- a/packages/yuccarill-core/src/yuccarill/core/weights/polling.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/polling.py
@@ -18,7 +18,7 @@
 # Bounds what polling costs an instance that holds many targets: they are
 # then read less often each.
 READS_PER_SECOND = 8.0
-BURST_SECONDS = 0.5
+BURST_SECONDS = 0.25
 
 
 @dataclasses.dataclass
--- a/packages/yuccarill-core/src/yuccarill/core/weights/record.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/record.py
@@ -69,7 +69,13 @@
 
     @property
     def is_switching(self) -> bool:
-        return self.state is WeightState.SWITCHING
+        # An order of a predecessor that still runs takes capacity like an
+        # own one; left out, one more engine would go beside it.
+        return self.state is WeightState.SWITCHING or self.is_busy
+
+    @property
+    def may_expire(self) -> bool:
+        return self.order is not None or self.state is WeightState.FAILED
 
     @property
     def best_version(self) -> WeightVersion:
@@ -106,9 +112,10 @@
 
     def expire(self, now: Instant, retries: RetryPolicy) -> None:
         """Give up an order that nobody reports on, end a backoff."""
-        if self.order is not None and now >= self.order_until:
-            self._conclude(OrderOutcome.SILENT, now, retries)
-            self._settle(True, now)
+        if self.order is not None:
+            if now >= self.order_until:
+                self._conclude(OrderOutcome.SILENT, now, retries)
+                self._settle(True, now)
         elif self.state is WeightState.FAILED:
             self._settle(True, now)
 
--- a/packages/yuccarill-core/src/yuccarill/core/weights/rollout.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/rollout.py
@@ -28,7 +28,7 @@
 # A holder that is paused with the order in its socket may send it up to
 # its lease's end, and the engine may then take its time; only after both
 # is the order sure to be over.
-ORDER_VALID_SECONDS = 25.0
+ORDER_VALID_SECONDS = 16.0
 # Engines that can not stage hold the others back this long at most,
 # beyond the time that the store's rate asks for.
 STAGE_PATIENCE_SECONDS = 30.0
@@ -95,22 +95,24 @@
 
     def decide(self, now: Instant) -> list[Order]:
         """Return the orders to give now."""
-        records = list(self.records_by_id.values())
+        records = self.records_by_id.values()
+        staged = []
+        behind = []
         for record in records:
-            record.expire(now, self._retries)
-        self._open(records, now)
+            if record.may_expire:
+                record.expire(now, self._retries)
+            if record.state is WeightState.STAGED:
+                staged.append(record)
+            if record.best_version < self.newest:
+                behind.append(record)
+        self._open(behind, now)
         orders = [
             self._begin(record, OrderKind.STAGE, self.newest, now)
-            for record in records
+            for record in behind
             if self._wants_stage(record) and self.tokens.take(now)
         ]
-        slack = Slack(records, self._serving_part)
-        for record in self._switch_candidates(records):
-            if slack.of(record.data_centre) <= 0:
-                continue
-            slack.use(record.data_centre)
-            version = record.staged_version
-            orders.append(self._begin(record, OrderKind.SWITCH, version, now))
+        if staged:
+            orders += self._switches(staged, now)
         return orders
 
     def drop(self, orders: Iterable[Order], now: Instant) -> None:
@@ -120,6 +122,10 @@
             if record is not None and record.order == order:
                 record.drop_order(now)
 
+    def is_switching(self) -> bool:
+        """Tell whether a report may let further engines switch."""
+        return self.opened == self.newest and not self.is_done()
+
     def is_done(self) -> bool:
         """Tell whether every engine serves the newest version."""
         return all(
@@ -128,19 +134,17 @@
             for record in self.records_by_id.values()
         )
 
-    def _open(self, records: list[TargetRecord], now: Instant) -> None:
+    def _open(self, behind: list[TargetRecord], now: Instant) -> None:
         if self.opened == self.newest:
             return
         is_waiting = any(
-            record.best_version < self.newest
-            and record.state is not WeightState.LOST
-            for record in records
+            record.state is not WeightState.LOST for record in behind
         )
         if not is_waiting or now >= self._open_by:
             self.opened = self.newest
 
     def _wants_stage(self, record: TargetRecord) -> bool:
-        if record.is_busy or record.best_version >= self.newest:
+        if record.is_busy or record.order is not None:
             return False
         if record.state is WeightState.STAGED:
             # What may be switched now is switched first; what may not yet
@@ -148,18 +152,27 @@
             return record.staged_version > self.opened
         return record.state is WeightState.SERVING
 
-    def _switch_candidates(
-        self, records: list[TargetRecord]
-    ) -> list[TargetRecord]:
+    def _switches(
+        self, staged: list[TargetRecord], now: Instant
+    ) -> list[Order]:
         ready = [
             record
-            for record in records
+            for record in staged
             if record.state is WeightState.STAGED
             and not record.is_busy
             and record.staged_version <= self.opened
         ]
-        # One that failed before may fail again and only cost capacity.
-        return sorted(ready, key=lambda record: record.failures)
+        if not ready:
+            return []
+        slack = Slack(self.records_by_id.values(), self._serving_part)
+        orders = []
+        for record in sorted(ready, key=_rank):
+            if slack.of(record.data_centre) <= 0:
+                continue
+            slack.use(record.data_centre)
+            version = record.staged_version
+            orders.append(self._begin(record, OrderKind.SWITCH, version, now))
+        return orders
 
     def _begin(
         self,
@@ -171,3 +184,10 @@
         order = Order(next(self._numbers), record.target, kind, version)
         record.begin(order, Instant(now + ORDER_VALID_SECONDS))
         return order
+
+
+def _rank(record: TargetRecord) -> int:
+    # A second try that waits for all others would end the switch later by
+    # a whole swap. One that fails again may fail for ever and only cost
+    # capacity.
+    return -1 if record.failures == 1 else record.failures
--- a/packages/yuccarill-core/tests/weights/fleet.py
+++ b/packages/yuccarill-core/tests/weights/fleet.py
@@ -28,6 +28,7 @@
 
 TICK = 0.1
 LATENCY = 0.005
+SOON = 0.04
 POLL_SECONDS = 5.0
 TAKEOVER_SECONDS = 10.0
 MODEL = ModelName('m')
@@ -106,6 +107,10 @@
         self.orders_sent = 0
         self.faults: list[str] = []
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._is_deciding_soon = False
+        self._holders_by_id = {
+            e.name: h for h in self.holders for e in h.engines
+        }
         self._numbers = itertools.count()
         self.start_model_holder()
 
@@ -117,12 +122,15 @@
         """Run for some seconds or until something holds."""
         end = self.now + seconds
         while self.now < end:
-            while self._queue and self._queue[0][0] <= self.now:
-                heapq.heappop(self._queue)[2]()
             self._tick()
             if until():
                 return True
-            self.now = Instant(self.now + TICK)
+            tick = self.now + TICK
+            while self._queue and self._queue[0][0] <= tick:
+                at, _, action = heapq.heappop(self._queue)
+                self.now = Instant(max(self.now, at))
+                action()
+            self.now = Instant(tick)
         return False
 
     def start_model_holder(self) -> None:
@@ -136,6 +144,8 @@
             self._query(holder)
 
     def crash_model_holder(self) -> None:
+        if self.rollout is None:
+            return
         self.rollout = None
         self.model_epoch = Epoch(self.model_epoch + 1)
         self.at(TAKEOVER_SECONDS, self.start_model_holder)
@@ -161,7 +171,8 @@
         self.at(TAKEOVER_SECONDS + 2, wake)
 
     def is_done(self) -> bool:
-        return all(e.is_up and e.version == self.newest for e in self.engines)
+        newest = self.newest
+        return all(e.is_up and e.version == newest for e in self.engines)
 
     @property
     def newest(self) -> int:
@@ -199,10 +210,15 @@
             return
         if self.now >= self.store_fails_until:
             self.rollout.see_newest(WeightVersion(self.store_newest), self.now)
+        self._decide()
+
+    def _decide(self) -> None:
+        self._is_deciding_soon = False
+        if self.rollout is None:
+            return
         epoch = self.model_epoch
-        holders_by_id = {e.name: h for h in self.holders for e in h.engines}
         for order in self.rollout.decide(self.now):
-            holder = holders_by_id[order.target]
+            holder = self._holders_by_id[order.target]
             self.at(LATENCY, lambda h=holder, o=order: self._take(h, o, epoch))
 
     def _poll(self, holder: Holder) -> None:
@@ -228,8 +244,12 @@
             self.at(LATENCY, lambda r=report: self._report(r))
 
     def _report(self, report: object) -> None:
-        if self.rollout is not None:
-            self.rollout.observe(report, self.now)
+        if self.rollout is None:
+            return
+        self.rollout.observe(report, self.now)
+        if not self._is_deciding_soon and self.rollout.is_switching():
+            self._is_deciding_soon = True
+            self.at(SOON, self._decide)
 
     def _take(self, holder: Holder, order: Order, epoch: Epoch) -> None:
         engine = next(e for e in holder.engines if e.name == order.target)
@@ -322,7 +342,7 @@
                 if centre is None or e.data_centre == centre
             ]
             serving = sum(e.is_up and not e.is_swapping for e in members)
-            swapping = sum(e.is_swapping for e in members)
+            swapping = sum(e.is_up and e.is_swapping for e in members)
             floor = capacity.floor(len(members), self.part)
             # One at a time is allowed where the floor is lost already.
             if serving < floor and swapping > 1:
--- a/packages/yuccarill-core/tests/weights/test_polling.py
+++ b/packages/yuccarill-core/tests/weights/test_polling.py
@@ -12,7 +12,7 @@
 
 
 class PollingTest(unittest.TestCase):
-    @params((20, True, 240), (1300, True, 480), (20, False, 60))
+    @params((20, True, 240), (1300, True, 360), (20, False, 60))
     def test_reads_a_minute(
         self, count: int, is_reachable: bool, expected: int
     ) -> None:
@@ -29,4 +29,4 @@
                 read.append(target)
                 polls.done(target, is_reachable, now)
         self.assertAlmostEqual(expected, len(read), delta=expected * 0.12)
-        self.assertGreaterEqual(len(set(read)), min(count, 400))
+        self.assertEqual(min(count, len(read)), len(set(read)))
--- a/packages/yuccarill-core/tests/weights/test_record.py
+++ b/packages/yuccarill-core/tests/weights/test_record.py
@@ -89,16 +89,19 @@
             numbers += [o.number for o in plan.decide(Instant(NOW + 1))]
         self.assertEqual(2, len(set(numbers)))
 
-    def test_lost_floor_lets_one_go(self) -> None:
+    @params((False, 1), (True, 0))
+    def test_lost_floor_lets_one_go(self, is_busy: bool, slack: int) -> None:
         # A data centre is lost for hours. Without this, no engine of the
-        # others would ever switch.
+        # others would ever switch. One that a predecessor's order may
+        # still take out of service is that one.
         self.record.state = State.STAGED
         lost = [
             record.TargetRecord(TargetId(f'l{n}'), DataCentreId('a'))
             for n in range(3)
         ]
-        slack = capacity.Slack([self.record, *lost], 0.9)
-        self.assertEqual(1, slack.of(DataCentreId('a')))
+        lost[0].is_busy = is_busy
+        found = capacity.Slack([self.record, *lost], 0.9)
+        self.assertEqual(slack, max(0, found.of(DataCentreId('a'))))
 
 
 class TokensTest(unittest.TestCase):
@@ -108,5 +111,5 @@
         self.assertTrue(schedule.take(Instant(NOW + 0.03)))
 
     def test_shares_add_up(self) -> None:
-        shares = [tokens.model_rate(50.0, n, 10) for n in (1, 2, 7)]
+        shares = [tokens.model_limit(50.0, n, 10) for n in (1, 2, 7)]
         self.assertAlmostEqual(50.0, sum(shares))
--- a/packages/yuccarill-core/tests/weights/test_rollout.py
+++ b/packages/yuccarill-core/tests/weights/test_rollout.py
@@ -60,8 +60,7 @@
         fleet.run(120, fleet.is_done)
         for start in fleet.downloads:
             window = [d for d in fleet.downloads if start <= d < start + 1]
-            # The rate, the burst and the tick's rounding.
-            self.assertLessEqual(len(window), 10 + 2 + 1)
+            self.assertLessEqual(len(window), 10)
 
     def test_spent_budget_pauses(self) -> None:
         # One engine fails every swap. It must not be out of service all
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/weights.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/weights.py
@@ -40,6 +40,7 @@
 
 ACTIVE_SECONDS = 0.1
 IDLE_SECONDS = 0.5
+SOON_SECONDS = 0.04
 STORE_SECONDS = 2.0
 SEND_SECONDS = 2.0
 QUERY_SECONDS = 1.0
@@ -83,6 +84,7 @@
         self._downloads_per_second = downloads_per_second
         self._clock = clock
         self._held_by_model: dict[ModelName, _Held] = {}
+        self._is_turn_near = False
         targets.report_here = self.handle
 
     async def follow(self) -> None:
@@ -119,8 +121,17 @@
             )
         for report in body.reports:
             held.rollout.observe(report, self._now())
+        # Places that come free are filled at once; waiting for the next
+        # turn would add its wait to each of a switch's rounds.
+        if not self._is_turn_near and held.rollout.is_switching():
+            self._is_turn_near = True
+            self._clock.callLater(SOON_SECONDS, self._turn_soon)
         return messages.Done()
 
+    def _turn_soon(self) -> None:
+        self._is_turn_near = False
+        self.turn()
+
     def _hold(
         self, model: ModelName, snapshot: Snapshot, now: Instant
     ) -> None:
@@ -145,7 +156,7 @@
         rollout = rollout_module.ModelRollout(
             _data_centres(snapshot, model),
             snapshot.models_by_name[model].serving_part,
-            tokens.TokenSchedule(self._rate(snapshot, model), now),
+            tokens.TokenSchedule(self._limit(snapshot, model), now),
             epoch,
         )
         shard_targets = _targets_by_shard(snapshot, model)
@@ -158,7 +169,7 @@
             _data_centres(snapshot, held.model),
             snapshot.models_by_name[held.model].serving_part,
         )
-        held.rollout.tokens.set_rate(self._rate(snapshot, held.model), now)
+        held.rollout.tokens.set_limit(self._limit(snapshot, held.model), now)
 
     def _work(self, held: _Held, now: Instant) -> None:
         if now - held.store_read_at >= STORE_SECONDS:
@@ -250,8 +261,8 @@
             return await self._targets.handle(body)
         return await self._peers.request(holder, body, SEND_SECONDS)
 
-    def _rate(self, snapshot: Snapshot, model: ModelName) -> float:
-        return tokens.model_rate(
+    def _limit(self, snapshot: Snapshot, model: ModelName) -> float:
+        return tokens.model_limit(
             self._downloads_per_second,
             len(snapshot.engines_by_model.get(model, ())),
             len(snapshot.inventory.engines),
