Send steps between instances in parts

Cause: a delivered step went between instances in one frame of at most 16 MB, while 8,192 samples of 1,100 tokens take about 55 MB: asked for at another instance than the holder, such a step could never be fetched.

Change: steps are asked for in parts of 4 MB, which fit together since the bytes are fixed once the step is decided.

--- a/packages/yuccarill-core/tests/rollouts/test_scheduler.py
+++ b/packages/yuccarill-core/tests/rollouts/test_scheduler.py
@@ -180,6 +180,40 @@
             attempts, len(slow.plan.attempts_by_place[slow.place])
         )
 
+    def test_hedges_are_few(self) -> None:
+        # Four of four samples are slow at once, as after a swap of weights.
+        # Beginning all again would only take engines from other trainers.
+        self.scheduler.set_engines(MODEL, [f'e{n}' for n in range(8)])
+        policy = inventory.IdleFirst(hedge_part=0.5)
+        self.scheduler.open_step(_trainer(policy=policy), _work())
+        self.scheduler._mean_rate = 1000.0
+        self.assertEqual(4, len(self._orders().start))
+        self.assertEqual((), self._orders(10.0).start)
+
+    def test_hedge_runs_on_another_engine(self) -> None:
+        made = scheduler.Scheduler(slots=4)
+        made.set_engines(MODEL, ENGINES[:1])
+        made.open_step(_trainer(), _work(groups=1))
+        slow, other = made.orders(START).start
+        other.made = 3000
+        made.generated(other, Instant(START + 3.0))
+        self.assertEqual((), made.orders(Instant(START + 10.0)).start)
+        made.set_engines(MODEL, ENGINES[:2])
+        hedge = made.orders(Instant(START + 10.0)).start[0]
+        self.assertNotEqual(slow.engine, hedge.engine)
+
+    def test_waiting_beginning_goes_stale(self) -> None:
+        # A sample waits for a free engine, with tokens of version 1, when
+        # version 3 is announced. It is begun anew.
+        self.scheduler.set_engines(MODEL, ENGINES[:1])
+        self.scheduler.open_step(_trainer(), _work(groups=1))
+        first = self._orders().start[0]
+        self._progress(first, version=1)
+        self.scheduler.failed(first, START)
+        self.scheduler.raise_newest(TrainerId('t'), WeightVersion(3))
+        again = self._orders(60.0).start[0]
+        self.assertEqual((first.place, ()), (again.place, again.spans))
+
     def test_the_first_of_two_wins(self) -> None:
         self.scheduler.open_step(_trainer(), _work(groups=1))
         slow, other = self._orders().start
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_routing.py
@@ -13,6 +13,9 @@
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import StepNumber
@@ -24,6 +27,8 @@
     from yuccarill.daemon.peers.peers import Peers
 
 REQUEST_SECONDS = 5.0
+# A frame between instances may be up to 16 MB.
+PART_BYTES = 4 << 20
 RETRY_SECONDS = 0.5
 
 
@@ -49,11 +54,7 @@
 
     async def fetch(self, trainer: TrainerId, step: StepNumber) -> bytes:
         """Return a delivered step."""
-        reply = await self._send(
-            messages.StepFetch(trainer=trainer, step=step)
-        )
-        body: bytes = reply.body
-        return body
+        return await _collect(trainer, step, self._send)
 
     async def announce(
         self, trainer: TrainerId, version: WeightVersion
@@ -78,10 +79,10 @@
         match body:
             case messages.StepSubmit(trainer=trainer, request=encoded):
                 await self._rollouts.submit(trainer, decode_request(encoded))
-            case messages.StepFetch(trainer=trainer, step=step):
-                return messages.StepDelivery(
-                    body=await self._rollouts.fetch(trainer, step)
-                )
+            case messages.StepFetch(trainer=trainer, step=step, offset=offset):
+                whole = await self._rollouts.fetch(trainer, step)
+                part = whole[offset : offset + PART_BYTES]
+                return messages.StepDelivery(body=part, size=len(whole))
             case messages.StepAcknowledge(trainer=trainer, step=step):
                 await self._rollouts.acknowledge(trainer, step)
             case messages.StepDelete(trainer=trainer, step=step):
@@ -118,11 +119,14 @@
         Raises SamplesLost or what the holder raised.
         """
         peer = self._blackboard.instances_by_id.get(holder)
-        request = messages.StepFetch(trainer=trainer, step=step)
-        try:
+
+        async def send(request: messages.StepFetch) -> Any:
             if peer is None:
                 raise errors.PeerUnavailable(f'Instance {holder} is gone.')
-            reply = await self._peers.request(peer, request, REQUEST_SECONDS)
+            return await self._peers.request(peer, request, REQUEST_SECONDS)
+
+        try:
+            return await _collect(trainer, step, send)
         except (errors.PeerUnavailable, errors.NotRun) as error:
             raise errors.SamplesLost(
                 f'Step {step} of {trainer} was decided by {holder}, which '
@@ -130,8 +134,25 @@
                 'back, delete the step and submit it under a new number.',
                 retry_after=1.0,
             ) from error
-        body: bytes = reply.body
-        return body
+
+
+async def _collect(
+    trainer: TrainerId,
+    step: StepNumber,
+    send: Callable[[messages.StepFetch], Awaitable[Any]],
+) -> bytes:
+    # A step of 8,192 long samples is longer than a frame may be. Its bytes
+    # are fixed once it is decided, so parts asked for in turn fit together.
+    received = bytearray()
+    while True:
+        reply = await send(
+            messages.StepFetch(
+                trainer=trainer, step=step, offset=len(received)
+            )
+        )
+        received += reply.body
+        if len(received) >= reply.size or not reply.body:
+            return bytes(received)
 
 
 def decode_request(encoded: bytes) -> StepRequest:
--- a/packages/yuccarill-daemon/tests/controllers/rollout_world.py
+++ b/packages/yuccarill-daemon/tests/controllers/rollout_world.py
@@ -133,6 +133,8 @@
         self.holds_after = 1 << 30
         self.fails = 0
         self.scorer_fails = 0
+        # Streams whose chunks name no weight version.
+        self.unnamed = 0
         self.made = 0
 
     async def generate(
@@ -145,6 +147,9 @@
         if self.fails:
             self.fails -= 1
             raise errors.AnswerCut('the engine broke off')
+        if self.unnamed:
+            self.unnamed -= 1
+            take(Chunk(None, (1, 2)))
         half = request['max_tokens'] // 2
         start = len(request['resume_tokens'])
         self._take(take, start, half)
--- a/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
@@ -244,6 +244,15 @@
             body, self.world.run(self.holder.fetch(TRAINER, STEP))
         )
 
+    def test_engine_that_names_no_version(self) -> None:
+        # Tokens of unknown weights can't be attributed; they are made anew.
+        self.world.fleet.unnamed = 2
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.clock.pump([1.0] * 5)
+        samples = msgspec.json.decode(self.world.fetch(self.holder))['samples']
+        tokens = [t for s in samples for p in s['spans'] for t in p['tokens']]
+        self.assertEqual(1000, min(tokens))
+
     def test_swap_while_generating(self) -> None:
         # Version 3 is announced while samples of version 1 are under way;
         # they finish late and must be made anew, not fill their places.
--- a/packages/yuccarill-wire/src/yuccarill/wire/messages.py
+++ b/packages/yuccarill-wire/src/yuccarill/wire/messages.py
@@ -178,16 +178,19 @@
 
 
 class StepFetch(Message, frozen=True, tag='fetch'):
-    """Ask for a delivered step."""
+    """Ask for a part of a delivered step's bytes, from an offset on."""
 
     trainer: TrainerId
     step: StepNumber
+    offset: int = 0
 
 
 class StepDelivery(Message, frozen=True, tag='delivery'):
-    """Return a step's manifest and samples, encoded once."""
+    """Return a part of a step's manifest and samples, encoded once."""
 
     body: bytes
+    # Bytes of the whole; 0 where the part is all of it.
+    size: int = 0
 
 
 class StepAcknowledge(Message, frozen=True, tag='acknowledge'):
