Ask seldom for a document that can't be read

An instance that can't come to a revision's digest asked its peers and the platform for the document five times a second for as long as it ran: 1,716 reads in a minute of six instances. A program older than the document is enough for that, on all instances at once. The waits now double up to 2 s, and the same minute takes under 360. With the doubling taken out test_a_document_nobody_can_read_is_not_taken fails. A head that can't be decoded is now met the same way; it was dropped before, and the instance did not look again until the next change.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration_intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/configuration_intake.py
@@ -32,7 +32,9 @@
 log = logs.for_part('config')
 
 RETRY_SECONDS = 0.5
+# Waits between tries to fetch a document; they double up to the most.
 CATCH_UP_SECONDS = 0.2
+CATCH_UP_MOST_SECONDS = 2.0
 FETCH_SECONDS = 0.8
 PEERS_A_FETCH = 2
 # Rounds of asking peers before an instance that is no watcher asks the
@@ -41,6 +43,12 @@
 PEERS_AT_START = 5
 
 
+def _catch_up_wait(rounds: int) -> float:
+    # A document that this program can't read stays one. Asking for it five
+    # times a second, all instances would load the platform past its rate.
+    return min(CATCH_UP_MOST_SECONDS, CATCH_UP_SECONDS * 2**rounds)
+
+
 def to_record(head: Head) -> Record:
     """Return what instances pass on of a head."""
     body = head_module.encode(head_module.trimmed(head))
@@ -104,7 +112,11 @@
         )
 
     def _take_record(self, record: Record) -> None:
-        offered = self._follower.offer(head_module.decode(record.body))
+        try:
+            offered = self._follower.offer(head_module.decode(record.body))
+        except msgspec.MsgspecError as error:
+            log.error('Head not read.', cause=str(error))
+            offered = follower.Offered.GAP
         self._put_in_force()
         if offered is follower.Offered.GAP and not self._is_catching_up:
             self._is_catching_up = True
@@ -140,7 +152,7 @@
                 self._put_in_force()
                 rounds += 1
                 if self._follower.revision < self._known:
-                    await self._sleep(CATCH_UP_SECONDS)
+                    await self._sleep(_catch_up_wait(rounds))
         finally:
             self._is_catching_up = False
 
--- a/packages/yuccarill-daemon/tests/controllers/test_configuration.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_configuration.py
@@ -4,9 +4,11 @@
 
 import unittest
 
+import msgspec
 from nose2.tools import params
 from twisted.python import failure
 
+from yuccarill.core.config import head as head_module
 from yuccarill.core import errors
 from yuccarill.standins import memory
 
@@ -79,6 +81,33 @@
         reads = self.fleet.store.calls_by_kind['read'] - before
         self.assertLessEqual(reads, 2 * 4 + 2)
 
+    def test_a_document_nobody_can_read_is_not_taken(self) -> None:
+        # A later program wrote a revision whose digest this one does not
+        # come to. Every instance keeps what it has and asks again, but
+        # seldom, and none builds a change of its own on it.
+        self.start_with_revision_1(*range(6))
+        store = self.fleet.store
+        head = head_module.decode(store.peek(head_module.HEAD_KEY).value)
+        change = msgspec.structs.replace(
+            head.changes[0], revision=2, digest='another'
+        )
+        wrong = msgspec.structs.replace(head, changes=(*head.changes, change))
+        version = store.peek(head_module.HEAD_KEY).version
+        self.fleet.outcome(
+            store.swap(
+                head_module.HEAD_KEY, head_module.encode(wrong), version
+            )
+        )
+        self.fleet.advance(5.0)
+        before = store.calls_by_kind['read']
+        self.fleet.advance(60.0)
+        self.assertEqual({1}, self.revisions())
+        reads = store.calls_by_kind['read'] - before
+        self.assertLess(reads, 6 * 60)
+        results = self.fleet.apply(0, 2, 'b')
+        self.fleet.advance(1.0)
+        self.assertRefused(errors.StoreUnavailable, results)
+
     def test_a_lost_copy_is_made_good(self) -> None:
         # Nobody hears of a change but the watchers: all else are cut off
         # while it goes down the tree. Nothing is sent again, but each finds
