--- a/packages/yuccarill-core/src/yuccarill/core/leases/demand.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/demand.py
@@ -6,6 +6,7 @@
 
 from yuccarill.core.ids import Instant
 from yuccarill.core.leases import shards
+from yuccarill.core.leases import table as table_module
 
 if TYPE_CHECKING:
     from yuccarill.core.ids import InstanceId
@@ -23,22 +24,20 @@
     def __init__(self, policy: LeasePolicy, placing: Placing) -> None:
         self._policy = policy
         self._placing = placing
-        self._table: ShardTable | None = None
+        self._table = table_module.EMPTY
         self._ended: set[SessionId] = set()
         self._free_since_by_shard: dict[ShardNumber, Instant] = {}
         self._ask_at_by_shard: dict[ShardNumber, Instant] = {}
 
     def update(
         self,
-        table: ShardTable | None,
+        table: ShardTable,
         ended: set[SessionId],
         now: Instant,
     ) -> None:
         """Take what is known of shards and of sessions that ended."""
         self._table = table
         self._ended = ended
-        if table is None:
-            return
         for shard, entry in zip(shards.ALL_SHARDS, table.entries, strict=True):
             if self._is_free(entry):
                 self._free_since_by_shard.setdefault(shard, now)
@@ -110,5 +109,4 @@
         return entry.holder is None or entry.holder.session in self._ended
 
     def _entry(self, shard: ShardNumber) -> ShardEntry:
-        assert self._table is not None
         return self._table.entries[shard]
--- a/packages/yuccarill-core/src/yuccarill/core/leases/keeper.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/keeper.py
@@ -62,7 +62,9 @@
         self._watches_by_number: dict[int, watching.SessionWatch] = {}
         self._wanted_until = Instant(float('-inf'))
         self._is_leaving = False
+        # The table or the live instances changed since they were used.
         self._is_stale_view = True
+        self._ended: set[SessionId] = set()
 
     @property
     def table(self) -> table_keeper.TableKeeper:
@@ -215,14 +217,15 @@
         return False
 
     def _refresh(self, now: Instant) -> None:
-        if self._is_stale_view and self._tables.is_known:
-            self._is_stale_view = False
+        if not self._tables.is_known:
+            return
+        if self._is_stale_view:
             self._watching.set_watched(self._watched())
-        self._demand.update(
-            self._tables.table if self._tables.is_known else None,
-            self._watching.ended(),
-            now,
-        )
+        ended = self._watching.ended()
+        if self._is_stale_view or ended != self._ended:
+            self._ended = ended
+            self._demand.update(self._tables.table, ended, now)
+        self._is_stale_view = False
 
     def _watched(self) -> list[Holder]:
         return [
--- a/packages/yuccarill-core/tests/leases/test_keeper.py
+++ b/packages/yuccarill-core/tests/leases/test_keeper.py
@@ -53,14 +53,17 @@
         # next epochs; on waking, before any reply reaches it, the holder
         # still finds itself in its table and must act on nothing.
         made = settled()
-        keeper = made.nodes_by_name['b'].keeper
+        node = made.nodes_by_name['b']
+        keeper = node.keeper
         held = keeper.held()
-        made.nodes_by_name['b'].is_paused = True
+        node.is_paused = True
         made.run(12)
         self.assertEqual(held, keeper.held())
-        epochs = [keeper.epoch_of(shard, made.now) for shard in held]
+        epochs = [
+            keeper.epoch_of(shard, node.clock(made.now)) for shard in held
+        ]
         self.assertEqual({None}, set(epochs))
-        made.nodes_by_name['b'].is_paused = False
+        node.is_paused = False
         made.run(20)
         self.assertEqual([], made.faults)
         self.assertIn('b', made.held())
@@ -73,12 +76,48 @@
         made.crash('d')
         made.start('d')
         made.run(POLICY.time_to_live)
-        acting = [s for s in held if made.acting(s)]
-        self.assertEqual([], acting)
+        self.assertEqual(set(), set(held) & set(made.acting()))
         made.run(12)
         self.assertEqual(shards.SHARD_COUNT, made.covered())
         self.assertEqual([], made.faults)
 
+    def test_restart_waits_for_a_stopped_twin(self) -> None:
+        # The platform starts an instance anew while its first process is
+        # only stopped. It wakes within its lease and acts, rightly.
+        made = settled()
+        made.manner = lambda node, operation: world.Manner(delay=1.0)
+        twin = made.nodes_by_name['d']
+        made.nodes_by_name['twin'] = twin
+        twin.is_paused = True
+        made.start('d')
+        made.run(3)
+        twin.is_paused = False
+        made.run(1)
+        twin.is_dead = True
+        made.run(20)
+        self.assertEqual(shards.SHARD_COUNT, made.covered())
+        self.assertEqual([], made.faults)
+
+    def test_crashed_holder_that_stays_listed_is_not_waited_for(self) -> None:
+        seconds = []
+        for is_seen in (True, False):
+            made = settled()
+            made.crash('c', is_seen)
+            seconds.append(
+                made.run_until(lambda: made.covered() == shards.SHARD_COUNT)
+            )
+        self.assertEqual(seconds[0], seconds[1])
+
+    def test_differing_views_do_not_drag_shards(self) -> None:
+        # A newcomer sees only itself and thinks that all shards are its
+        # own. Given what it asks for, it would give that back on seeing
+        # the others, again and again.
+        made = settled(SIX[:5])
+        made.start('f')
+        made.nodes_by_name['f'].keeper.set_live(())
+        made.run(20)
+        self.assertLess(made.held()['f'], shards.SHARD_COUNT / 3)
+
     def test_view_of_members_takes_no_shard(self) -> None:
         # One instance sees no other any more; those others live. It asks
         # nobody and takes nothing, since no session stood still.
@@ -126,16 +165,9 @@
         # that write and its news are on their way.
         made = settled()
         made.manner = lambda node, operation: world.Manner(delay=delay)
-        leaver = made.nodes_by_name['e'].keeper
-        gifts = {}
-        for shard, heir in leaver.leave().items():
-            assert heir is not None
-            session = made.nodes_by_name[heir].keeper.usable_session(made.now)
-            assert session is not None
-            gifts[shard] = Holder(heir, session)
-        leaver.give(gifts)
+        made.leave('e')
         gap = 0.0
-        while not leaver.close():
+        while not made.has_left('e'):
             made.run(world.TICK)
             if made.covered() < shards.SHARD_COUNT:
                 gap += world.TICK
--- /dev/null
+++ b/packages/yuccarill-core/tests/leases/test_table_keeper.py
@@ -0,0 +1,52 @@
+"""Test which tables are believed."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import unittest
+
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import SessionId
+from yuccarill.core.ids import ShardNumber
+from yuccarill.core.leases import operations
+from yuccarill.core.leases import policy
+from yuccarill.core.leases import table
+from yuccarill.core.leases import table_keeper
+
+SHARD = ShardNumber(3)
+OLD = table.EMPTY.moved(
+    {SHARD: table.Holder(InstanceId('a'), SessionId('a.1'))}
+)
+NEW = OLD.moved({SHARD: table.Holder(InstanceId('b'), SessionId('b.1'))})
+NOW = Instant(1.0)
+
+
+class TableKeeperTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.keeper = table_keeper.TableKeeper(
+            policy.LeasePolicy(), random.Random(1), itertools.count(1)
+        )
+
+    def test_older_table_is_dropped(self) -> None:
+        # A table that a peer sent long ago arrives last. Taken, it would
+        # bring back a holder that has given the shard away.
+        self.keeper.offer(5, table.encode(NEW))
+        self.assertFalse(self.keeper.offer(4, table.encode(OLD)))
+        self.assertEqual(NEW, self.keeper.table)
+
+    def test_duplicate_of_an_earlier_reply_is_dropped(self) -> None:
+        # A reply comes twice, the second time while another call is in
+        # flight. Taken for that call's reply it would free its lane.
+        read = self.keeper.read(NOW)
+        assert read is not None
+        found = operations.Found(4, table.encode(OLD))
+        self.keeper.complete(read, found, NOW)
+        change = self.keeper.change(operations.Step.GIVE, {SHARD: None}, NOW)
+        self.assertFalse(self.keeper.complete(read, found, NOW))
+        self.assertFalse(self.keeper.can_change(NOW))
+        self.keeper.complete(change, operations.Unknown(), NOW)
+        self.assertTrue(self.keeper.is_given(SHARD))
+        self.keeper.offer(5, table.encode(NEW))
+        self.assertFalse(self.keeper.is_given(SHARD))
--- a/packages/yuccarill-core/tests/leases/world.py
+++ b/packages/yuccarill-core/tests/leases/world.py
@@ -16,7 +16,6 @@
 from yuccarill.core.leases import operations
 from yuccarill.core.leases.operations import Step
 from yuccarill.core.leases.policy import LeasePolicy
-from yuccarill.core.leases import shards
 from yuccarill.core.leases import table
 from yuccarill.core.leases.table import Holder
 
@@ -80,6 +79,14 @@
         )
         self.is_paused = False
         self.is_dead = False
+        self.is_deaf = False
+        # Clocks of machines share neither their start nor their speed.
+        self.clock_speed = 1.0
+        self._clock_start = 1000.0 * number
+
+    def clock(self, now: Instant) -> Instant:
+        """Return what this instance's own clock shows."""
+        return Instant(self._clock_start + now * self.clock_speed)
 
 
 class World:
@@ -89,12 +96,15 @@
         self,
         names: tuple[str, ...],
         policy: LeasePolicy | None = None,
-        manner: Callable[[Node, operations.Operation], Manner] | None = None,
+        tick: float = TICK,
     ) -> None:
         self.now = Instant(100.0)
         self.store = Store()
         self.policy = policy or LeasePolicy()
-        self.manner = manner or (lambda node, operation: Manner())
+        self.manner: Callable[[Node, operations.Operation], Manner] = (
+            lambda node, operation: Manner()
+        )
+        self._tick = tick
         self.nodes_by_name: dict[str, Node] = {}
         self.hears_peers = True
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -118,27 +128,47 @@
         if is_seen:
             self._tell_live()
 
-    def acting(self, shard: ShardNumber) -> list[tuple[str, Epoch]]:
-        """Return who may act on a shard right now, by its own view."""
-        found = []
+    def leave(self, name: str) -> None:
+        """Begin a graceful shutdown: give to heirs, then close."""
+        keeper = self.nodes_by_name[name].keeper
+        gifts: dict[ShardNumber, Holder | None] = {}
+        for shard, heir in keeper.leave().items():
+            found = self.nodes_by_name.get(heir or '')
+            session = None
+            if found is not None and not found.is_dead:
+                session = found.keeper.usable_session(found.clock(self.now))
+            gifts[shard] = Holder(heir, session) if session and heir else None
+        keeper.give(gifts)
+
+    def has_left(self, name: str) -> bool:
+        """Tell whether a leaving instance has ended its session."""
+        return self.nodes_by_name[name].keeper.close()
+
+    def acting(self) -> dict[ShardNumber, list[tuple[str, Epoch]]]:
+        """Return who may act on what right now, each by its own view."""
+        found: dict[ShardNumber, list[tuple[str, Epoch]]] = (
+            collections.defaultdict(list)
+        )
         for name, node in self.nodes_by_name.items():
             if node.is_dead or node.is_paused:
                 continue
-            epoch = node.keeper.epoch_of(shard, self.now)
-            if epoch is not None:
-                found.append((name, epoch))
+            if node.keeper.usable_session(node.clock(self.now)) is None:
+                continue
+            for shard in node.keeper.held():
+                epoch = node.keeper.epoch_of(shard, node.clock(self.now))
+                if epoch is not None:
+                    found[shard].append((name, epoch))
         return found
 
     def held(self) -> dict[str, int]:
         """Return how many shards each instance may act on."""
-        counts = collections.Counter(
-            name for s in shards.ALL_SHARDS for name, _ in self.acting(s)
-        )
+        acting = self.acting().values()
+        counts = collections.Counter(name for by in acting for name, _ in by)
         return dict(counts)
 
     def covered(self) -> int:
         """Return how many shards somebody may act on."""
-        return sum(1 for s in shards.ALL_SHARDS if self.acting(s))
+        return len(self.acting())
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
@@ -146,7 +176,7 @@
         while self.now < end - 1e-9:
             for node in list(self.nodes_by_name.values()):
                 self._step(node)
-            self.now = Instant(self.now + TICK)
+            self.now = Instant(self.now + self._tick)
             self._settle_events()
             self.check()
 
@@ -156,13 +186,12 @@
         """Let time pass until something holds; return the seconds."""
         begun = self.now
         while not is_done() and self.now < begun + limit:
-            self.run(TICK)
+            self.run(self._tick)
         return self.now - begun
 
     def check(self) -> None:
         """Record a fault if two act at once or an epoch goes back."""
-        for shard in shards.ALL_SHARDS:
-            acting = self.acting(shard)
+        for shard, acting in self.acting().items():
             if len(acting) > 1:
                 self.faults.append(f'{self.now}: {shard} acted by {acting}')
             for name, epoch in acting:
@@ -178,9 +207,9 @@
     def _step(self, node: Node) -> None:
         if node.is_dead or node.is_paused:
             return
-        for operation in node.keeper.next_operations(self.now):
+        for operation in node.keeper.next_operations(node.clock(self.now)):
             self._send(node, operation)
-        for ask in node.keeper.due_asks(self.now):
+        for ask in node.keeper.due_asks(node.clock(self.now)):
             holder = self.nodes_by_name.get(ask.holder)
             if holder is None or holder.is_dead or holder.is_paused:
                 continue
@@ -218,9 +247,9 @@
                 return
             if node.is_paused:
                 # What came meanwhile is read on waking.
-                self._at(TICK, deliver)
+                self._at(self._tick, deliver)
                 return
-            node.keeper.complete(operation, outcome, self.now)
+            node.keeper.complete(operation, outcome, node.clock(self.now))
             self._step(node)
 
         self._at(delay, deliver)
@@ -230,7 +259,7 @@
             return
         found = self.store.table()
         for node in self.nodes_by_name.values():
-            if not node.is_dead and not node.is_paused:
+            if not (node.is_dead or node.is_paused or node.is_deaf):
                 node.keeper.offer_table(found.version, found.value)
 
     def _tell_live(self) -> None:
