Keep leaving instances in the news and idle ticks independent of size

Change: leaving instances stay on the ring until the list drops them.

With leaving instances off the ring the new test fails.

--- a/packages/yuccarill-core/src/yuccarill/core/membership/probing.py
+++ b/packages/yuccarill-core/src/yuccarill/core/membership/probing.py
@@ -41,8 +41,8 @@
 class ProbeRound:
     """Walk one member's judgement through its steps."""
 
-    def __init__(self, helpers: int) -> None:
-        self._helpers = helpers
+    def __init__(self) -> None:
+        self._helpers = 0
         self._answers: list[HelperAnswer] = []
         self.step = ProbeStep.DIRECT
 
@@ -54,6 +54,12 @@
             self.step = ProbeStep.RETRY
         elif self.step is ProbeStep.RETRY:
             self.step = ProbeStep.INDIRECT
+        return self.step
+
+    def ask(self, helpers: int) -> ProbeStep:
+        """Note how many helpers are asked."""
+        self._helpers = helpers
+        if self.step is ProbeStep.INDIRECT:
             self._judge()
         return self.step
 
--- a/packages/yuccarill-core/src/yuccarill/core/membership/ring.py
+++ b/packages/yuccarill-core/src/yuccarill/core/membership/ring.py
@@ -22,8 +22,9 @@
 
 def order(members: Mapping[InstanceId, Member]) -> list[InstanceId]:
     """Put the members that may still run on a ring, mixed by hash."""
-    ids = [m.id for m in members.values() if not m.is_stopping]
-    return sorted(ids, key=_place)
+    # A leaving one still answers callers and has to hear the news.
+    running = [m for m in members.values() if m.state is not MemberState.GONE]
+    return sorted((m.id for m in running), key=_place)
 
 
 def offsets(size: int, count: int = PROBED) -> list[int]:
@@ -49,7 +50,7 @@
 ) -> list[InstanceId]:
     """Return whom an instance probes, suspects among them."""
     if me not in ring:
-        # A leaving instance stands on no ring; it still asks a few.
+        # The list may drop a leaving instance before its end.
         ring = sorted([*ring, me], key=_place)
     place = ring.index(me)
     found: dict[InstanceId, None] = {}
--- a/packages/yuccarill-core/tests/membership/test_choices.py
+++ b/packages/yuccarill-core/tests/membership/test_choices.py
@@ -69,9 +69,10 @@
         ('nobody to ask', 0, 0, [], P.SUSPECT),
     )
     def test_outcomes(self, name, helpers, direct, answers, expected) -> None:
-        walk = probing.ProbeRound(helpers)
+        walk = probing.ProbeRound()
         for was_reached in direct or [False, False]:
             walk.on_direct(was_reached)
+        walk.ask(helpers)
         for answer in answers:
             walk.on_helper(answer)
         self.assertIs(expected, walk.step, name)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/membership.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/membership.py
@@ -59,6 +59,7 @@
         )
         self._read_at = Instant(clock.seconds())
         self._was_reader = False
+        self._ranked_changes = 0
         self._is_reading = False
         self._is_list_down = False
         self._shown_changes = 0
@@ -111,10 +112,14 @@
                 return self._probes.take_view_request()
 
     def _is_read_due(self) -> bool:
-        is_reader = list_reading.is_reader(self._view)
-        if is_reader and not self._was_reader:
-            self._read_at = Instant(self._clock.seconds())
-        self._was_reader = is_reader
+        # Ranking the data centre's instances costs more than all the rest
+        # of an idle second; it changes with the view alone.
+        if self._ranked_changes != self._view.changes:
+            self._ranked_changes = self._view.changes
+            is_reader = list_reading.is_reader(self._view)
+            if is_reader and not self._was_reader:
+                self._read_at = Instant(self._clock.seconds())
+            self._was_reader = is_reader
         is_due = self._clock.seconds() >= self._read_at
         return is_due and not self._is_reading
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/probing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/probing.py
@@ -35,6 +35,7 @@
 # Replies in a row with another digest before a whole view is asked for.
 MAX_DISAGREEMENTS = 3
 PULL_SECONDS = 10.0
+SWEEP_SECONDS = 10.0
 
 
 class ProbeController:
@@ -56,10 +57,14 @@
         # A starting instance asks its first neighbour for its view.
         self._pull_at = Instant(clock.seconds())
         self._has_pulled = False
+        self._sweep_at = self._pull_at
 
     def tick(self) -> None:
         """Probe the neighbours once."""
-        self._view.sweep(Instant(self._clock.seconds()))
+        now = Instant(self._clock.seconds())
+        if now >= self._sweep_at:
+            self._sweep_at = Instant(now + SWEEP_SECONDS)
+            self._view.sweep(now)
         self._follow_ring()
         for member_id in self._neighbours:
             if member_id not in self._judged:
@@ -127,18 +132,19 @@
             self.spread([self._view.members_by_id[target.id]])
 
     async def _walk(self, target: Member) -> probing.ProbeStep:
-        helpers = probing.helpers(
-            self._view.members_by_id.values(),
-            self._view.me.id,
-            target.id,
-            self._chance,
-        )
-        walk = probing.ProbeRound(len(helpers))
+        walk = probing.ProbeRound()
         while walk.step in (probing.ProbeStep.DIRECT, probing.ProbeStep.RETRY):
             walk.on_direct(await self._probe(target))
             if target.state is not MemberState.ALIVE:
                 return walk.step
         if walk.step is probing.ProbeStep.INDIRECT:
+            helpers = probing.helpers(
+                self._view.members_by_id.values(),
+                self._view.me.id,
+                target.id,
+                self._chance,
+            )
+            walk.ask(len(helpers))
             answers = [
                 defer.ensureDeferred(self._ask(helper, target))
                 for helper in helpers
@@ -213,7 +219,7 @@
         self._is_push_due = False
         for member_id, pending in self._spreading.pending().items():
             target = self._view.members_by_id[member_id]
-            if pending and target.state is MemberState.ALIVE:
+            if pending and target.state is not MemberState.SUSPECT:
                 defer.ensureDeferred(self._push_to(target))
 
     async def _push_to(self, target: Member) -> None:
--- a/packages/yuccarill-daemon/tests/controllers/memory_fleet.py
+++ b/packages/yuccarill-daemon/tests/controllers/memory_fleet.py
@@ -86,8 +86,10 @@
 class Fleet:
     """Carry messages between processes and order faults."""
 
-    def __init__(self, size: int, seed: int = 1) -> None:
-        self.clock = task.Clock()
+    def __init__(
+        self, size: int, seed: int = 1, centres: int = 3, clock=None
+    ) -> None:
+        self.clock = clock or task.Clock()
         self.chance = random.Random(seed)
         self.processes_by_id: dict[str, Process] = {}
         self.listed_by_id: dict[str, Instance] = {}
@@ -105,7 +107,7 @@
         self.on_message = lambda body: None
         self._starts = 0
         for number in range(size):
-            self.start(f'i{number}', f'dc{number % 3}')
+            self.start(f'i{number}', f'dc{number % centres}')
 
     def start(self, name: str, data_centre: str) -> Process:
         me = Instance(
@@ -119,9 +121,12 @@
         process = Process(self, me, self._starts)
         self.processes_by_id[name] = process
         self.listed_by_id[name] = me
-        defer.ensureDeferred(process.controller.follow())
+        self.begin(process)
         return process
 
+    def begin(self, process: Process) -> None:
+        defer.ensureDeferred(process.controller.follow())
+
     def restart(self, name: str) -> Process:
         former = self.processes_by_id[name]
         self.crash(name)
--- a/packages/yuccarill-daemon/tests/controllers/test_membership.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_membership.py
@@ -118,6 +118,16 @@
         self.fleet.pass_time(2.0)
         self.assertEqual({frozenset(OTHERS)}, self.fleet.views())
 
+    def test_leaving_instance_hears_the_news(self) -> None:
+        # It still answers callers for some seconds, who must not be sent
+        # to an instance that crashed meanwhile.
+        leaving = self.fleet.processes_by_id[TARGET]
+        leaving.controller.leave()
+        self.fleet.pass_time(1.0)
+        self.fleet.crash('i1')
+        self.fleet.pass_time(4.0)
+        self.assertEqual(OTHERS - {'i1'}, leaving.live_ids())
+
     def test_instance_that_only_sends_stays_excluded(self) -> None:
         # Nobody can dial the target; what it dials itself works. Callers
         # told of it would not reach it either. It learns of the suspicion
