Name the cause of a failed request in words

Operators read "did not answer ([<twisted.python.failure.Failure ...>])" in replies and log lines. The adapters now say what happened, such as "no reply in time".

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http.py
@@ -64,3 +64,13 @@
     """Read a response's whole body."""
     content: bytes = await with_timeout(treq.content(response), seconds)
     return content
+
+
+def cause(error: Exception) -> str:
+    """Return why a request failed, in words for a log line."""
+    # The client wraps what happened in a list of failure objects.
+    reasons = getattr(error, 'reasons', None)
+    inner = reasons[0].value if reasons else error
+    if isinstance(inner, defer.CancelledError | defer.TimeoutError):
+        return 'no reply in time'
+    return str(inner).rstrip('.') or type(inner).__name__
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/instance_list.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/instance_list.py
@@ -31,5 +31,5 @@
             return msgspec.json.decode(content, type=list[Instance])
         except Exception as error:
             raise errors.StoreUnavailable(
-                f'The instance list did not answer ({error}).'
+                f'The instance list did not answer ({http.cause(error)}).'
             ) from error
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
@@ -2,16 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import msgspec
 
 from yuccarill.core import errors
 from yuccarill.daemon.adapters import http
 
-if TYPE_CHECKING:
-    from typing import Any
-
 CALL_SECONDS = 2.0
 WATCH_SECONDS = 10.0
 
@@ -66,11 +61,11 @@
             )
             content = await http.body(response, CALL_SECONDS)
         except Exception as error:
-            raise _unavailable(error) from error
+            raise _unavailable(http.cause(error)) from error
         if response.code == 412:
             raise errors.StoreConflict(f'Another write of {key} came first.')
         if response.code != 200:
-            raise _unavailable(response.code)
+            raise _unavailable(f'status {response.code}')
         version: int = msgspec.json.decode(content)['version']
         return version
 
@@ -79,14 +74,14 @@
             response = await self._client.request('GET', url, seconds=seconds)
             content = await http.body(response, CALL_SECONDS)
         except Exception as error:
-            raise _unavailable(error) from error
+            raise _unavailable(http.cause(error)) from error
         if response.code not in (200, 404):
-            raise _unavailable(response.code)
+            raise _unavailable(f'status {response.code}')
         version = int(response.headers.getRawHeaders('X-Version', ['0'])[0])
         return Entry(version, content)
 
 
-def _unavailable(cause: Any) -> errors.StoreUnavailable:
+def _unavailable(cause: str) -> errors.StoreUnavailable:
     return errors.StoreUnavailable(
         f'The key-value service did not answer ({cause}); try again.',
         retry_after=1.0,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/scorer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/scorer.py
@@ -40,5 +40,5 @@
             return float(reply['score'])
         except Exception as error:
             raise errors.AnswerCut(
-                f'The scorer at {address} failed: {error}.'
+                f'The scorer at {address} failed: {http.cause(error)}.'
             ) from error
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/weight_store.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/weight_store.py
@@ -32,5 +32,5 @@
             return WeightVersion(msgspec.json.decode(content, type=int))
         except Exception as error:
             raise errors.StoreUnavailable(
-                f'The weight store did not answer ({error}).'
+                f'The weight store did not answer ({http.cause(error)}).'
             ) from error
