--- a/packages/yuccarill-daemon/tests/controllers/test_configuration.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_configuration.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 from yuccarill.core.config import head as head_module
+from yuccarill.core.dissemination.record import Record
 from yuccarill.core import errors
 from yuccarill.standins import memory
 
@@ -108,6 +109,18 @@
         self.fleet.advance(1.0)
         self.assertRefused(errors.StoreUnavailable, results)
 
+    def test_a_garbled_record_does_not_block_its_version(self) -> None:
+        # A record whose body can't be read spreads under the version that
+        # the next revision will have. That revision's own record is no
+        # longer newer, but whoever met the gap looks for the document.
+        self.start_with_revision_1(*range(6))
+        garbled = Record(head_module.HEAD_KEY, 2, b'garbled')
+        self.fleet.node(0).dissemination.publish(garbled)
+        self.fleet.advance(1.0)
+        self.fleet.apply(0, 1, 'a', 'b')
+        self.fleet.advance(IN_FORCE_SECONDS)
+        self.assertEqual({2}, self.revisions())
+
     def test_a_lost_copy_is_made_good(self) -> None:
         # Nobody hears of a change but the watchers: all else are cut off
         # while it goes down the tree. Nothing is sent again, but each finds
--- a/tools/control_fleet.py
+++ b/tools/control_fleet.py
@@ -85,7 +85,12 @@
     def seconds_in_force(self) -> float:
         """Apply a change and wait until every instance has it."""
         sent_at = self.change()
-        deadline = sent_at + IN_FORCE_SECONDS
+        self.wait_in_force()
+        return time.monotonic() - sent_at
+
+    def wait_in_force(self) -> None:
+        """Wait until every instance has the last change."""
+        deadline = time.monotonic() + IN_FORCE_SECONDS
         waiting = list(self.http_ports)
         while waiting and time.monotonic() < deadline:
             status = self._status(waiting[0])
@@ -95,7 +100,6 @@
                 time.sleep(POLL_SECONDS)
         if waiting:
             raise SystemExit('A change was not in force in time.')
-        return time.monotonic() - sent_at
 
     def store_calls(self) -> dict[str, float]:
         """Return the key-value service's counts by kind."""
