--- a/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/prepare.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
 from yuccarill.standins.demo import places
+from yuccarill.standins import ports
 from yuccarill.standins import server
 
 if TYPE_CHECKING:
@@ -22,20 +22,20 @@
     """Write instances.json, instances.txt and first-address.txt."""
     known = places.Places(folder)
     centres = sorted({e['data_centre'] for e in known.inventory['engines']})
-    ports = _free_ports(2 * count)
+    free = ports.free(2 * count)
     instances = [
         {
             'id': f'entry-{number + 1}',
             'data_centre': centres[number % len(centres)],
             'host': server.LOOPBACK,
-            'http_port': ports[2 * number],
-            'peer_port': ports[2 * number + 1],
+            'http_port': free[2 * number],
+            'peer_port': free[2 * number + 1],
             'state': 'live',
         }
         for number in range(count)
     ]
     lines = [_line(instance, known.platform) for instance in instances]
-    for number in range(DISK_INSTANCES):
+    for number in range(min(count, DISK_INSTANCES)):
         data = (folder / 'data' / instances[number]['id']).resolve()
         data.mkdir(parents=True, exist_ok=True)
         lines[number] = f'{lines[number].rstrip()} --data-folder {data}\n'
@@ -58,13 +58,3 @@
     }
     words = ' '.join(f'--{name} {value}' for name, value in flags.items())
     return f'{instance["id"]} {words}\n'
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [
-        socket.create_server((server.LOOPBACK, 0)) for _ in range(count)
-    ]
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
--- a/packages/yuccarill-standins/src/yuccarill/standins/server.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/server.py
@@ -12,20 +12,23 @@
 from twisted.internet import task
 from twisted.web import server
 
+from yuccarill.standins import ports
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     import klein
     from twisted.web.iweb import IRequest
 
-LOOPBACK = '127.0.0.1'
+LOOPBACK = ports.LOOPBACK
 POLL_SECONDS = 0.02
 
 
 async def listen(app: klein.Klein) -> Any:
     """Serve an application on a free port and return the listening port."""
+    (port,) = ports.free(1)
     endpoint = endpoints.TCP4ServerEndpoint(
-        reactor, 0, interface=LOOPBACK, backlog=1024
+        reactor, port, interface=LOOPBACK, backlog=1024
     )
     return await endpoint.listen(server.Site(app.resource()))
 
@@ -37,8 +40,6 @@
 
 async def close_for(listening: Any, seconds: float) -> None:
     """Refuse connections on a listening port for some seconds."""
-    # It was bound to any free port; it must come back to the same one.
-    listening.port = listening.getHost().port
     await defer.maybeDeferred(listening.stopListening)
     await sleep(seconds)
     listening.startListening()
--- a/packages/yuccarill-standins/tests/processes/harness.py
+++ b/packages/yuccarill-standins/tests/processes/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent import futures
+import copy
 import json
 import pathlib
 import signal
@@ -22,6 +23,7 @@
 # Generous: tests wait for a state, and a busy machine takes its time.
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.05
+LOG_END = 600
 
 
 class Reply:
@@ -77,7 +79,8 @@
         self.pool = futures.ThreadPoolExecutor(16)
         try:
             self._start(count, flags, is_relayed)
-        except BaseException:
+        except BaseException as error:
+            error.add_note(self._log_ends())
             self.close()
             raise
 
@@ -179,6 +182,16 @@
             assert reply.status == expect, (reply.status, reply.body)
         return reply
 
+    def changed(self, caller='one-more'):
+        """Return an inventory with one more caller."""
+        inventory = copy.deepcopy(self.places.inventory)
+        inventory['callers'].append({'id': caller})
+        return inventory
+
+    def revisions(self):
+        """Return the revisions that instances act on."""
+        return {self.status(address)['revision'] for address in self.addresses}
+
     def call(self, number, path, request_id, ticket=None):
         """Call the plain service through an instance."""
         service = self.places.inventory['services'][0]['name']
@@ -195,6 +208,12 @@
         assert reply.status == 200, (reply.status, reply.body)
         return reply.json
 
+    def _log_ends(self):
+        return '\n'.join(
+            f'{path.name}: {path.read_text()[-LOG_END:]}'
+            for path in sorted(self.folder.glob('*.log'))
+        )
+
     def _knows_all(self, address, count):
         status = self.status(address)
         return (
--- a/packages/yuccarill-standins/tests/processes/test_leaving.py
+++ b/packages/yuccarill-standins/tests/processes/test_leaving.py
@@ -13,10 +13,17 @@
 WATCHED_SECONDS = 1.0
 
 
+# Each test takes away an instance of its own, or none.
+KILLED = 1
+STOPPED = 2
+STAYING = (0, 3)
+
+
 class LeavingTest(unittest.TestCase):
-    def setUp(self):
-        self.site = harness.Deployment(flags=['--address-validity', '1'])
-        self.addCleanup(self.site.close)
+    @classmethod
+    def setUpClass(cls):
+        cls.site = harness.Deployment(4, flags=['--address-validity', '1'])
+        cls.addClassCleanup(cls.site.close)
 
     def test_planned_stop_cuts_nothing(self):
         # Calls, a charge and a streamed answer are in flight when their
@@ -24,23 +31,27 @@
         # the instance no longer among the addresses; then it ends with 0.
         # It stops giving out its address first and ends last.
         self.site.order_targets({'seconds_per_call': SLOW_SECONDS})
+        self.addCleanup(self.site.order_targets, {'seconds_per_call': 0.002})
         for engine in self.site.places.inventory['engines']:
             order = {'seconds_per_chunk': SLOW_SECONDS / 8}
             self.site.admin(engine['address'], 'faults', order)
-        ticket = self.site.told(2)['ticket']
+        ticket = self.site.told(STOPPED)['ticket']
         asked = [
-            self.site.pool.submit(self.site.call, 2, 'look-up', f'r{n}')
+            self.site.pool.submit(self.site.call, STOPPED, 'look-up', f's{n}')
             for n in range(6)
         ]
         asked.append(
-            self.site.pool.submit(self.site.call, 2, 'charge', 'c', ticket)
+            self.site.pool.submit(
+                self.site.call, STOPPED, 'charge', 's6', ticket
+            )
         )
-        harness.wait_for(lambda: len(self.site.runs()) == 7, 'calls run')
-        stream = self.site.pool.submit(self._generate, 2)
+        for n in range(7):
+            harness.wait_for(lambda n=n: self.site.runs(f's{n}'), 'calls run')
+        stream = self.site.pool.submit(self._generate, STOPPED)
         harness.wait_for(self._generates, 'an engine generates')
-        self.site.signal(2, signal.SIGTERM)
-        leaving = self.site.addresses[2]
-        for number in (0, 1):
+        self.site.signal(STOPPED, signal.SIGTERM)
+        leaving = self.site.addresses[STOPPED]
+        for number in STAYING:
             harness.wait_for(
                 lambda n=number: leaving not in self.site.told(n)['addresses'],
                 'the stopping instance is no longer told',
@@ -48,17 +59,17 @@
         statuses = [future.result().status for future in asked]
         self.assertEqual(statuses, [200] * 7)
         self.assertTrue(stream.result().body.endswith(b'{"done":true}\n'))
-        self.assertEqual(self.site.exit_code(2), 0)
+        self.assertEqual(self.site.exit_code(STOPPED), 0)
 
     def test_killed_instance_is_no_longer_told(self):
         # An instance dies and the platform's list goes on showing it as
         # live. Callers that ask another instance soon get addresses
         # without it, since peers notice what the list does not; repeatable
         # calls through the others go on all the while.
-        self.site.kill(1)
-        dead = self.site.addresses[1]
-        for number in (0, 2):
-            reply = self.site.call(number, 'look-up', f'r{number}')
+        self.site.kill(KILLED)
+        dead = self.site.addresses[KILLED]
+        for number in STAYING:
+            reply = self.site.call(number, 'look-up', f'k{number}')
             self.assertEqual(reply.status, 200, reply.body)
             harness.wait_for(
                 lambda n=number: dead not in self.site.told(n)['addresses'],
@@ -74,7 +85,7 @@
         self.addCleanup(is_ending.set)
         callers = [
             self.site.pool.submit(self._call_until, is_ending, number)
-            for number in range(3)
+            for number in STAYING
         ]
         inventory = copy.deepcopy(self.site.places.inventory)
         harness.wait_for(self.site.runs, 'a target is in use')
--- a/packages/yuccarill-standins/tests/processes/test_once.py
+++ b/packages/yuccarill-standins/tests/processes/test_once.py
@@ -6,14 +6,18 @@
 from processes import harness
 
 OUTCOME_UNKNOWN = 1301
+# Each test takes away a home of its own.
+KILLED = 0
+PAUSED = 2
 SLOW_SECONDS = 1.0
 
 
 class OnceTest(unittest.TestCase):
-    def setUp(self):
-        self.site = harness.Deployment()
-        self.addCleanup(self.site.close)
-        self.site.order_targets({'seconds_per_call': SLOW_SECONDS})
+    @classmethod
+    def setUpClass(cls):
+        cls.site = harness.Deployment()
+        cls.addClassCleanup(cls.site.close)
+        cls.site.order_targets({'seconds_per_call': SLOW_SECONDS})
 
     def test_home_is_killed_while_its_charge_runs(self):
         # The caller's connection breaks in the middle of its charge; it
@@ -21,40 +25,40 @@
         # is done, and is told that the outcome is unknown each time. The
         # only memory of the charge died with its home, so any instance
         # that ran it again would charge twice.
-        ticket = self.site.told(0)['ticket']
+        ticket = self.site.told(KILLED)['ticket']
         first = self.site.pool.submit(
-            self.site.call, 0, 'charge', 'r1', ticket
+            self.site.call, KILLED, 'charge', 'k1', ticket
         )
-        harness.wait_for(lambda: self.site.runs('r1'), 'the charge runs')
-        self.site.kill(0)
+        harness.wait_for(lambda: self.site.runs('k1'), 'the charge runs')
+        self.site.kill(KILLED)
         self.assertEqual(first.result().status, 0)
-        for number in (1, 2, 1):
-            reply = self.site.call(number, 'charge', 'r1', ticket)
+        for number in (1, PAUSED, 1):
+            reply = self.site.call(number, 'charge', 'k1', ticket)
             self.assertEqual(reply.code, OUTCOME_UNKNOWN, reply.body)
             self.assertFalse(reply.json['not_run'])
-        self.assertEqual(len(self.site.runs('r1')), 1)
+        self.assertEqual(len(self.site.runs('k1')), 1)
 
     def test_home_stands_still_while_its_charge_is_repeated(self):
         # The home is paused in the middle of a charge, and the caller
         # repeats it through another instance, which gives up on the home.
         # Once the home goes on, a repeat gets the first run's answer: it
         # was paused, not restarted, and remembers.
-        ticket = self.site.told(0)['ticket']
+        ticket = self.site.told(PAUSED)['ticket']
         first = self.site.pool.submit(
-            self.site.call, 0, 'charge', 'r1', ticket
+            self.site.call, PAUSED, 'charge', 'p1', ticket
         )
-        harness.wait_for(lambda: self.site.runs('r1'), 'the charge runs')
-        self.site.signal(0, signal.SIGSTOP)
-        reply = self.site.call(1, 'charge', 'r1', ticket)
+        harness.wait_for(lambda: self.site.runs('p1'), 'the charge runs')
+        self.site.signal(PAUSED, signal.SIGSTOP)
+        reply = self.site.call(1, 'charge', 'p1', ticket)
         self.assertEqual(reply.code, OUTCOME_UNKNOWN, reply.body)
-        self.site.signal(0, signal.SIGCONT)
+        self.site.signal(PAUSED, signal.SIGCONT)
         answer = first.result()
         self.assertEqual(answer.status, 200, answer.body)
         repeat = harness.wait_for(
-            lambda: self._answer(1, 'r1', ticket), 'the repeat is answered'
+            lambda: self._answer(1, 'p1', ticket), 'the repeat is answered'
         )
         self.assertEqual(repeat.body, answer.body)
-        self.assertEqual(len(self.site.runs('r1')), 1)
+        self.assertEqual(len(self.site.runs('p1')), 1)
 
     def _answer(self, number, request_id, ticket):
         reply = self.site.call(number, 'charge', request_id, ticket)
--- a/packages/yuccarill-standins/tests/processes/test_store_outage.py
+++ b/packages/yuccarill-standins/tests/processes/test_store_outage.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-import copy
+from concurrent import futures
 import time
 import unittest
 
@@ -8,88 +8,81 @@
 
 from processes import harness
 
-REVISION_CONFLICT = 2002
+INSTANCES = 2
+BASE = 1
+APPLY_OUTCOME_UNKNOWN = 2004
 STORE_UNAVAILABLE = 3001
 # Longer than an instance waits before it looks at the store again.
 SETTLE_SECONDS = 1.5
+# Longer than an instance waits for the store's reply.
+LATE_SECONDS = 2.5
+OUTAGES = {
+    'down': {'is_down': True},
+    'silent': {'is_silent': True},
+    'late writes': {'delay_writes': LATE_SECONDS},
+}
+ALL_WELL = {'is_down': False, 'is_silent': False, 'delay_writes': 0.0}
 
 
-class StoreTest(unittest.TestCase):
+class StoreOutageTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.site = harness.Deployment()
-        cls.addClassCleanup(cls.site.close)
-
-    def setUp(self):
-        self.base = self.site.status(self.site.addresses[0])['revision']
+        # Instances wait seconds for a store that does not answer: the
+        # outages happen side by side, each to instances of its own.
+        pool = futures.ThreadPoolExecutor(len(OUTAGES))
+        cls.addClassCleanup(pool.shutdown)
+        cls.ends_by_outage = {
+            outage: pool.submit(_apply_in, outage) for outage in OUTAGES
+        }
 
-    @params({'is_down': True}, {'is_silent': True})
-    def test_change_in_an_outage_is_refused_for_good(self, faults):
+    @params('down', 'silent')
+    def test_change_in_an_outage_is_refused_for_good(self, outage):
         # Callers notice nothing of the outage. The operator's change is
         # refused, and the refusal is final: it does not come into force
         # after the store is back, as nothing keeps it for a later try.
-        self._order(faults)
-        self.addCleanup(self._order, {'is_down': False, 'is_silent': False})
-        reply = self.site.apply(self._changed(), self.base)
-        self.assertEqual(reply.code, STORE_UNAVAILABLE, reply.body)
-        for number in range(3):
-            answer = self.site.call(number, 'look-up', f'r{number}')
-            self.assertEqual(answer.status, 200, answer.body)
-        self._order({'is_down': False, 'is_silent': False})
-        time.sleep(SETTLE_SECONDS)
-        self.assertEqual(self._revisions(), {self.base})
+        end = self.ends_by_outage[outage].result()
+        self.assertEqual(end.reply.code, STORE_UNAVAILABLE, end.reply.body)
+        self.assertEqual(end.call_statuses, [200] * INSTANCES)
+        self.assertEqual(end.revision, BASE)
 
-    def test_reply_is_lost_after_the_write_took_effect(self):
-        # The store writes the change and its reply is lost. The operator
-        # is told that the change stands: reading the head back shows the
-        # change's own id. A second try would be refused as a conflict with
-        # the operator's own change.
-        self._order({'lose_replies': 1})
-        reply = self.site.apply(self._changed(), self.base)
-        self.assertEqual(reply.status, 200, reply.body)
-        self.assertEqual(reply.json['revision'], self.base + 1)
-        self._wait_for_revision(self.base + 1)
+    def test_write_takes_effect_after_the_store_was_given_up_on(self):
+        # The store takes the write and carries it out late, when the
+        # instance has given up on the reply. The operator is told that the
+        # change stands or that its outcome is unknown; told that it was
+        # refused, it would never come into force. All instances agree in
+        # the end.
+        end = self.ends_by_outage['late writes'].result()
+        self.assertEqual(end.call_statuses, [200] * INSTANCES)
+        if end.reply.status == 200:
+            self.assertEqual(end.revision, BASE + 1)
+        elif end.reply.code != APPLY_OUTCOME_UNKNOWN:
+            self.assertEqual(end.revision, BASE, end.reply.body)
 
-    def test_two_operators_race(self):
-        # Two operators change the same revision through two instances at
-        # once. One change stands everywhere; the other operator is told
-        # whose change stands, and nothing of its own comes into force.
-        racing = [
-            self.site.pool.submit(
-                self.site.apply,
-                self._changed(name),
-                self.base,
-                number=number,
-                author=name,
-            )
-            for number, name in enumerate(('anna', 'bert'))
-        ]
-        replies = {
-            name: future.result()
-            for name, future in zip(('anna', 'bert'), racing, strict=True)
-        }
-        won = [name for name, r in replies.items() if r.status == 200]
-        self.assertEqual(len(won), 1, [r.body for r in replies.values()])
-        lost = replies[({'anna', 'bert'} - set(won)).pop()]
-        self.assertEqual(lost.code, REVISION_CONFLICT)
-        self.assertIn(won[0], lost.json['message'])
-        self._wait_for_revision(self.base + 1)
 
-    def _changed(self, caller='one-more'):
-        inventory = copy.deepcopy(self.site.places.inventory)
-        inventory['callers'].append({'id': caller})
-        return inventory
+class End:
+    """Hold what was seen in an outage and after it."""
 
-    def _order(self, faults):
-        self.site.admin('key_value', 'faults', faults)
+    def __init__(self, reply, call_statuses, revision):
+        self.reply = reply
+        self.call_statuses = call_statuses
+        self.revision = revision
 
-    def _revisions(self):
-        return {
-            self.site.status(address)['revision']
-            for address in self.site.addresses
-        }
 
-    def _wait_for_revision(self, revision):
-        harness.wait_for(
-            lambda: self._revisions() == {revision}, f'revision {revision}'
+def _apply_in(outage):
+    site = harness.Deployment(INSTANCES)
+    try:
+        site.admin('key_value', 'faults', OUTAGES[outage])
+        reply = site.apply(site.changed(), BASE)
+        statuses = [
+            site.call(number, 'look-up', f'r{number}').status
+            for number in range(INSTANCES)
+        ]
+        site.admin('key_value', 'faults', ALL_WELL)
+        time.sleep(SETTLE_SECONDS)
+        (revision,) = harness.wait_for(
+            lambda: len(site.revisions()) == 1 and site.revisions(),
+            'instances agree',
         )
+        return End(reply, statuses, revision)
+    finally:
+        site.close()
