--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/plan.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/plan.py
@@ -67,6 +67,9 @@
 
     def __init__(self, work: StepWork, finish_tag: float) -> None:
         self.work = work
+        # Adding up the groups at each decision would cost more the larger
+        # the step.
+        self.size = work.request.size
         # Steps are served in the order of their virtual finish.
         self.finish_tag = finish_tag
         self.attempts_by_place: dict[Place, list[Attempt]] = {}
--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/scheduler.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/scheduler.py
@@ -30,6 +30,9 @@
 DEFAULT_SLOTS = 16
 # A place that fails so often without a token is given up.
 MAX_FAILURES = 8
+# Looked at with every event, the last samples of a large step would cost
+# more than all its other decisions.
+HEDGE_SECONDS = 0.5
 RATE_WEIGHT = 0.02
 # Below this part of the mean rate an attempt has fallen behind.
 SLOW_PART = 0.5
@@ -52,6 +55,8 @@
         self.newest = WeightVersion(0)
         self.plans: list[StepPlan] = []
         self.last_tag = 0.0
+        # When its last samples are next looked at.
+        self.hedge_due = 0.0
 
 
 class Scheduler:
@@ -206,7 +211,7 @@
         startable.sort(key=lambda entry: entry[0])
         started: list[Attempt] = []
         for tag, ahead, lane, plan in startable:
-            size = plan.work.request.size / lane.trainer.share
+            size = plan.size / lane.trainer.share
             while pool.has_free and plan.has_waiting:
                 attempt = self._start_waiting(lane, plan, ahead, pool, now)
                 if attempt is None:
@@ -276,8 +281,11 @@
     ) -> list[Attempt]:
         policy = lane.trainer.policy
         started: list[Attempt] = []
+        if now < lane.hedge_due:
+            return started
+        lane.hedge_due = now + HEDGE_SECONDS
         for plan in lane.plans[:1]:
-            few = max(1, policy.hedge_part * plan.work.request.size)
+            few = max(1, policy.hedge_part * plan.size)
             if plan.has_waiting or len(plan.unfilled) > few:
                 continue
             for attempts in list(plan.attempts_by_place.values()):
