Read sessions seldom unless something points to a loss

Two instances read each session at every renewal period, and each holder read its own besides: six idle processes made 9 reads a second and the slope over 6 to 48 was 1.13 reads an instance. Reads told nothing while renewals came.

The holder no longer watches itself. The two watchers wait 2 and 4 periods, and read every period once a record stood still over a wait or the members miss the holder. The lease is 7.5 s with a renewal each 2.5 s.

A holder that lost its session reads the table once: what was told while it was stopped may never come, and it would ask for nothing. The paused-holder test found this.

--- a/packages/yuccarill-core/src/yuccarill/core/leases/keeper.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/keeper.py
@@ -126,7 +126,13 @@
         """Take the outcome of a call, once."""
         match operation.step:
             case Step.READ_OWN | Step.OPEN | Step.RENEW | Step.CLOSE:
+                session = self._own.id
                 self._own.complete(operation, outcome, now)
+                if session is not None and self._own.id != session:
+                    # Its shards are at others; what was told while this
+                    # process was stopped or cut off may never come.
+                    self._is_stale_view = True
+                    self._tables.request_read()
             case Step.READ_TABLE | Step.TAKE | Step.GIVE | Step.FREE:
                 if self._tables.complete(operation, outcome, now):
                     self._is_stale_view = True
@@ -227,16 +233,22 @@
             self._demand.update(self._tables.table, ended, now)
         self._is_stale_view = False
 
-    def _watched(self) -> list[Holder]:
-        return [
-            holder
-            for holder in sorted(
-                self._tables.table.holders(), key=lambda h: h.session
-            )
-            if holder.instance == self._me
-            or self._me
-            in self._placing.watchers(holder, self._policy.watchers)
-        ]
+    def _watched(self) -> dict[Holder, float]:
+        holders = sorted(self._tables.table.holders(), key=lambda h: h.session)
+        paces = {holder: self._pace(holder) for holder in holders}
+        return {h: pace for h, pace in paces.items() if pace is not None}
+
+    def _pace(self, holder: Holder) -> float | None:
+        if holder.instance == self._me:
+            return None if holder.session == self._own.id else 1.0
+        paces = self._policy.watch_paces
+        watchers = self._placing.watchers(holder, len(paces))
+        if self._me not in watchers:
+            return None
+        # Members that miss a holder prove nothing, but are reason to look.
+        if not self._placing.is_live(holder.instance):
+            return 1.0
+        return paces[watchers.index(self._me)]
 
     def _change(self, now: Instant) -> operations.Operation | None:
         if not self._tables.can_change(now):
--- a/packages/yuccarill-core/src/yuccarill/core/leases/policy.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/policy.py
@@ -12,8 +12,8 @@
     """
 
     # From sending a renewal until a successor may revoke the session.
-    time_to_live: float = 6.0
-    renewal_period: float = 2.0
+    time_to_live: float = 7.5
+    renewal_period: float = 2.5
     # A holder stops this much early and a successor waits this much on
     # top, for clocks that run at different speeds.
     drift_margin: float = 0.5
@@ -24,8 +24,9 @@
     # For how long a session without shards is kept.
     idle_time: float = 10.0
     retry_delay: float = 0.25
-    # Instances that watch each session.
-    watchers: int = 2
+    # For each of the instances that watch a session: how many renewal
+    # periods it waits between reads while nothing points to a loss.
+    watch_paces: tuple[float, ...] = (2.0, 4.0)
 
     @property
     def usable_time(self) -> float:
--- a/packages/yuccarill-core/src/yuccarill/core/leases/staleness.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/staleness.py
@@ -18,6 +18,7 @@
         self._version = 0
         self._since: Instant | None = None
         self._last = Instant(0.0)
+        self._is_unchanged = False
 
     def observe(self, version: int, now: Instant) -> None:
         """Take the version that a read found, when its reply came."""
@@ -25,7 +26,9 @@
         # could renew. Counting across it would revoke all sessions at once
         # as soon as the store answers; only a time of good reads counts.
         has_gap = now - self._last > self._policy.time_to_live
-        if self._since is None or version != self._version or has_gap:
+        self._is_unchanged = self._since is not None
+        self._is_unchanged = self._is_unchanged and version == self._version
+        if not self._is_unchanged or has_gap:
             self._since = now
         self._version = version
         self._last = now
@@ -33,6 +36,7 @@
     def fail(self) -> None:
         """Start over since a read failed."""
         self._since = None
+        self._is_unchanged = False
 
     def is_stale(self) -> bool:
         """Tell whether the session may be revoked at the version read."""
@@ -42,9 +46,12 @@
         revocable_at = self._revocable_at()
         return revocable_at is not None and self._last >= revocable_at
 
-    def next_read(self, now: Instant) -> Instant:
-        """Return when to read again."""
-        regular = Instant(now + self._policy.renewal_period)
+    def next_read(self, now: Instant, pace: float = 1.0) -> Instant:
+        """Return when to read again; the pace counts renewal periods."""
+        # A record that did not change over a whole wait missed a renewal.
+        if self._is_unchanged:
+            pace = 1.0
+        regular = Instant(now + pace * self._policy.renewal_period)
         revocable_at = self._revocable_at()
         if revocable_at is None or revocable_at <= now:
             return regular
--- a/packages/yuccarill-core/src/yuccarill/core/leases/table_keeper.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/table_keeper.py
@@ -50,6 +50,10 @@
         """Take a table that a peer passed on, if it is newer."""
         return self._take(version, table_module.decode(version, data))
 
+    def request_read(self) -> None:
+        """Read the table with the next call."""
+        self._needs_read = True
+
     def read(self, now: Instant) -> operations.Operation | None:
         """Return the read that is due."""
         if not self._needs_read or not self._lane.is_free(now):
--- a/packages/yuccarill-core/src/yuccarill/core/leases/watching.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/watching.py
@@ -12,8 +12,8 @@
 from yuccarill.core.leases import staleness
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from yuccarill.core.ids import SessionId
     from yuccarill.core.leases.policy import LeasePolicy
@@ -33,12 +33,19 @@
         self._session = holder.session
         self._key = session_module.session_key(holder.instance)
         self._policy = policy
+        self._pace = 1.0
         self._lane = operations.Lane(numbers)
         self._staleness = staleness.Staleness(policy)
         self._version = 0
         self._record: SessionRecord | None = None
         self.has_ended = False
 
+    def set_pace(self, pace: float) -> None:
+        """Set how many renewal periods to wait between reads."""
+        if pace < self._pace:
+            self._lane.not_before = Instant(float('-inf'))
+        self._pace = pace
+
     def next_operation(self, now: Instant) -> operations.Operation | None:
         """Return the call that is due."""
         if self.has_ended or not self._lane.is_free(now):
@@ -77,7 +84,9 @@
                 self._version = version
                 self._record = session_module.decode(version, value)
                 self._staleness.observe(version, now)
-                self._lane.not_before = self._staleness.next_read(now)
+                self._lane.not_before = self._staleness.next_read(
+                    now, self._pace
+                )
                 if self._staleness.is_stale():
                     self._lane.not_before = now
                 self.has_ended = session_module.has_ended(
@@ -100,16 +109,18 @@
         self._numbers = numbers
         self._watches_by_holder: dict[Holder, SessionWatch] = {}
 
-    def set_watched(self, holders: Iterable[Holder]) -> None:
-        """Watch these holders and no others."""
+    def set_watched(self, paces_by_holder: Mapping[Holder, float]) -> None:
+        """Watch these holders and no others, each at its pace."""
         # A read that was sent before the session stood in the table could
         # show the one before it and pass for proof of its end, so each
         # session gets a watch of its own with reads of its own.
         self._watches_by_holder = {
             holder: self._watches_by_holder.get(holder)
             or SessionWatch(holder, self._policy, self._numbers)
-            for holder in holders
+            for holder in paces_by_holder
         }
+        for holder, pace in paces_by_holder.items():
+            self._watches_by_holder[holder].set_pace(pace)
 
     def ended(self) -> set[SessionId]:
         """Return the watched sessions that have ended for good."""
