--- a/tools/measure_process.py
+++ b/tools/measure_process.py
@@ -60,7 +60,7 @@
         control_fleet.until(lambda: ready.exists() and ready.stat().st_size)
         inventory = json.loads((self._folder / 'inventory.json').read_text())
         self._list_instance()
-        self.instance = self._spawn(*self._words())
+        self.instance = self._spawn(*self._words('entry-1', *self._ports[:2]))
         control_fleet.until(self._answers)
         control_fleet.send(
             'PUT',
@@ -74,6 +74,10 @@
             inventory['targets'][0]['address'],
         )
         control_fleet.until(lambda: _listens(self.relay_port))
+        # A port that was free may be taken by another program by now, which
+        # would then be measured.
+        if any(process.poll() is not None for process in self._processes):
+            raise SystemExit('A process ended at its start; run it again.')
 
     def stop(self) -> None:
         """End every process that was started."""
@@ -85,7 +89,7 @@
         """Start another instance and return when it answered."""
         ports = control_fleet.free_ports(2)
         begun_at = time.monotonic()
-        process = self._spawn(*self._words(*ports))
+        process = self._spawn(*self._words('entry-2', *ports))
         control_fleet.until(lambda: _listens(ports[0]))
         seconds = time.monotonic() - begun_at
         process.kill()
@@ -109,15 +113,13 @@
             },
         )
 
-    def _words(
-        self, http_port: int | None = None, peer_port: int | None = None
-    ) -> list[str]:
+    def _words(self, name: str, http_port: int, peer_port: int) -> list[str]:
         flags = {
-            'instance': 'entry-1',
+            'instance': name,
             'data-centre': 'freising',
             'host': '127.0.0.1',
-            'http-port': http_port or self._ports[0],
-            'peer-port': peer_port or self._ports[1],
+            'http-port': http_port,
+            'peer-port': peer_port,
             'key-value': self._platform['key_value'],
             'instance-list': self._platform['instance_list'],
             'weight-store': self._platform['weight_store'],
