--- a/tools/configuration_fleet.py
+++ b/tools/configuration_fleet.py
@@ -14,6 +14,7 @@
 from twisted.internet import task
 
 from yuccarill.core.blackboard import Blackboard
+from yuccarill.core import errors
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.membership.instances import Instance
@@ -33,6 +34,8 @@
 REGION_SECONDS = 0.0005
 FAR_SECONDS = 0.08
 STORE_SECONDS = 0.002
+# Until a call over a cut is given up.
+CUT_SECONDS = 2.0
 
 
 class SimulatedClock:
@@ -84,6 +87,7 @@
         self._store = store
         self._clock = clock
         self._far = far
+        self.is_cut = False
 
     def __getattr__(self, name: str) -> Any:
         method = getattr(self._store, name)
@@ -96,8 +100,11 @@
 
         return call
 
-    def _travel(self) -> defer.Deferred[None]:
-        return task.deferLater(self._clock, self._far, lambda: None)
+    async def _travel(self) -> None:
+        await task.deferLater(self._clock, self._far, lambda: None)
+        if self.is_cut:
+            await task.deferLater(self._clock, CUT_SECONDS, lambda: None)
+            raise errors.StoreUnavailable('cut off')
 
 
 class Fleet:
@@ -123,6 +130,7 @@
         self.controllers: dict[
             InstanceId, configuration.ConfigurationController
         ] = {}
+        self._stores: dict[InstanceId, FarStore] = {}
         self._following: dict[InstanceId, list[defer.Deferred[Any]]] = {}
         for instance in self.instances:
             self.start(instance)
@@ -162,6 +170,7 @@
         self.network.handlers_by_id[me.id] = handle
         self.boards[me.id] = board
         self.controllers[me.id] = controller
+        self._stores[me.id] = store
         self._following[me.id] = [
             defer.ensureDeferred(part.follow()).addErrback(lambda _: None)
             for part in (controller, spread)
@@ -178,6 +187,21 @@
             following.cancel()
         del self.boards[me.id]
 
+    def cut_region(self, region: int) -> None:
+        """Cut a region off from the others and from the store."""
+        inside = {i.id for i in self.instances if _region(i) == region}
+        outside = {i.id for i in self.instances} - inside
+        self.network.silent = set(itertools.product(inside, outside))
+        self.network.silent |= set(itertools.product(outside, inside))
+        for cut in inside:
+            self._stores[cut].is_cut = True
+
+    def heal(self) -> None:
+        """End every cut."""
+        self.network.silent = set()
+        for store in self._stores.values():
+            store.is_cut = False
+
     def apply(self, at: Instance, base: int, document: Any) -> list[Any]:
         """Apply a document; the time of acceptance is listed."""
         accepted: list[Any] = []
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -34,6 +34,7 @@
 DAY_SECONDS = 86400
 IDLE_SECONDS = 20.0
 PAUSE_SECONDS = 4.0
+CUT_REGION = 4
 CALLS_SECONDS = 60.0
 CALLS_CHANGES = 32
 CALLS_PAUSE_SECONDS = 2.0
@@ -118,7 +119,8 @@
     _print('processor idle, of a core', f'{idle_processor / count:.4%}')
     _print('processor a change', f'{processor * 1000:.2f} ms')
     _print('processor at 6,000 a day, of a core', f'{share:.4%}')
-    _measure_losses(fleet, source, revision, changes, killed)
+    _measure_cut(fleet, source, revision, changes)
+    _measure_losses(fleet, source, revision + changes, changes, killed)
 
 
 def _idle(fleet: Fleet) -> tuple[dict[InstanceId, float], float]:
@@ -131,6 +133,22 @@
     return rates, used / IDLE_SECONDS
 
 
+def _measure_cut(
+    fleet: Fleet, source: Any, revision: int, changes: int
+) -> None:
+    fleet.cut_region(CUT_REGION)
+    for base in range(revision, revision + changes):
+        fleet.apply(fleet.instances[0], base, next(source))
+        fleet.clock.run(PAUSE_SECONDS)
+    reads = fleet.store.calls_by_kind['read']
+    fleet.heal()
+    took = fleet.in_force_after(revision + changes, 30.0)
+    reads = fleet.store.calls_by_kind['read'] - reads
+    _print(f'region cut off for {changes} changes, then', f'{took:.2f} s')
+    _print('reads of the store then', f'{reads}')
+    fleet.clock.run(PAUSE_SECONDS)
+
+
 def _measure_losses(
     fleet: Fleet, source: Any, revision: int, runs: int, killed: int
 ) -> None:
