Refuse waiting calls after a second signal and build the live list once a change

Cause: since calls queue, those that wait at a second SIGTERM would have been cut with the connection, and their callers could not know that they had not run. MembershipController.live() built an object a member each time it was asked, several times a second.

Streams are closed after what was written is sent.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -69,7 +69,7 @@
         chosen = address_choice.choose(
             self._membership.live(),
             # Callers that give no name are rotated by their tickets.
-            replies.argument(request, 'caller') or ticket,
+            _caller(request) or ticket,
             DataCentreId(replies.argument(request, 'data_centre')),
         )
         answer = Addresses(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/calls.py
@@ -84,6 +84,10 @@
         """Issue a ticket of this incarnation."""
         return self._once.new_ticket()
 
+    def refuse_waiting(self) -> None:
+        """Refuse the calls of which no byte was sent to a target."""
+        self._lines.refuse_waiting()
+
     async def run(self, call: Call) -> Answer:
         """Run a call, whose path was checked, and return its answer."""
         self._active += 1
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/lines.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/lines.py
@@ -70,6 +70,7 @@
         self._clock = clock
         self._is_admitting = False
         self._snapshot: Snapshot | None = None
+        self._waiting: set[admission.Waiting[defer.Deferred[None]]] = set()
         self._targets_by_id: dict[TargetId, Engine | Target] = {}
         self.dispatcher = dispatcher.Dispatcher[defer.Deferred[None]](
             policy, random.Random()
@@ -91,6 +92,7 @@
             entry.is_kept,
         )
         begun_at = self._now()
+        self._waiting.add(waiting)
         for refused in self.dispatcher.offer(waiting, begun_at):
             self._refuse(refused)
         self._admit()
@@ -104,6 +106,7 @@
         finally:
             # A caller that went away must not be admitted later: nobody
             # would free its place.
+            self._waiting.discard(waiting)
             self.dispatcher.withdraw(waiting)
             if timer is not None and timer.active():
                 timer.cancel()
@@ -114,6 +117,12 @@
         self.dispatcher.finish()
         self._admit()
 
+    def refuse_waiting(self) -> None:
+        """Refuse the calls that wait, as this instance ends."""
+        for waiting in list(self._waiting):
+            if waiting.is_queued and not waiting.is_kept:
+                self._give_up(waiting)
+
     def choose(
         self,
         tried: frozenset[TargetId],
@@ -245,6 +254,12 @@
             )
         return self._lines_by_model[name]
 
+    def refuse_waiting(self) -> None:
+        """Refuse all calls that wait."""
+        for lines_by_name in (self._lines_by_service, self._lines_by_model):
+            for line in lines_by_name.values():
+                line.refuse_waiting()
+
     def caller(self, caller: CallerId | None) -> Caller:
         """Return what the inventory says of a caller."""
         callers_by_id = self._snapshot().callers_by_id
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/membership.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/membership.py
@@ -60,6 +60,8 @@
         self._read_at = Instant(clock.seconds())
         self._was_reader = False
         self._ranked_changes = 0
+        self._live_changes = 0
+        self._live: list[Instance] = []
         self._is_reading = False
         self._is_list_down = False
         self._shown_changes = 0
@@ -80,8 +82,16 @@
         self._show()
 
     def live(self) -> list[Instance]:
-        """Return the instances that may be given new work."""
-        return [member.as_instance() for member in self._view.live()]
+        """Return the instances that may be given new work.
+
+        The same list as long as nothing changes; not to be altered.
+        """
+        # Others ask several times a second, and each time would build an
+        # object for each member.
+        if self._live_changes != self._view.changes:
+            self._live_changes = self._view.changes
+            self._live = [m.as_instance() for m in self._view.live()]
+        return self._live
 
     def answer_valid_until(self, validity: float) -> WallTime:
         """Return until when callers may keep an answer given now."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/shutdown.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/shutdown.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.daemon.api.draining import DrainingSite
+    from yuccarill.daemon.controllers.calls import CallController
     from yuccarill.daemon.controllers.leases import LeaseController
     from yuccarill.daemon.controllers.membership import MembershipController
     from yuccarill.daemon.peers.peers import Peers
@@ -37,6 +38,7 @@
         policy: shutdown.StopPolicy,
         membership: MembershipController,
         leases: LeaseController,
+        calls: CallController,
         rollouts: RolloutParts,
         peers: Peers,
         site: DrainingSite,
@@ -46,6 +48,7 @@
         self._policy = policy
         self._membership = membership
         self._leases = leases
+        self._calls = calls
         self._rollouts = rollouts
         self._peers = peers
         self._site = site
@@ -60,6 +63,7 @@
             log.warning('Second signal; ending soon.')
             self._shutdown.hurry(self._now())
             self._site.is_refusing = True
+            self._calls.refuse_waiting()
             return self._shutdown.outcome
         walk = shutdown.Shutdown(self._policy, self._now())
         self._shutdown = walk
@@ -101,6 +105,7 @@
         until = self._now() + CLOSE_SECONDS
         while self._site.open_connections and self._now() < until:
             await self._pause()
+        await self._peers.close()
 
     def _handed_over(self, _: object) -> None:
         self._is_handed_over = True
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/instance.py
@@ -176,6 +176,7 @@
             ),
             self._membership,
             self._leases,
+            self._calls,
             self._rollouts,
             self._peers,
             self._site,
@@ -185,8 +186,7 @@
     async def start(self) -> None:
         """Begin to serve."""
         settings = self._settings
-        listening = await self._peers.listen(settings.host, settings.peer_port)
-        self._shutdown.ports.append(listening)
+        await self._peers.listen(settings.host, settings.peer_port)
         for following in (
             self._configuration,
             self._membership,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/peers.py
@@ -58,6 +58,7 @@
         self._dial = dial or _dial
         self._jitter = random.Random(incarnation)
         self._links_by_id: dict[InstanceId, link.PeerLink] = {}
+        self._port: Any = None
         self._checked_at = Instant(clock.seconds())
         self._checking = task.LoopingCall(self.check)
         self._checking.clock = clock
@@ -79,7 +80,18 @@
         factory = protocol.Factory.forProtocol(self.accept)
         endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=host)
         self._checking.start(CHECK_SECONDS, now=False)
-        return await endpoint.listen(factory)
+        self._port = await endpoint.listen(factory)
+        return self._port
+
+    async def close(self) -> None:
+        """Take no more streams and end those that are open."""
+        if self._checking.running:
+            self._checking.stop()
+        if self._port is not None:
+            await defer.maybeDeferred(self._port.stopListening)
+        for each in list(self._local.streams):
+            # What was written is sent first.
+            each.transport.loseConnection()
 
     def accept(self) -> stream.PeerStream | None:
         """Return the protocol of an incoming stream, or none to refuse."""
--- a/packages/yuccarill-daemon/tests/controllers/test_attempts.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_attempts.py
@@ -141,6 +141,18 @@
         self.send()
         self.end()
 
+    def test_ending_instance_refuses_what_waits(self) -> None:
+        # The operator sends a second SIGTERM. The call at the target may
+        # still be answered; those behind it are told that they did not
+        # run, and are not sent when their turn would come.
+        running = self.send()
+        waiting = [self.send(), self.send()]
+        self.world.calls[HOME].refuse_waiting()
+        self.assertEqual([True, True], [w.error.not_run for w in waiting])
+        self.end()
+        self.assertIsNotNone(running.answer)
+        self.assertEqual(1, len(self.world.reactor.connecting))
+
     def test_long_queue_of_refused_calls_ends(self) -> None:
         # Each call ends at once, which lets the next one in. That must
         # not nest with the length of the queue.
--- a/packages/yuccarill-daemon/tests/controllers/test_membership.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_membership.py
@@ -202,6 +202,15 @@
         fleet.pass_time(1.1)
         self.assertEqual(news, view.members_by_id['i1'])
 
+    def test_live_is_built_anew_only_on_a_change(self) -> None:
+        controller = self.fleet.processes_by_id['i0'].controller
+        first = controller.live()
+        self.fleet.pass_time(3.0)
+        self.assertIs(first, controller.live())
+        self.fleet.processes_by_id[TARGET].controller.leave()
+        self.fleet.pass_time(2.0)
+        self.assertIsNot(first, controller.live())
+
     def test_pair_of_instances(self) -> None:
         fleet = memory_fleet.Fleet(2)
         fleet.pass_time(3.0)
--- a/packages/yuccarill-daemon/tests/controllers/test_shutdown.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_shutdown.py
@@ -33,8 +33,9 @@
             POLICY,
             self.calls,
             self.calls,
+            self.calls,
             mock.Mock(active=0, busy_duties=lambda: self.busy),
-            mock.Mock(in_hand=0),
+            mock.Mock(in_hand=0, close=mock.AsyncMock()),
             self.site,
             self.clock,
         )
@@ -102,6 +103,7 @@
         self.pass_time(2.0)
         self.stop()
         self.assertTrue(self.site.is_refusing)
+        self.assertEqual(1, self.called().count('refuse_waiting'))
         self.pass_time(1.2)
         self.assertEqual([steps.StopOutcome.CUT], outcome)
         self.assertEqual(1, self.called().count('leave'))
--- a/packages/yuccarill-daemon/tests/peers/memory.py
+++ b/packages/yuccarill-daemon/tests/peers/memory.py
@@ -136,13 +136,13 @@
         return defer.succeed(protocol)
 
 
-def instance(name: str, host: str = '') -> Instance:
+def instance(name: str, host: str = '', port: int = 2) -> Instance:
     return Instance(
         id=InstanceId(name),
         data_centre=DataCentreId('a'),
         host=host or name,
         http_port=1,
-        peer_port=2,
+        peer_port=port,
     )
 
 
