--- a/packages/yuccarill-core/tests/leases/test_keeper.py
+++ b/packages/yuccarill-core/tests/leases/test_keeper.py
@@ -7,6 +7,7 @@
 from nose2.tools import params
 
 from leases import world
+from yuccarill.core.ids import Instant
 from yuccarill.core.ids import SessionId
 from yuccarill.core.leases.operations import Step
 from yuccarill.core.leases.policy import LeasePolicy
@@ -83,13 +84,16 @@
 
     def test_restart_waits_for_a_stopped_twin(self) -> None:
         # The platform starts an instance anew while its first process is
-        # only stopped. It wakes within its lease and acts, rightly.
+        # only stopped. It wakes within its lease and acts, rightly, while
+        # the new one has been invited to hold shards.
         made = settled()
-        made.manner = lambda node, operation: world.Manner(delay=1.0)
         twin = made.nodes_by_name['d']
+        made.manner = lambda node, operation: world.Manner(
+            delay=1.5 if node is twin else 0.0
+        )
         made.nodes_by_name['twin'] = twin
         twin.is_paused = True
-        made.start('d')
+        made.start('d').keeper.want_session(Instant(float('inf')))
         made.run(3)
         twin.is_paused = False
         made.run(1)
