Let engines, scorers and the trainer's instance fail in the demonstration

The demonstration killed an instance by its number, whatever it did, and its engines and scorers never failed. It now kills the instance that works on the trainer's steps, as the store's lease table names it, and lets engines fail swaps, break off answers and crash, and scorers fail, answer twice and for another sample. The time until a change is in force is counted from the start of the operator's command; counted from its end it showed 0.00 s, since the instances were faster than the command's own exit.

--- a/packages/yuccarill-standins/src/yuccarill/standins/demo/faults.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/faults.py
@@ -15,19 +15,20 @@
 from twisted.internet import utils
 
 from yuccarill.standins import client
+from yuccarill.standins.demo import duties
 from yuccarill.standins.demo import places as places_module
 from yuccarill.standins import server
 
 if TYPE_CHECKING:
     from yuccarill.standins.demo.places import Places
 
-KILLED = 1
-STOPPED = 2
+CRASHED_SECONDS = 2.0
 # Seconds that the platform takes to notice a change of an instance.
 PLATFORM_LAG_SECONDS = 2.0
 CLOSED_SECONDS = 1.5
 FROZEN_SECONDS = 2.0
 STOP_SECONDS = 30.0
+SCORER_FAULTS = {'fail_calls': 2, 'answer_twice': 2, 'answer_another': 2}
 
 
 class FaultRecords(msgspec.Struct):
@@ -40,6 +41,8 @@
     exited_at: float = 0.0
     removed: list[str] = []
     removed_address: list[str] = []
+    # Between these two the command that applied the change ran.
+    apply_begun_at: float = 0.0
     accepted_at: float = 0.0
     revision: int = 0
 
@@ -50,6 +53,7 @@
     def __init__(self, places: Places) -> None:
         self._places = places
         self.records = FaultRecords()
+        self._left = list(places.instances)
 
     async def slow_engines(self, seconds: float) -> None:
         """Let each chunk of tokens take some seconds."""
@@ -72,11 +76,35 @@
         await server.sleep(FROZEN_SECONDS)
         await _order(target['address'], 'faults', {'is_frozen': False})
 
+    async def trouble_engines(self) -> None:
+        """Let engines and scorers fail in several ways."""
+        first, second, third, *_ = self._places.inventory['engines']
+        click.echo(
+            f'Engine {first["id"]} fails to swap weights, {second["id"]} '
+            f'breaks off answers, {third["id"]} crashes; scorers fail, answer '
+            'twice and for other samples.'
+        )
+        await _order(first['address'], 'faults', {'fail_swaps': 2})
+        await _order(second['address'], 'faults', {'cut_streams': 3})
+        for scorer in self._places.inventory['scorers']:
+            await _order(scorer['address'], 'faults', SCORER_FAULTS)
+        await _order(third['address'], 'faults', {'is_crashed': True})
+        await server.sleep(CRASHED_SECONDS)
+        await _order(third['address'], 'faults', {'is_crashed': False})
+
     async def kill_instance(self) -> None:
-        """Kill one instance, which the platform notices later."""
-        instance = self._places.instances[KILLED]
+        """Kill the trainer's instance, which the platform notices later."""
+        holder = await duties.trainer_holder(self._places)
+        instance = next(
+            (entry for entry in self._left if entry['id'] == holder),
+            self._left[0],
+        )
+        self._left.remove(instance)
         self.records.killed = instance['id']
-        click.echo(f'Instance {instance["id"]} is killed.')
+        click.echo(
+            f"Instance {instance['id']} is killed; the trainer's steps were "
+            f'worked on by {holder or "none"}.'
+        )
         self.records.killed_at = time.time()
         os.kill(self._places.pid(instance['id']), signal.SIGKILL)
         await server.sleep(PLATFORM_LAG_SECONDS)
@@ -84,7 +112,7 @@
 
     async def stop_instance(self) -> None:
         """Stop one instance in a planned way and wait for its end."""
-        instance = self._places.instances[STOPPED]
+        instance = self._left.pop()
         self.records.stopped = instance['id']
         (self._places.folder / 'stopped.txt').write_text(instance['id'])
         click.echo(f'Instance {instance["id"]} is stopped as planned.')
@@ -107,9 +135,10 @@
         click.echo(f'Targets {", ".join(names)} leave the inventory.')
         path = self._places.folder / 'inventory-2.json'
         path.write_text(json.dumps(inventory))
-        survivor = places_module.address_of(self._places.instances[0])
+        survivor = places_module.address_of(self._left[0])
         command = os.path.join(os.path.dirname(sys.executable), 'yuccarill')
         words = ['--address', survivor, 'apply', str(path), '--base', '1']
+        self.records.apply_begun_at = time.time()
         out, err, code = await utils.getProcessOutputAndValue(
             command, [*words, '--author', 'demo'], os.environ
         )
--- a/packages/yuccarill-standins/src/yuccarill/standins/demo/promises.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/promises.py
@@ -203,15 +203,15 @@
         gone = {faults.killed, faults.stopped}
         live = set(self._watch.revision_by_id) - gone
         seconds = self._watch.seconds_until(
-            faults.revision, faults.accepted_at, live
+            faults.revision, faults.apply_begun_at, live
         )
-        told = 'never' if seconds is None else f'{max(seconds, 0.0):.2f} s'
+        told = 'never' if seconds is None else f'{seconds:.2f} s'
         return Line(
             'An accepted configuration is in force and never reverts',
             seconds is not None
             and seconds <= IN_FORCE_SECONDS
             and not self._watch.reverts,
-            f'on all {len(live)} instances after {told}, '
+            f'on all {len(live)} instances {told} after the command began, '
             f'{self._watch.reverts} reverts in {self._watch.looks} looks',
         )
 
--- a/packages/yuccarill-standins/src/yuccarill/standins/demo/show.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/demo/show.py
@@ -37,6 +37,7 @@
     running = [defer.ensureDeferred(part.run()) for part in parts]
     click.echo('Callers call, a trainer trains, weights change within steps.')
     for fault in (
+        faults.trouble_engines,
         faults.freeze_target,
         faults.close_targets,
         faults.kill_instance,
@@ -53,7 +54,11 @@
     counted = promises.Promises(
         callers.records, trainer, faults.records, found, watch
     )
-    kept = {'callers': callers.records, 'steps': trainer.steps}
+    kept = {
+        'callers': callers.records,
+        'steps': trainer.steps,
+        'faults': faults.records,
+    }
     (places.folder / 'records.json').write_bytes(msgspec.json.encode(kept))
     _tell_idle(trainer)
     _close(list(counted.lines()), callers, trainer)
