--- a/packages/yuccarill-core/src/yuccarill/core/weights/record.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/record.py
@@ -132,10 +132,10 @@
         elif self.state is WeightState.FAILED:
             self._settle(True, now)
 
-    def drop_order(self, now: Instant) -> None:
+    def drop_order(self, now: Instant, retries: RetryPolicy) -> None:
         """Forget an order that can not have been sent."""
         if self.order is not None:
-            self.order = None
+            self._conclude(OrderOutcome.NOT_SENT, now, retries)
             self._settle(True, now)
 
     def forget(self) -> None:
--- a/packages/yuccarill-core/src/yuccarill/core/weights/rollout.py
+++ b/packages/yuccarill-core/src/yuccarill/core/weights/rollout.py
@@ -135,7 +135,7 @@
             record = self.records_by_id.get(order.target)
             if record is not None and record.order == order:
                 self._is_quiet = False
-                record.drop_order(now)
+                record.drop_order(now, self._retries)
 
     @property
     def is_active(self) -> bool:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/weights.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/weights.py
@@ -250,8 +250,6 @@
     async def _send(
         self, held: _Held, holder: Instance, orders: list[Order]
     ) -> None:
-        if self._leases.epoch_for(shards.model_duty(held.model)) != held.epoch:
-            return
         body = messages.WeightOrders(
             model=held.model, epoch=held.epoch, orders=tuple(orders)
         )
