Let callers go before samples, and spread samples by load

Cause: samples were sent without a priority, so engines served them like calls of riders who wait; an engine that let work queue got more all the same; and where few engines were free the first was filled to its last slot while others stood idle, so today's five engines were used one by one.

Change: samples carry a priority below all callers' calls. An engine that reports a queue gets no sample for 1 s. Of few free engines the least loaded is taken.

Changed test: test_announced_before_delivery waits 2.5 s before it fetches, since all three engines were seen with old weights now and are asked again after 2 s; what it asserts is the same.

--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/engines.py
@@ -86,7 +86,13 @@
             found = self._near(prefix, allows)
             if found is not None:
                 return found
-        return next((e for e in self._free if allows(e)), None)
+        # The least loaded: the first free one would be filled to its last
+        # slot while others stand idle.
+        return min(
+            (engine for engine in self._free if allows(engine)),
+            key=self._in_flight.__getitem__,
+            default=None,
+        )
 
     def start(self, engine: TargetId) -> None:
         """Count an attempt that is sent to an engine."""
@@ -113,6 +119,12 @@
         until = Instant(now + min(rest, MAX_REST_SECONDS))
         heapq.heappush(self._resting, (until, engine))
 
+    def pause(self, engine: TargetId, until: Instant) -> None:
+        """Send an engine nothing more for a time."""
+        if not self._is_resting(engine):
+            self._free.pop(engine, None)
+            heapq.heappush(self._resting, (until, engine))
+
     def praise(self, engine: TargetId) -> None:
         """Forget an engine's failures, since it works."""
         self._rests.pop(engine, None)
--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/scheduler.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/scheduler.py
@@ -36,6 +36,7 @@
 RATE_WEIGHT = 0.02
 # Below this part of the mean rate an attempt has fallen behind.
 SLOW_PART = 0.5
+CROWDED_SECONDS = 1.0
 # An engine that was seen with old weights is tried again after this time.
 KNOWN_OLD_SECONDS = 2.0
 
@@ -135,6 +136,14 @@
             if plan is not None and place not in plan.attempts_by_place:
                 plan.add(place)
 
+    def crowded(self, attempt: Attempt, now: Instant) -> None:
+        """Learn that an engine lets samples queue, whoever sent them."""
+        # Instances don't know of each other's samples. One that goes on
+        # sending would only move its queue to the engine, where a sample
+        # can't be given to an engine that gets free.
+        until = Instant(now + CROWDED_SECONDS)
+        self._pool_of(attempt).pause(attempt.engine, until)
+
     def progress(
         self,
         attempt: Attempt,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
@@ -24,6 +24,7 @@
     from collections.abc import Iterable
 
     from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.calls import load
     from yuccarill.core.config.inventory import Engine
     from yuccarill.core.config.inventory import Trainer
     from yuccarill.core.ids import GroupNumber
@@ -45,6 +46,8 @@
 
 # Of a whole generation; a stream without progress ends much earlier.
 SAMPLE_SECONDS = 600.0
+# Engines serve lower values first; all callers' calls go before samples.
+PRIORITY = 20
 # Engines that rest and attempts that grow old are looked at this often.
 PUMP_SECONDS = 0.25
 SCORE_TRIES = 8
@@ -193,8 +196,13 @@
             ):
                 self._clock.callLater(0, self.pump)
 
+        def note(report: load.LoadReport) -> None:
+            if report.queued:
+                self._scheduler.crowded(attempt, self._now())
+
         request = {
             'request_id': self._name(attempt),
+            'priority': PRIORITY,
             'prompt': asked.prompt,
             # The members of a group differ by their seed alone.
             'seed': place.member,
@@ -204,7 +212,7 @@
             ],
         }
         await self._engines.generate(
-            engine.address, request, SAMPLE_SECONDS, take
+            engine.address, request, SAMPLE_SECONDS, take, note
         )
         if not attempt.spans:
             raise errors.AnswerCut(f'Engine {engine.id} made no token.')
--- a/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_rollouts.py
@@ -6,12 +6,14 @@
 
 import msgspec
 from nose2.tools import params
+from twisted.internet import defer
 
 from yuccarill.core import errors
 from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import StepNumber
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.rollouts import records
+from yuccarill.daemon.controllers import lines
 
 from controllers import rollout_world
 from controllers.rollout_world import request
@@ -216,6 +218,32 @@
             self.world.run(self.first.submit(TRAINER, request()))
 
 
+class LoadTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = rollout_world.World()
+        self.holder = self.world.start('a')
+
+    def test_callers_go_before_samples(self) -> None:
+        # A rider's call that waits behind samples is answered late.
+        self.world.run(self.holder.submit(TRAINER, request()))
+        of_callers = lines._PRIORITIES.values()
+        self.assertGreater(min(self.world.fleet.priorities), max(of_callers))
+
+    def test_crowded_engines_get_fewer_samples(self) -> None:
+        # All three engines report that samples queue. What must be made
+        # anew waits here for a second, where any engine may take it.
+        self.world.fleet.queued = 1
+        self.world.run(self.holder.submit(TRAINER, request()))
+        self.world.fleet.version = WeightVersion(2)
+        told = self.holder.announce(TRAINER, WeightVersion(2))
+        defer.ensureDeferred(told)
+        work = self.holder._work_by_key[TRAINER, StepNumber(1)]
+        self.holder._renew(self.holder._trainer(TRAINER), work, 3)
+        self.assertEqual(4, self.world.fleet.made)
+        self.world.clock.pump([0.25] * 4)
+        self.assertEqual(8, self.world.fleet.made)
+
+
 class StalenessTest(unittest.TestCase):
     def setUp(self) -> None:
         self.world = rollout_world.World()
@@ -230,6 +258,8 @@
         self.world.run(self.holder.submit(TRAINER, request()))
         self.world.fleet.version = WeightVersion(3)
         self.world.run(self.holder.announce(TRAINER, WeightVersion(announced)))
+        # Engines that were seen with old weights are asked again after 2 s.
+        self.world.clock.pump([0.25] * 10)
         body = self.world.run(self.holder.fetch(TRAINER, STEP))
         self.assertEqual(oldest, rollout_world.oldest_of(body))
         self.assertEqual(made, self.world.fleet.made)
