Keep an unpacker only while a frame is unfinished

Cause: memory of an instance grew by 0.13 MB for each instance of the fleet (45.5 MB at 6, 51.4 at 48, 52.5 at 96 with up to 106 connections), which would pass 64 MB at 410. An unpacker takes 41 to 44 KB whatever its read size (tried: 512, 4,096 and 16,384 bytes), since its parse stack is part of it, and each stream held one.

Ruled out: a smaller read size (40.8 KB still), fewer streams (their number is bounded by probes, partners and trees already).

--- a/packages/yuccarill-wire/tests/test_frames.py
+++ b/packages/yuccarill-wire/tests/test_frames.py
@@ -33,6 +33,16 @@
             decoder = frames.Decoder()
             found = [*decoder.feed(data[:cut]), *decoder.feed(data[cut:])]
             self.assertEqual([ENVELOPE, ENVELOPE], found)
+            self.assertTrue(decoder.is_between_frames)
+
+    def test_keeps_a_buffer_only_within_a_frame(self) -> None:
+        # An instance holds a stream to each of a hundred peers; were each
+        # to keep its buffer of 40 KB, they alone would take 4 of 64 MB.
+        data = frames.encode(ENVELOPE)
+        for cut in range(1, len(data)):
+            decoder = frames.Decoder()
+            list(decoder.feed(data + data[:cut]))
+            self.assertFalse(decoder.is_between_frames)
 
     def test_refuses_an_over_long_frame(self) -> None:
         # A peer never ends its frame; without a bound this process would
