Forget a closed step in the scheduler

Cause: the scheduler remembers the step whose prompt an engine has cached, and with it the closed step's samples, up to 55 MB, until the engine gets another.

Change: closing a step forgets those. With the change taken out the new test fails.

--- a/packages/yuccarill-core/src/yuccarill/core/rollouts/scheduler.py
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/scheduler.py
@@ -115,6 +115,12 @@
         plan = self.plan_of(work)
         if plan is not None:
             self._lanes_by_trainer[work.trainer].plans.remove(plan)
+            # What engines have cached would keep the closed step's bytes.
+            self._warm_by_engine = {
+                engine: warm
+                for engine, warm in self._warm_by_engine.items()
+                if warm[0] is not plan
+            }
 
     def raise_newest(self, trainer: TrainerId, version: WeightVersion) -> None:
         """Take a trainer's newest version; cut off what is too old for it."""
--- a/packages/yuccarill-core/tests/rollouts/test_scheduler.py
+++ b/packages/yuccarill-core/tests/rollouts/test_scheduler.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import collections
+import gc
 import random
 import unittest
+import weakref
 
 import hypothesis
 from hypothesis import strategies
@@ -319,6 +321,19 @@
         self.assertEqual(first.place.group, following.place.group)
         self.assertEqual(first.engine, following.engine)
 
+    def test_closed_step_is_forgotten(self) -> None:
+        # A closed step may hold tens of megabytes of samples.
+        work = _work()
+        self.scheduler.open_step(_trainer(), work)
+        for attempt in self._orders().start:
+            self.scheduler.generated(attempt, START)
+        self.scheduler.close_step(work)
+        self._orders()
+        kept = weakref.ref(work)
+        del work, attempt
+        gc.collect()
+        self.assertIsNone(kept())
+
     def test_settled_step_is_cut_off(self) -> None:
         work = _work(groups=2, spare=1)
         self.scheduler.open_step(_trainer(), work)
