--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/leases.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/leases.py
@@ -80,6 +80,7 @@
         self._peers = peers
         self._clock = clock
         self._now = now
+        self._is_store_failing = False
         self._alone_until = Instant(now() + ALONE_SECONDS)
         # Duties whose shard stays while they are in the middle of work;
         # set by those who do the work. A graceful shutdown gives all.
@@ -172,6 +173,8 @@
     async def _run(self, operation: operations.Operation) -> None:
         version = self._keeper.table.version
         outcome = await self._call(operation)
+        if not isinstance(outcome, operations.Unknown):
+            self._is_store_failing = False
         self._keeper.complete(operation, outcome, self._now())
         if self._keeper.table.version > version:
             self._publish()
@@ -194,12 +197,20 @@
         except Exception as error:
             # A call that never completed would keep its lane for good, and
             # the session would lapse: any failure counts as not known.
+            self._note_failure(operation, error)
+            return operations.Unknown()
+
+    def _note_failure(
+        self, operation: operations.Operation, error: Exception
+    ) -> None:
+        # Calls are tried again several times a second in an outage.
+        if not self._is_store_failing:
             log.warning(
-                'Store call not known to have worked.',
+                'Store call not known to have worked; trying on.',
                 step=operation.step.value,
                 cause=str(error),
             )
-            return operations.Unknown()
+        self._is_store_failing = True
 
     async def _ask(self, ask: keeper_module.Ask) -> None:
         holder = self._blackboard.instances_by_id.get(ask.holder)
