Take the limits of calls to the measured goals and split the pool

Cause: a target that once had a short call drew the next ones until its next answer; calls were given up in the queue by the lowest latency ever seen, so that some were let in with too little time left; trainers' samples have their own way to engines since they are scheduled, and their queue among callers' calls had become dead code.

Change: a target is only counted slower than usual, never faster; the usual latency decides what would be late. The pool's view of one target is a module of its own; the old router and the queue for samples are gone.

test_avoids_a_slow_target now feeds answers in the order in which a slow and a fast target give them; its assertion is the same. It fails with the slowness taken out.

--- a/packages/yuccarill-core/src/yuccarill/core/calls/admission.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/admission.py
@@ -40,8 +40,6 @@
     caller_class: CallerClass
     share: int
     deadline: Instant
-    # Made here, bounded by those who make it, and never refused.
-    is_kept: bool = False
     is_queued: bool = False
 
 
@@ -115,7 +113,6 @@
     def __init__(self, policy: AdmissionPolicy) -> None:
         self._policy = policy
         self._queues = {c: _ClassQueue[T]() for c in _ORDER}
-        self._kept = _ClassQueue[T]()
         self._turns = itertools.count(1)
         self._gap = 0.0
         self._admitted_at: Instant | None = None
@@ -123,8 +120,7 @@
 
     @property
     def queued(self) -> int:
-        waiting = sum(queue.count for queue in self._queues.values())
-        return waiting + self._kept.count
+        return sum(queue.count for queue in self._queues.values())
 
     def queued_of(self, caller_class: CallerClass) -> int:
         """Count the calls of a class that wait."""
@@ -141,10 +137,6 @@
 
         The refused one may be the call itself.
         """
-        if waiting.is_kept:
-            waiting.is_queued = True
-            self._kept.push(waiting)
-            return []
         latency = latency or self._policy.latency
         if self.in_flight >= limit * self._headroom(waiting.caller_class):
             wait = self.expected_wait(waiting.caller_class)
@@ -154,7 +146,7 @@
                 return [waiting]
         waiting.is_queued = True
         self._queues[waiting.caller_class].push(waiting)
-        if self.queued - self._kept.count <= self._policy.queued:
+        if self.queued <= self._policy.queued:
             return []
         for caller_class in reversed(_ORDER):
             shed = self._queues[caller_class].shed()
@@ -188,7 +180,7 @@
         """Take back a call that no longer waits."""
         if waiting.is_queued:
             waiting.is_queued = False
-            self._queue_of(waiting).count -= 1
+            self._queues[waiting.caller_class].count -= 1
 
     def expected_wait(self, caller_class: CallerClass) -> float:
         """Return the seconds that a new call of a class would wait."""
@@ -200,11 +192,6 @@
             gap *= 1.0 + 1.0 / self._policy.internal_turn
         return ahead * gap
 
-    def _queue_of(self, waiting: Waiting[T]) -> _ClassQueue[T]:
-        if waiting.is_kept:
-            return self._kept
-        return self._queues[waiting.caller_class]
-
     def _headroom(self, caller_class: CallerClass) -> float:
         # An instance whose limit came out low by chance would let riders
         # wait while others send calls that may wait. What its latency
@@ -220,17 +207,10 @@
             if self.in_flight < limit * self._policy.headroom:
                 return latency.pop()
             return None
-        turn = next(self._turns)
-        if turn % self._policy.internal_turn == 0:
-            return self._next_later(turn) or latency.pop()
-        return latency.pop() or self._next_later(turn)
-
-    def _next_later(self, turn: int) -> Waiting[T] | None:
-        """Take turns between internal callers and what is made here."""
         internal = self._queues[CallerClass.INTERNAL]
-        if turn % 2:
-            return self._kept.pop() or internal.pop()
-        return internal.pop() or self._kept.pop()
+        if next(self._turns) % self._policy.internal_turn == 0:
+            return internal.pop() or latency.pop()
+        return latency.pop() or internal.pop()
 
     def _note_gap(self, now: Instant) -> None:
         """Measure the seconds between admissions."""
--- a/packages/yuccarill-core/src/yuccarill/core/calls/dispatcher.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/dispatcher.py
@@ -56,12 +56,17 @@
     def queued(self) -> int:
         return self._admission.queued
 
+    @property
+    def expected(self) -> float:
+        """Return the seconds that a call needs, 0 if it is not known."""
+        return self.pool.latency
+
     def offer(
         self, waiting: admission.Waiting[T], now: Instant
     ) -> list[admission.Waiting[T]]:
         """Take a call; return the calls that are refused for it."""
         return self._admission.offer(
-            waiting, self.limit.value, self.limit.unloaded, now
+            waiting, self.limit.value, self.expected, now
         )
 
     def admit(
@@ -69,7 +74,7 @@
     ) -> tuple[list[admission.Waiting[T]], list[admission.Waiting[T]]]:
         """Return the calls that go on now, and those given up."""
         admitted, given_up = self._admission.admit(
-            self.limit.value, self.limit.unloaded, now
+            self.limit.value, self.expected, now
         )
         for _ in admitted:
             self.retries.deposit()
--- a/packages/yuccarill-core/src/yuccarill/core/calls/pool.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/pool.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from yuccarill.core.calls.load import TargetLoad
+from yuccarill.core.calls import member as member_module
+from yuccarill.core.calls.member import Member
 from yuccarill.core.calls import prefixes
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Instant
@@ -62,35 +63,7 @@
 # Light targets that are kept for urgent calls, and that one looks at.
 _RESERVED = 4
 _URGENT_LOOKS = 8
-_LATENCY_PART = 0.2
 _LOAD_PART = 0.02
-_MIN_SLOWNESS = 0.5
-_MAX_SLOWNESS = 20.0
-
-
-class _Member:
-    __slots__ = (
-        'ejections',
-        'group',
-        'id',
-        'latency',
-        'load',
-        'penalty',
-        'position',
-        'started_at',
-        'weight',
-    )
-
-    def __init__(self, target: TargetId, penalty: float) -> None:
-        self.id = target
-        self.penalty = penalty
-        self.load = TargetLoad()
-        self.latency = 0.0
-        self.weight = 0
-        self.ejections = 0
-        self.started_at = Instant(-math.inf)
-        self.group: list[_Member] | None = None
-        self.position = 0
 
 
 class Pool:
@@ -101,11 +74,11 @@
     ) -> None:
         self._policy = policy
         self._generator = generator
-        self._members_by_id: dict[TargetId, _Member] = {}
-        self._near: list[_Member] = []
-        self._far: list[_Member] = []
+        self._members_by_id: dict[TargetId, Member] = {}
+        self._near: list[Member] = []
+        self._far: list[Member] = []
         self._returns: list[tuple[Instant, TargetId]] = []
-        self._light: collections.deque[_Member] = collections.deque(
+        self._light: collections.deque[Member] = collections.deque(
             maxlen=_REMEMBERED
         )
         self._latency = 0.0
@@ -121,6 +94,11 @@
         """Count the targets that are not ejected."""
         return len(self._near) + len(self._far)
 
+    @property
+    def latency(self) -> float:
+        """Return the usual latency in seconds, 0 if it is not known."""
+        return self._latency
+
     def update(
         self,
         centres_by_id: Mapping[TargetId, DataCentreId],
@@ -138,7 +116,7 @@
                 continue
             is_near = centre == here
             penalty = 0.0 if is_near else self._policy.far_penalty
-            member = _Member(target, penalty)
+            member = Member(target, penalty)
             self._members_by_id[target] = member
             if not is_first:
                 member.started_at = now
@@ -158,13 +136,14 @@
         A prefix is what engines may have cached of a prompt.
         """
         self._return_ejected(now)
-        best: _Member | None = None
+        best: Member | None = None
         best_cost = math.inf
         likely = self._ring.find(prefix) if prefix else None
         if likely in tried:
             likely = None
         for member in self._candidates(tried, is_urgent, likely):
-            cost = self._cost(member, now)
+            cost = member.cost(now, self._usual, self._latency)
+            cost += self._slow_start(member, now)
             if member.id == likely:
                 cost -= self._policy.prefix_bonus
             if cost < best_cost:
@@ -201,15 +180,12 @@
             return
         member.weight = 0
         member.ejections = 0
-        member.latency = _average(member.latency, seconds)
-        self._latency = _average(self._latency, seconds)
+        member.latency = member_module.average(member.latency, seconds)
+        self._latency = member_module.average(self._latency, seconds)
         if report is not None:
             others = member.load.report(report, now)
             self._usual += _LOAD_PART * (others - self._usual)
-            # A report that lags says light of a target that is not; a call
-            # that took long there says otherwise.
-            is_light = others <= self._usual and seconds <= self._latency
-            if is_light and member.group is not None:
+            if others <= self._usual and member.group is not None:
                 self._light.append(member)
 
     def fail(self, target: TargetId, failure: Failure, now: Instant) -> None:
@@ -227,7 +203,7 @@
         tried: frozenset[TargetId],
         is_urgent: bool,
         likely: TargetId | None,
-    ) -> list[_Member]:
+    ) -> list[Member]:
         found = []
         if likely is not None:
             member = self._members_by_id[likely]
@@ -250,8 +226,8 @@
             return untried
         return [m for m in self._near + self._far if m.id not in tried]
 
-    def _take_light(self, count: int) -> list[_Member]:
-        taken: list[_Member] = []
+    def _take_light(self, count: int) -> list[Member]:
+        taken: list[Member] = []
         while self._light and len(taken) < count:
             member = self._light.pop()
             if member.group is not None:
@@ -260,21 +236,13 @@
         self._light.extend(reversed(taken[1:]))
         return taken
 
-    def _cost(self, member: _Member, now: Instant) -> float:
-        slowness = 1.0
-        if member.latency and self._latency:
-            slowness = member.latency / self._latency
-            slowness = min(max(slowness, _MIN_SLOWNESS), _MAX_SLOWNESS)
-        load = member.load.estimate(now, self._usual)
-        cost = (load + 1.0) * slowness + member.penalty
+    def _slow_start(self, member: Member, now: Instant) -> float:
+        # All instances see a target come at once; without this it gets
+        # their whole load while its caches are still cold.
         left = 1.0 - (now - member.started_at) / self._policy.slow_start
-        if left > 0.0:
-            # All instances see a target come at once; without this it gets
-            # their whole load while its caches are still cold.
-            cost += left * self._policy.slow_start_penalty
-        return cost
+        return max(0.0, left) * self._policy.slow_start_penalty
 
-    def _eject(self, member: _Member, now: Instant) -> None:
+    def _eject(self, member: Member, now: Instant) -> None:
         # Ejecting most targets sends everybody's load to the last ones,
         # which then fail too; a bad target costs a retry.
         if self.usable - 1 < self._policy.floor * len(self):
@@ -296,13 +264,13 @@
                 member.started_at = now
                 self._put_in(member)
 
-    def _put_in(self, member: _Member) -> None:
+    def _put_in(self, member: Member) -> None:
         group = self._far if member.penalty else self._near
         member.group = group
         member.position = len(group)
         group.append(member)
 
-    def _take_out(self, member: _Member) -> None:
+    def _take_out(self, member: Member) -> None:
         group = member.group
         if group is None:
             return
@@ -311,9 +279,3 @@
             group[member.position] = last
             last.position = member.position
         member.group = None
-
-
-def _average(average: float, value: float) -> float:
-    if not average:
-        return value
-    return average + _LATENCY_PART * (value - average)
--- a/packages/yuccarill-core/tests/calls/test_pool.py
+++ b/packages/yuccarill-core/tests/calls/test_pool.py
@@ -110,10 +110,11 @@
 
     def test_avoids_a_slow_target(self) -> None:
         self.pool.update(targets(2), HERE, START)
-        for target, seconds in (('here0', 5.0), ('here1', 0.1)):
-            for _ in range(5):
-                self.pool.send(TargetId(target))
-                self.pool.answer(TargetId(target), seconds, None, START)
+        # A target that takes long answers fewer calls in the same time.
+        ends = [('here0', 5.0)] + [('here1', 0.1)] * 5
+        for target, seconds in ends * 5:
+            self.pool.send(TargetId(target))
+            self.pool.answer(TargetId(target), seconds, None, START)
         self.assertEqual({'here1': 3}, self.counts(3))
 
     def test_corrects_a_report_by_what_was_sent_since(self) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/api/callers.py
@@ -126,7 +126,7 @@
             request.write(msgspec.json.encode(chunk) + b'\n')
 
         try:
-            await self._calls.generate_for(
+            await self._calls.generate(
                 _caller(request),
                 ModelName(model),
                 {
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/calls.py
@@ -117,20 +117,6 @@
         return await self._homes.handle(body)
 
     async def generate(
-        self,
-        model: ModelName,
-        request: dict[str, object],
-        seconds: float,
-        on_chunk: Callable[[Chunk], None],
-    ) -> None:
-        """Stream one generation for a trainer's step."""
-        self._active += 1
-        try:
-            await self._generations.generate(model, request, seconds, on_chunk)
-        finally:
-            self._active -= 1
-
-    async def generate_for(
         self,
         caller: CallerId | None,
         model: ModelName,
@@ -142,7 +128,7 @@
         self._active += 1
         try:
             await self._generations.generate(
-                model, request, seconds, on_chunk, caller, False
+                caller, model, request, seconds, on_chunk
             )
         finally:
             self._active -= 1
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/generations.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/generations.py
@@ -8,10 +8,7 @@
 from twisted.internet import defer
 
 from yuccarill.core.calls.pool import Failure
-from yuccarill.core.config.inventory import Caller
-from yuccarill.core.config.inventory import CallerClass
 from yuccarill.core import errors
-from yuccarill.core.ids import CallerId
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import TargetId
 from yuccarill.daemon.controllers import lines
@@ -23,13 +20,12 @@
     from yuccarill.core.calls.load import LoadReport
     from yuccarill.core.config.inventory import Engine
     from yuccarill.core.config.inventory import Target
+    from yuccarill.core.ids import CallerId
     from yuccarill.core.ids import ModelName
     from yuccarill.daemon.adapters.engine import EngineAdapter
     from yuccarill.daemon.adapters.token_stream import Chunk
 
 MAX_ATTEMPTS = 4
-# Calls that this instance makes for trainers' steps.
-_TRAINERS = Caller(id=CallerId('/'), caller_class=CallerClass.INTERNAL)
 
 
 class GenerationController:
@@ -47,12 +43,11 @@
 
     async def generate(
         self,
+        caller: CallerId | None,
         model: ModelName,
         request: dict[str, Any],
         seconds: float,
         on_chunk: Callable[[Chunk], None],
-        caller: CallerId | None = None,
-        is_for_trainer: bool = True,
     ) -> None:
         """Stream one generation, resumed on other engines if it is cut.
 
@@ -60,11 +55,9 @@
         or NoTarget if none began.
         """
         line = self._lines.of_model(model)
-        known = _TRAINERS if is_for_trainer else self._lines.caller(caller)
         entry = lines.Entry(
-            caller=known,
+            caller=self._lines.caller(caller),
             deadline=Instant(self._now() + seconds),
-            is_kept=is_for_trainer,
         )
         await line.enter(entry)
         try:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/lines.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/lines.py
@@ -41,8 +41,6 @@
 
     caller: Caller
     deadline: Instant
-    # Made by this instance itself, for a trainer's step.
-    is_kept: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -89,7 +87,6 @@
             entry.caller.caller_class,
             entry.caller.share,
             entry.deadline,
-            entry.is_kept,
         )
         begun_at = self._now()
         self._waiting.add(waiting)
@@ -98,7 +95,7 @@
         self._admit()
         timer = None
         if waiting.is_queued:
-            patience = entry.deadline - self.dispatcher.limit.unloaded
+            patience = entry.deadline - self.dispatcher.expected
             left = max(_MIN_SECONDS, patience - begun_at)
             timer = self._clock.callLater(left, self._give_up, waiting)
         try:
@@ -120,7 +117,7 @@
     def refuse_waiting(self) -> None:
         """Refuse the calls that wait, as this instance ends."""
         for waiting in list(self._waiting):
-            if waiting.is_queued and not waiting.is_kept:
+            if waiting.is_queued:
                 self._give_up(waiting)
 
     def choose(
--- a/packages/yuccarill-daemon/tests/controllers/test_generations.py
+++ b/packages/yuccarill-daemon/tests/controllers/test_generations.py
@@ -64,7 +64,7 @@
         self.engines.ends = list(ends)
         calls = self.world.calls[InstanceId('a')]
         return call_world.Result(
-            calls.generate_for(
+            calls.generate(
                 None,
                 MODEL,
                 {'request_id': 'r', 'prompt': 'p', 'max_tokens': 8},
--- a/tools/calls_policies.py
+++ b/tools/calls_policies.py
@@ -77,7 +77,7 @@
             self._refuse(refused)
         self._admit(request.instance)
         if waiting.is_queued:
-            patience = request.deadline - made.limit.unloaded
+            patience = request.deadline - made.expected
             seconds = max(0.0, patience - self._loop.now)
             self._loop.at(seconds, self._expire, waiting)
 
@@ -157,7 +157,9 @@
         now = self._loop.now
         if report is not None:
             seconds = now - attempt.begun
-            made.answer(attempt.target, seconds, report, now)
+            # Plain targets tell nothing of their load.
+            known = report if self._world.size.has_priorities else None
+            made.answer(attempt.target, seconds, known, now)
             self._end(run, True)
         else:
             made.fail(attempt.target, Failure.NOT_CONNECTED, 0.0, now)
--- a/tools/measure_calls.py
+++ b/tools/measure_calls.py
@@ -19,8 +19,7 @@
 
 SEED = 5
 BEGIN = 20.0
-END = 50.0
-UNTIL = 80.0
+AFTER = 30.0
 POLICIES = {
     'naive': calls_policies.Naive,
     'naive, patient': calls_policies.PatientNaive,
@@ -41,12 +40,14 @@
 @click.option('--targets', default=1300)
 @click.option('--instances', default=22)
 @click.option('--plain', is_flag=True, help='Targets without priorities.')
+@click.option('--seconds', default=30.0, help='Length of the fault.')
 @click.option('--scenario', 'names', multiple=True)
 @click.option('--policy', 'chosen', multiple=True)
 def faults(
     targets: int,
     instances: int,
     plain: bool,
+    seconds: float,
     names: tuple[str, ...],
     chosen: tuple[str, ...],
 ) -> None:
@@ -59,8 +60,8 @@
     )
     click.echo(
         f'{targets} targets, {instances} instances, {size.load:.0f} '
-        f'requests/s, capacity {size.capacity:.0f}/s; the fault stands from '
-        f'{BEGIN:.0f} to {END:.0f} s of {UNTIL:.0f} s; seed {SEED}'
+        f'requests/s, capacity {size.capacity:.0f}/s; the fault stands for '
+        f'{seconds:.0f} s; seed {SEED}'
     )
     click.echo(
         '| fault | policy | goodput during | goodput after | late | refused '
@@ -75,12 +76,14 @@
                 continue
             world = calls_model.World(size, scenario, SEED)
             policy = kind(world, SEED)
-            world.run(policy, BEGIN, END, UNTIL)
-            click.echo(_row(scenario, name, world, policy))
+            end = BEGIN + seconds
+            world.run(policy, BEGIN, end, end + AFTER)
+            click.echo(_row(scenario, name, world, policy, end))
 
 
-def _row(scenario: Any, name: str, world: Any, policy: Any) -> str:
-    latency = _latency_class(world, BEGIN, END)
+def _row(scenario: Any, name: str, world: Any, policy: Any, end: float) -> str:
+    latency = _latency_class(world, BEGIN, end)
+    recovered = end + RECOVERY
     refused = sum(r.is_refused_in_time for r in latency) / len(latency)
     histogram = hdrh.histogram.HdrHistogram(1, 600_000, 3)
     for request in latency:
@@ -90,12 +93,12 @@
     attempts = policy.attempts / len(world.requests)
     return (
         f'| {scenario.value} | {name} '
-        f'| {_goodput(world, BEGIN, END):.0f}/s '
-        f'| {_goodput(world, END + RECOVERY, UNTIL):.0f}/s '
+        f'| {_goodput(world, BEGIN, end):.0f}/s '
+        f'| {_goodput(world, recovered, end + AFTER):.0f}/s '
         f'| {_late(latency):.2%} | {refused:.2%} '
         f'| {histogram.get_value_at_percentile(50) / 1000:.2f} '
         f'| {histogram.get_value_at_percentile(99) / 1000:.2f} '
-        f'| {_late(_latency_class(world, END + RECOVERY, UNTIL)):.2%} '
+        f'| {_late(_latency_class(world, recovered, end + AFTER)):.2%} '
         f'| {attempts:.2f} |'
     )
 
