Express the life cycle of a session as an automat machine

The states and what leads from one to another now stand in one module, and an input that a state does not take is an error.

--- a/packages/yuccarill-core/src/yuccarill/core/leases/keeper.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/keeper.py
@@ -9,6 +9,7 @@
 
 from yuccarill.core.ids import Instant
 from yuccarill.core.leases import demand as demand_module
+from yuccarill.core.leases import life_cycle
 from yuccarill.core.leases import operations
 from yuccarill.core.leases.operations import Step
 from yuccarill.core.leases import own_session
@@ -199,7 +200,7 @@
         """End the session of a leaving instance; tell whether it ended."""
         if not self.held():
             self._own.close()
-        return self._own.state is own_session.OwnState.CLOSED
+        return self._own.state is life_cycle.OwnState.CLOSED
 
     def _is_mine(self, shard: ShardNumber) -> bool:
         holder = self._tables.table.entries[shard].holder
--- a/packages/yuccarill-core/src/yuccarill/core/leases/own_session.py
+++ b/packages/yuccarill-core/src/yuccarill/core/leases/own_session.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import SessionId
+from yuccarill.core.leases import life_cycle
+from yuccarill.core.leases.life_cycle import OwnState
 from yuccarill.core.leases import operations
 from yuccarill.core.leases.operations import Step
 from yuccarill.core.leases import session as session_module
 from yuccarill.core.leases import staleness
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from yuccarill.core.ids import Incarnation
@@ -23,15 +25,6 @@
 _NEVER = Instant(float('-inf'))
 
 
-class OwnState(enum.Enum):
-    """Say how far the session is."""
-
-    CLOSED = 'closed'
-    OPENING = 'opening'
-    OPEN = 'open'
-    CLOSING = 'closing'
-
-
 class OwnSession:
     """Open, renew and close one session after another."""
 
@@ -55,7 +48,8 @@
         self._sent_at_by_beat: dict[int, Instant] = {}
         self._usable_until = _NEVER
         self._renew_at = _NEVER
-        self.state = OwnState.CLOSED
+        self._cycle = life_cycle.new()
+        self.state = self._cycle.state()
         self.id: SessionId | None = None
 
     def is_usable(self, now: Instant) -> bool:
@@ -65,12 +59,11 @@
         # orders too. The clock is asked for each order, and the deadline
         # counts from before the renewal was sent: a slow reply must not
         # stretch it past the time at which a successor may revoke.
-        return self.state is OwnState.OPEN and now < self._usable_until
+        return now < self._usable_until and self.state is OwnState.OPEN
 
     def close(self) -> None:
         """End the session; its holder acts no more from now on."""
-        if self.state is OwnState.OPEN:
-            self.state = OwnState.CLOSING
+        self._advance(self._cycle.close)
 
     def next_operation(
         self, now: Instant, is_wanted: bool
@@ -85,7 +78,7 @@
                 return self._lane.send(Step.READ_OWN, self._key, now)
             case OwnState.CLOSED if self._is_taken():
                 return self._lane.send(Step.READ_OWN, self._key, now)
-            case OwnState.CLOSED | OwnState.OPENING:
+            case OwnState.CLOSED:
                 return self._open(now)
             case OwnState.OPEN if now >= self._renew_at:
                 return self._write(Step.RENEW, now)
@@ -119,6 +112,11 @@
                 self._predecessor.fail()
                 self._lane.not_before = Instant(now + self._policy.retry_delay)
 
+    def _advance(self, step: Callable[[], None]) -> None:
+        step()
+        # Kept, since the state is asked for at each order and tick.
+        self.state = self._cycle.state()
+
     def _settle(self, now: Instant) -> None:
         is_mine = not session_module.has_ended(self._record, self.id or _NONE)
         match self.state:
@@ -140,14 +138,14 @@
             for beat, instant in self._sent_at_by_beat.items()
             if beat >= record.beat
         }
-        self.state = OwnState.OPEN
+        self._advance(self._cycle.confirm)
         self._usable_until = max(
             self._usable_until, Instant(sent_at + self._policy.usable_time)
         )
         self._renew_at = Instant(sent_at + self._policy.renewal_period)
 
     def _end(self) -> None:
-        self.state = OwnState.CLOSED
+        self._advance(self._cycle.end)
         self.id = None
         self._usable_until = _NEVER
         self._sent_at_by_beat.clear()
@@ -174,7 +172,7 @@
         # one that was given up can't come back to life by a late write.
         self._serial += 1
         self.id = SessionId(f'{self._incarnation}.{self._serial}')
-        self.state = OwnState.OPENING
+        self._advance(self._cycle.begin)
         self._usable_until = _NEVER
         return self._write(Step.OPEN, now)
 
