Make the steps of a graceful shutdown an automat machine

The house style asks for automat; core declared it and used it nowhere. The steps stood in a `match` that moved an attribute, and nothing refused a move that is not a step's own.

Ruled out: one input for all moves, which can not tell a wrong one and leaves the conditions in a `match`; a machine in a module of its own, since step and conditions would have to be read in two places.

`StopMachine` has one state for each member of `StopStep` and an input for each move; `advance` is answered by each state with what it waits for. `Shutdown`, `StopStep` and all existing tests are as they were. Tests try each move at each step. With a move from serving to finishing added one of them fails; with `advance` taken from the last step several do.

--- a/packages/yuccarill-core/src/yuccarill/core/membership/shutdown.py
+++ b/packages/yuccarill-core/src/yuccarill/core/membership/shutdown.py
@@ -4,9 +4,16 @@
 
 import dataclasses
 import enum
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import automat
 
 from yuccarill.core.ids import Instant
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class StopStep(enum.Enum):
     """Say how far a graceful shutdown got."""
@@ -69,6 +76,7 @@
         )
         self._deadline = Instant(now + policy.stop_timeout)
         self._quiet_since: Instant | None = None
+        self._steps = StopMachine(self)
 
     def hurry(self, now: Instant) -> None:
         """Take a second signal: end soon, whatever is in flight."""
@@ -78,40 +86,112 @@
 
     def advance(self, now: Instant, in_flight: InFlight) -> StopStep:
         """Return the step that is due."""
-        match self.step:
-            case StopStep.SERVING:
-                self.step = StopStep.LEAVING
-            case StopStep.LEAVING:
-                # A step in the middle is finished here if it can be: its
-                # next holder would have to make its samples anew.
-                if not in_flight.steps or now >= self._hand_over_at:
-                    self.step = StopStep.HANDING_OVER
-            case StopStep.HANDING_OVER:
-                if not in_flight.shards or now >= self._deadline:
-                    self.step = StopStep.FINISHING
-            case StopStep.FINISHING:
-                self._finish(now, in_flight)
+        self._steps.advance(now, in_flight)
         return self.step
 
-    @property
-    def _hand_over_at(self) -> Instant:
-        return Instant(self._deadline - self._policy.hand_over)
+    def _must_hand_over(self, now: Instant, in_flight: InFlight) -> bool:
+        """Tell whether shards go to their next holders now."""
+        # A step in the middle is finished here if it can be: its next
+        # holder would have to make its samples anew.
+        hand_over_at = self._deadline - self._policy.hand_over
+        return not in_flight.steps or now >= hand_over_at
 
-    def _finish(self, now: Instant, in_flight: InFlight) -> None:
+    def _must_finish(self, now: Instant, in_flight: InFlight) -> bool:
+        """Tell whether no shard is waited for any more."""
+        return not in_flight.shards or now >= self._deadline
+
+    def _must_end(self, now: Instant, in_flight: InFlight) -> bool:
+        """Note quiet and cut requests; tell whether it is over."""
         if now >= self._deadline:
             # Steps and samples are no part of it: their next holder has
             # what was finished and makes the rest.
             if in_flight.requests:
                 self.outcome = StopOutcome.CUT
-            self.step = StopStep.ENDED
-            return
+            return True
         is_busy = in_flight.requests or in_flight.samples
         if is_busy or now < self.serves_until:
             self._quiet_since = None
-            return
+            return False
         # A request that has just been accepted shows in no count until it
         # is read; a moment without any tells that none was on its way.
         if self._quiet_since is None:
             self._quiet_since = now
-        if now - self._quiet_since >= self._policy.quiet:
-            self.step = StopStep.ENDED
+        return now - self._quiet_since >= self._policy.quiet
+
+
+class StopInputs(Protocol):
+    """Name what moves a shutdown from step to step."""
+
+    def advance(self, now: Instant, in_flight: InFlight) -> None:
+        """Go on if what the step waits for is over."""
+
+    def leave(self) -> None:
+        """Begin to leave."""
+
+    def hand_over(self) -> None:
+        """Begin to hand shards over."""
+
+    def finish(self) -> None:
+        """Begin to wait for what is in flight."""
+
+    def end(self) -> None:
+        """End the shutdown."""
+
+
+_builder = automat.TypeMachineBuilder(StopInputs, Shutdown)
+_serving, _leaving, _handing_over, _finishing, _ended = (
+    _builder.state(step.value) for step in StopStep
+)
+
+
+def _enter(step: StopStep) -> Callable[[StopInputs, Shutdown], None]:
+    def enter(_: StopInputs, walk: Shutdown) -> None:
+        walk.step = step
+
+    return enter
+
+
+_serving.upon(StopInputs.leave).to(_leaving)(_enter(StopStep.LEAVING))
+_leaving.upon(StopInputs.hand_over).to(_handing_over)(
+    _enter(StopStep.HANDING_OVER)
+)
+_handing_over.upon(StopInputs.finish).to(_finishing)(
+    _enter(StopStep.FINISHING)
+)
+_finishing.upon(StopInputs.end).to(_ended)(_enter(StopStep.ENDED))
+
+
+@_serving.upon(StopInputs.advance).loop()
+def _begin(
+    steps: StopInputs, walk: Shutdown, now: Instant, in_flight: InFlight
+) -> None:
+    steps.leave()
+
+
+@_leaving.upon(StopInputs.advance).loop()
+def _wait_for_steps(
+    steps: StopInputs, walk: Shutdown, now: Instant, in_flight: InFlight
+) -> None:
+    if walk._must_hand_over(now, in_flight):
+        steps.hand_over()
+
+
+@_handing_over.upon(StopInputs.advance).loop()
+def _wait_for_shards(
+    steps: StopInputs, walk: Shutdown, now: Instant, in_flight: InFlight
+) -> None:
+    if walk._must_finish(now, in_flight):
+        steps.finish()
+
+
+@_finishing.upon(StopInputs.advance).loop()
+def _wait_for_requests(
+    steps: StopInputs, walk: Shutdown, now: Instant, in_flight: InFlight
+) -> None:
+    if walk._must_end(now, in_flight):
+        steps.end()
+
+
+_ended.upon(StopInputs.advance).loop().returns(None)
+
+StopMachine = _builder.build()
--- a/packages/yuccarill-core/tests/membership/test_shutdown.py
+++ b/packages/yuccarill-core/tests/membership/test_shutdown.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
+import automat
 from nose2.tools import params
 
 from yuccarill.core.ids import Instant
@@ -32,6 +34,47 @@
     return began, walk.outcome
 
 
+# Every move that may be made; each step's way begins with the first.
+MOVES = {
+    (S.SERVING, 'leave'): S.LEAVING,
+    (S.LEAVING, 'hand_over'): S.HANDING_OVER,
+    (S.HANDING_OVER, 'finish'): S.FINISHING,
+    (S.FINISHING, 'end'): S.ENDED,
+}
+INPUTS = ('leave', 'hand_over', 'finish', 'end')
+
+
+def machine_at(step: shutdown.StopStep):
+    """Return a shutdown and its machine once they are at a step."""
+    walk = shutdown.Shutdown(POLICY, Instant(0.0))
+    machine = shutdown.StopMachine(walk)
+    for _, name in MOVES:
+        if walk.step is not step:
+            getattr(machine, name)()
+    return walk, machine
+
+
+class StopMachineTest(unittest.TestCase):
+    @params(*itertools.product(S, INPUTS))
+    def test_only_the_next_step_may_follow(self, step, name: str) -> None:
+        walk, machine = machine_at(step)
+        self.assertIs(step, walk.step)
+        expected = MOVES.get((step, name))
+        if expected is None:
+            with self.assertRaises(automat.NoTransition):
+                getattr(machine, name)()
+        else:
+            getattr(machine, name)()
+        self.assertIs(expected or step, walk.step)
+
+    @params(*S)
+    def test_advance_is_taken_in_each_step(self, step) -> None:
+        walk, machine = machine_at(step)
+        machine.advance(Instant(100.0), NOTHING)
+        following = [new for (old, _), new in MOVES.items() if old is step]
+        self.assertIs([*following, S.ENDED][0], walk.step)
+
+
 class ShutdownTest(unittest.TestCase):
     @params(
         ('idle', {}, None, 0.25, 8.25, 'complete'),
