Carry late writes out and look at what the store keeps of them

The test of a late write passed with the compare taken out of the swap, and with "outcome unknown" told as "refused". Cause: klein cancels a request whose client has gone, so the store stand-in dropped the very write that it was to carry out late; the test then allowed any code, and read revisions from instances, which take no lower one and so hide a head that was written over.

The stand-in now carries a write out whoever still waits, records what became of each, and can hold writes back until they are released, also only those of some keys. Three orders of events are told apart, each by its exact code, change id, record of writes and the head that the store keeps: the late write is read back (200), it arrives after the fence of a refused change (3001), or after an unknown outcome (2004). Ruled out: a longer delay in place of holding writes, since it makes the order a matter of time.

--- a/packages/yuccarill-standins/tests/processes/harness.py
+++ b/packages/yuccarill-standins/tests/processes/harness.py
@@ -151,6 +151,30 @@
         assert reply.status == 200, (place, reply.status, reply.body)
         return reply.json
 
+    def writes(self, prefix):
+        """Return what the store recorded of writes of some keys."""
+        return self.admin('key_value', f'writes?prefix={prefix}')
+
+    def hold_writes(self, prefix, count=1):
+        """Let the store hold back the next writes of some keys."""
+        order = {'hold_writes': count, 'only_keys': prefix}
+        self.admin('key_value', 'faults', order)
+
+    def wait_for_held(self):
+        """Wait until the store holds a write back."""
+        wait_for(lambda: self.admin('key_value', 'held'), 'a write is held')
+
+    def release_writes(self):
+        """Let the store carry out what it holds, and hold no more."""
+        self.admin('key_value', 'faults', {'hold_writes': 0})
+        return self.admin('key_value', 'held', [])
+
+    def standing(self, key):
+        """Return the bytes that the store keeps under a key."""
+        store = self.places.platform['key_value']
+        reply = send('GET', f'http://{store}/v1/keys/{key}')
+        return reply.body if reply.status == 200 else None
+
     def order_targets(self, faults):
         """Order faults of all plain targets."""
         for target in self.places.inventory['targets']:
@@ -173,10 +197,20 @@
         reply = send('GET', url, seconds=2.0)
         return reply.json if reply.status == 200 else None
 
-    def apply(self, inventory, base, expect=None, number=0, author='test'):
+    def apply(
+        self,
+        inventory,
+        base,
+        expect=None,
+        number=0,
+        author='test',
+        change_id=None,
+    ):
         """Apply an inventory through an instance."""
         url = f'http://{self.addresses[number]}/v1/operators/configuration'
         value = {'author': author, 'base': base, 'document': inventory}
+        if change_id is not None:
+            value['change_id'] = change_id
         reply = send('PUT', url, value)
         if expect is not None:
             assert reply.status == expect, (reply.status, reply.body)
