Give deciding, delivering and finishing modules of their own

Change: step_decider writes claims and manifests, step_delivery returns a step's bytes, fresh_samples knows the newest versions and replaces what is too old, finishing scores samples and has them kept. rollouts keeps the steps and sampling the attempts; the longest method of sampling, with two functions inside, became five.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/rollouts.py
@@ -3,48 +3,41 @@
 from __future__ import annotations
 
 import collections
-import time
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 
 from yuccarill.core import errors
-from yuccarill.core.ids import WallTime
-from yuccarill.core.ids import WeightVersion
 from yuccarill.core.leases import shards
-from yuccarill.core.rollouts import delivery
 from yuccarill.core.rollouts import records
-from yuccarill.core.rollouts import stages
 from yuccarill.core.rollouts import work as work_module
-from yuccarill.daemon.controllers import step_ledger
+from yuccarill.daemon.controllers import fresh_samples
+from yuccarill.daemon.controllers import step_decider
+from yuccarill.daemon.controllers import step_delivery
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from yuccarill.core.blackboard import Blackboard
     from yuccarill.core.config.inventory import Trainer
     from yuccarill.core.ids import Epoch
     from yuccarill.core.ids import Incarnation
-    from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import StepNumber
     from yuccarill.core.ids import TrainerId
+    from yuccarill.core.ids import WeightVersion
     from yuccarill.core.rollouts.stages import SampleStage
     from yuccarill.core.rollouts.step import StepRequest
     from yuccarill.core.rollouts.work import StepWork
     from yuccarill.daemon.controllers.sample_store import SampleStore
     from yuccarill.daemon.controllers.sampling import SampleMaker
-
-    AskHolder = Callable[[InstanceId, TrainerId, StepNumber], Awaitable[bytes]]
+    from yuccarill.daemon.controllers.step_delivery import AskHolder
+    from yuccarill.daemon.controllers.step_ledger import StepLedger
 
 log = logs.for_part('rollouts')
 
-PENDING_SECONDS = 0.2
 # Until a leaving holder's shard is worked on by the next one.
 HAND_OVER_SECONDS = 1.0
-# A claim is lost to each announcement and to another holder's claim.
-DECIDE_TRIES = 3
 
 
 class RolloutController:
@@ -54,25 +47,29 @@
         self,
         blackboard: Blackboard,
         incarnation: Incarnation,
-        ledger: step_ledger.StepLedger,
+        ledger: StepLedger,
         maker: SampleMaker,
         store: SampleStore,
         ask_holder: AskHolder,
         epoch_for: Callable[[str], Epoch | None],
     ) -> None:
         self._blackboard = blackboard
-        self._incarnation = incarnation
         self._ledger = ledger
         self._maker = maker
         self._store = store
-        self._ask_holder = ask_holder
-        self._epoch_for = epoch_for
+        self._fresh_samples = fresh_samples.FreshSamples(blackboard, maker)
+        self._decider = step_decider.StepDecider(
+            blackboard,
+            incarnation,
+            ledger,
+            store,
+            self._fresh_samples,
+            epoch_for,
+        )
+        self._delivery = step_delivery.StepDelivery(
+            blackboard, ledger, maker, store, self._decider, ask_holder
+        )
         self._work_by_key: dict[tuple[TrainerId, StepNumber], StepWork] = {}
-        self._claims_by_work: dict[StepWork, step_ledger.Claimed] = {}
-        self._locks_by_work: dict[StepWork, defer.DeferredLock] = {}
-        # The newest version that each trainer announced, here or, as far
-        # as the store was asked, elsewhere.
-        self._newest_by_trainer: dict[TrainerId, WeightVersion] = {}
 
     async def submit(
         self, trainer_id: TrainerId, request: StepRequest
@@ -89,10 +86,7 @@
             )
         work = self._begin(trainer, request)
         try:
-            if work.is_open and work not in self._claims_by_work:
-                await self._claim(work)
-            elif request.newest_version > self._newest(trainer_id):
-                await self.announce(trainer_id, request.newest_version)
+            await self._register(work, request)
         except errors.StoreUnavailable as error:
             # Samples may be made without the store, only not delivered.
             # The claim is made up for when the step is fetched.
@@ -110,19 +104,8 @@
         """
         work = self._work_by_key.get((trainer_id, step))
         if work is None:
-            return await self._fetch_decided(trainer_id, step)
-        if work.body is not None:
-            return work.body
-        if work.error is not None:
-            raise work.error
-        if work.manifest is None and not work.is_whole:
-            raise self._pending(work)
-        lock = self._locks_by_work.setdefault(work, defer.DeferredLock())
-        # Two fetches at once would decide twice; the second finds the body.
-        body: bytes = await lock.run(
-            lambda: defer.ensureDeferred(self._deliver(work))
-        )
-        return body
+            return await self._delivery.fetch_decided(trainer_id, step)
+        return await self._delivery.fetch(work)
 
     def busy_duties(self) -> list[str]:
         """Return the duties with a step that has no manifest yet."""
@@ -136,6 +119,13 @@
         """Return a trainer's steps that this instance works on."""
         return tuple(work.step for work in self._open_work(trainer_id))
 
+    def stages(
+        self, trainer_id: TrainerId, step: StepNumber
+    ) -> collections.Counter[SampleStage]:
+        """Return how many of a step's samples are at each stage here."""
+        work = self._work_by_key.get((trainer_id, step))
+        return self._maker.stages(work) if work else collections.Counter()
+
     async def announce(
         self, trainer_id: TrainerId, version: WeightVersion
     ) -> WeightVersion:
@@ -144,12 +134,12 @@
         Raises StoreUnavailable; the version counts here all the same.
         """
         trainer = self._trainer(trainer_id)
-        newest = self._raise_newest(trainer_id, version)
+        newest = self._fresh_samples.raise_newest(trainer_id, version)
         self._maker.raise_newest(trainer_id, newest)
         for work in self._open_work(trainer_id):
             self._renew(trainer, work, newest)
         known = await self._ledger.announce(trainer_id, version)
-        return self._raise_newest(trainer_id, known)
+        return self._fresh_samples.raise_newest(trainer_id, known)
 
     async def acknowledge(
         self, trainer_id: TrainerId, step: StepNumber
@@ -205,148 +195,17 @@
         # A holder that crashed left what it had finished on the disks.
         for finished in await self._store.recover(work.trainer, work.step):
             work.take(finished)
-        work.drop_stale(self._newest(trainer.id), trainer.staleness_bound)
+        newest = self._fresh_samples.newest(trainer.id)
+        work.drop_stale(newest, trainer.staleness_bound)
         self._maker.make(trainer, work, self._changed)
 
-    async def _claim(
-        self, work: StepWork
-    ) -> step_ledger.Claimed | records.Manifest:
-        epoch = self._epoch_for(shards.trainer_duty(work.trainer))
-        if epoch is None:
-            raise errors.ClaimLost(
-                f'This instance does not hold trainer {work.trainer} now; '
-                'try again.',
-                retry_after=0.5,
-            )
-        claim = records.Claim(
-            holder=self._blackboard.me.id,
-            incarnation=self._incarnation,
-            epoch=epoch,
-            newest_version=self._raise_newest(
-                work.trainer, work.request.newest_version
-            ),
-            request_digest=work.digest,
-        )
-        claimed = await self._ledger.claim(work.trainer, work.step, claim)
-        if isinstance(claimed, records.Manifest):
-            work.decide(claimed)
-        else:
-            self._claims_by_work[work] = claimed
-            self._raise_newest(work.trainer, claimed.claim.newest_version)
-        return claimed
-
-    async def _deliver(self, work: StepWork) -> bytes:
-        if work.body is not None:
-            return work.body
-        for _ in range(DECIDE_TRIES):
-            if work.manifest is not None:
-                break
-            try:
-                await self._decide(work)
-            except errors.StoreUnavailable as error:
-                work.waits_for = 'the key-value service, to be decided'
-                raise self._pending(work) from error
-            except errors.ClaimLost:
-                self._claims_by_work.pop(work, None)
-                work.waits_for = 'its claim'
-        if work.manifest is None:
-            raise self._pending(work)
-        work.deliver(await self._body(work.manifest, work))
-        assert work.body is not None
-        log.info('Step delivered.', trainer=work.trainer, step=work.step)
-        return work.body
-
-    async def _decide(self, work: StepWork) -> None:
-        claimed = self._claims_by_work.get(work) or await self._claim(work)
-        if isinstance(claimed, records.Manifest):
+    async def _register(self, work: StepWork, request: StepRequest) -> None:
+        if work.is_open and not self._decider.is_claimed(work):
+            await self._decider.claim(work)
             return
-        trainer = self._trainer(work.trainer)
-        newest = claimed.claim.newest_version
-        self._renew(trainer, work, newest)
-        if not work.is_whole:
-            raise self._pending(work)
-        await self._keep_again(work)
-        manifest = self._manifest(work, claimed.claim)
-        work.decide(await self._ledger.decide(claimed, manifest))
-
-    async def _keep_again(self, work: StepWork) -> None:
-        # A disk that was replaced since, or recovered samples of which one
-        # copy was found, would leave a decided step on one disk only.
-        places = [
-            place
-            for place in work.finished_by_place
-            if not self._store.is_kept(work.disks_by_place[place])
-        ]
-        kept = [
-            defer.ensureDeferred(
-                self._store.keep(
-                    work.trainer, work.step, work.finished_by_place[place]
-                )
-            )
-            for place in places
-        ]
-        for place, disks in zip(
-            places, await defer.gatherResults(kept), strict=True
-        ):
-            if place in work.disks_by_place:
-                work.disks_by_place[place] = disks
-
-    def _manifest(
-        self, work: StepWork, claim: records.Claim
-    ) -> records.Manifest:
-        assert self._blackboard.head is not None
-        return records.Manifest(
-            trainer=work.trainer,
-            step=work.step,
-            newest_version=claim.newest_version,
-            sample_ids=tuple(f.id for f in work.in_order()),
-            digest=work.sample_digest(),
-            holder=self._blackboard.me.id,
-            incarnation=self._incarnation,
-            epoch=claim.epoch,
-            stored_on=work.stored_on(),
-            revision=self._blackboard.head.revision,
-            decided_at=WallTime(time.time()),
-        )
-
-    async def _fetch_decided(
-        self, trainer_id: TrainerId, step: StepNumber
-    ) -> bytes:
-        standing = await self._ledger.read(trainer_id, step)
-        match standing:
-            case records.Manifest():
-                return await self._body(standing, None)
-            case records.Closed():
-                raise errors.StepClosed(f'Step {step} was closed before.')
-            case _:
-                raise errors.UnknownStep(
-                    f'Step {step} of {trainer_id} is not worked on here; '
-                    'submit it.'
-                )
-
-    async def _body(
-        self, manifest: records.Manifest, work: StepWork | None
-    ) -> bytes:
-        # Another holder may have decided the step with its own samples.
-        # Ours differ from them, so only those that it named are delivered.
-        encoded = work.encoded_by_id() if work is not None else {}
-        if manifest.sample_ids and manifest.sample_ids[0] in encoded:
-            return delivery.encode(manifest, encoded)
-        stored = await self._store.load(manifest)
-        is_mine = manifest.holder == self._blackboard.me.id
-        if is_mine or len(stored) == len(manifest.sample_ids):
-            return delivery.encode(manifest, stored)
-        return await self._ask_holder(
-            manifest.holder, manifest.trainer, manifest.step
-        )
-
-    def _renew(
-        self, trainer: Trainer, work: StepWork, newest: WeightVersion
-    ) -> None:
-        stale = work.drop_stale(newest, trainer.staleness_bound)
-        if stale:
-            log.info('Samples too old.', step=work.step, count=len(stale))
-            self._maker.again(work, stale)
+        newest = self._fresh_samples.newest(work.trainer)
+        if request.newest_version > newest:
+            await self.announce(work.trainer, request.newest_version)
 
     def _changed(self, work: StepWork) -> None:
         if work.error is not None:
@@ -354,24 +213,16 @@
             return
         trainer = self._trainer(work.trainer)
         if work.is_open:
-            self._renew(trainer, work, self._newest(work.trainer))
+            newest = self._fresh_samples.newest(work.trainer)
+            self._renew(trainer, work, newest)
 
-    def stages(
-        self, trainer_id: TrainerId, step: StepNumber
-    ) -> collections.Counter[SampleStage]:
-        """Return how many of a step's samples are at each stage here."""
-        work = self._work_by_key.get((trainer_id, step))
-        return self._maker.stages(work) if work else collections.Counter()
+    def _trainer(self, trainer_id: TrainerId) -> Trainer:
+        return self._fresh_samples.trainer(trainer_id)
 
-    def _pending(self, work: StepWork) -> errors.StepPending:
-        waits_for = work.waits_for
-        if not work.is_whole:
-            counted = stages.describe(self._maker.stages(work))
-            waits_for = f'its samples ({counted})'
-        return errors.StepPending(
-            f'Step {work.step} of {work.trainer} waits for {waits_for}.',
-            retry_after=PENDING_SECONDS,
-        )
+    def _renew(
+        self, trainer: Trainer, work: StepWork, newest: WeightVersion
+    ) -> None:
+        self._fresh_samples.renew(trainer, work, newest)
 
     def _open_work(self, trainer_id: TrainerId) -> list[StepWork]:
         return [
@@ -380,16 +231,6 @@
             if work.trainer == trainer_id and work.is_open
         ]
 
-    def _newest(self, trainer_id: TrainerId) -> WeightVersion:
-        return self._newest_by_trainer.get(trainer_id, WeightVersion(0))
-
-    def _raise_newest(
-        self, trainer_id: TrainerId, version: WeightVersion
-    ) -> WeightVersion:
-        known = self._newest_by_trainer.get(trainer_id, version)
-        self._newest_by_trainer[trainer_id] = max(known, version)
-        return self._newest_by_trainer[trainer_id]
-
     def _forget(
         self, work: StepWork, reason: errors.YuccarillError | None
     ) -> None:
@@ -398,18 +239,5 @@
         key = (work.trainer, work.step)
         if self._work_by_key.get(key) is work:
             del self._work_by_key[key]
-        self._claims_by_work.pop(work, None)
-        self._locks_by_work.pop(work, None)
-
-    def _trainer(self, trainer_id: TrainerId) -> Trainer:
-        head = self._blackboard.head
-        if head is None:
-            raise errors.NoConfiguration(
-                'No configuration is known yet; try again.', retry_after=1.0
-            )
-        for trainer in head.inventory.trainers:
-            if trainer.id == trainer_id:
-                return trainer
-        raise errors.UnknownTrainer(
-            f'Trainer {trainer_id} is not in the inventory; check its name.'
-        )
+        self._decider.forget(work)
+        self._delivery.forget(work)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/sampling.py
@@ -1,12 +1,12 @@
-"""Carry out what the scheduler decides: generate, score and keep samples."""
+"""Carry out what the scheduler decides on samples."""
 
 from __future__ import annotations
 
 import collections
+import functools
 from typing import Any
 from typing import TYPE_CHECKING
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
@@ -16,7 +16,7 @@
 from yuccarill.core.rollouts import sample as sample_module
 from yuccarill.core.rollouts import scheduler
 from yuccarill.core.rollouts import stages
-from yuccarill.core.rollouts.stages import SampleStage
+from yuccarill.daemon.controllers import finishing
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -35,7 +35,7 @@
     from yuccarill.core.ids import WeightVersion
     from yuccarill.core.rollouts.plan import Attempt
     from yuccarill.core.rollouts.sample import Place
-    from yuccarill.core.rollouts.sample import Sample
+    from yuccarill.core.rollouts.stages import SampleStage
     from yuccarill.core.rollouts.work import StepWork
     from yuccarill.daemon.adapters.engine import Chunk
     from yuccarill.daemon.adapters.engine import EngineAdapter
@@ -50,8 +50,6 @@
 PRIORITY = 20
 # Engines that rest and attempts that grow old are looked at this often.
 PUMP_SECONDS = 0.25
-SCORE_TRIES = 8
-SCORE_RETRY_SECONDS = 0.5
 
 
 class SampleMaker:
@@ -69,20 +67,22 @@
         self._blackboard = blackboard
         self._incarnation = incarnation
         self._engines = engines
-        self._scorer = scorer
-        self._store = store
         self._clock = clock
+        self._finisher = finishing.SampleFinisher(
+            blackboard, scorer, store, clock
+        )
         self._scheduler = scheduler.Scheduler()
         self._streams_by_attempt: dict[Attempt, defer.Deferred[None]] = {}
         self._on_change_by_work: dict[
             StepWork, Callable[[StepWork], None]
         ] = {}
-        self._finishing_by_work: dict[StepWork, dict[Place, SampleStage]] = (
-            collections.defaultdict(dict)
-        )
         self._is_pumping = False
-        # Samples that are generated, scored or stored right now.
-        self.active = 0
+        self._generating = 0
+
+    @property
+    def active(self) -> int:
+        """Return how many samples are generated, scored or stored now."""
+        return self._generating + self._finisher.active
 
     async def follow(self) -> None:
         """Look after attempts until the process ends."""
@@ -109,7 +109,7 @@
     def end(self, work: StepWork) -> None:
         """Cut off what is made for a step that needs nothing more."""
         self._on_change_by_work.pop(work, None)
-        self._finishing_by_work.pop(work, None)
+        self._finisher.end(work)
         self._scheduler.close_step(work)
         self.pump()
 
@@ -121,7 +121,7 @@
     def stages(self, work: StepWork) -> collections.Counter[SampleStage]:
         """Return how many of a step's samples are at each stage."""
         plan = self._scheduler.plan_of(work)
-        finishing = self._finishing_by_work.get(work, {})
+        finishing = self._finisher.stages_by_place(work)
         return stages.count(work, plan, finishing)
 
     def pump(self) -> None:
@@ -136,15 +136,20 @@
                 orders = self._scheduler.orders(self._now())
                 if not orders.start and not orders.cancel:
                     break
-                for attempt in orders.cancel:
-                    stream = self._streams_by_attempt.pop(attempt, None)
-                    if stream is not None:
-                        stream.cancel()
-                for attempt in orders.start:
-                    self._begin(attempt, engines_by_id[attempt.engine])
+                self._carry_out(orders, engines_by_id)
         finally:
             self._is_pumping = False
 
+    def _carry_out(
+        self, orders: scheduler.Orders, engines_by_id: dict[TargetId, Engine]
+    ) -> None:
+        for attempt in orders.cancel:
+            stream = self._streams_by_attempt.pop(attempt, None)
+            if stream is not None:
+                stream.cancel()
+        for attempt in orders.start:
+            self._begin(attempt, engines_by_id[attempt.engine])
+
     def _set_engines(self) -> dict[TargetId, Engine]:
         head = self._blackboard.head
         engines = head.inventory.engines if head is not None else ()
@@ -166,7 +171,7 @@
         work = attempt.plan.work
         in_flight = self._blackboard.in_flight_by_id
         in_flight[engine.id] += 1
-        self.active += 1
+        self._generating += 1
         try:
             await self._generate(attempt, engine)
         except errors.YuccarillError as error:
@@ -175,106 +180,70 @@
             return
         finally:
             in_flight[engine.id] -= 1
-            self.active -= 1
+            self._generating -= 1
             self._streams_by_attempt.pop(attempt, None)
         if self._scheduler.generated(attempt, self._now()):
-            finishing = defer.ensureDeferred(self._finish(attempt))
-            finishing.addErrback(self._broken, work)
+            finished = defer.ensureDeferred(self._finish(attempt))
+            finished.addErrback(self._broken, work)
 
     async def _generate(self, attempt: Attempt, engine: Engine) -> None:
-        work, place = attempt.plan.work, attempt.place
-        asked = work.request.groups[place.group]
-
-        def take(chunk: Chunk) -> None:
-            if chunk.weight_version is None:
-                raise errors.AnswerCut('The engine named no weight version.')
-            attempt.spans = sample_module.append(
-                attempt.spans, chunk.weight_version, chunk.tokens
-            )
-            if not self._scheduler.progress(
-                attempt, chunk.weight_version, len(chunk.tokens), self._now()
-            ):
-                self._clock.callLater(0, self.pump)
-
-        def note(report: load.LoadReport) -> None:
-            if report.queued:
-                self._scheduler.crowded(attempt, self._now())
+        await self._engines.generate(
+            engine.address,
+            self._request(attempt),
+            SAMPLE_SECONDS,
+            functools.partial(self._take_chunk, attempt),
+            functools.partial(self._take_report, attempt),
+        )
+        if not attempt.spans:
+            raise errors.AnswerCut(f'Engine {engine.id} made no token.')
 
-        request = {
+    def _request(self, attempt: Attempt) -> dict[str, object]:
+        group = attempt.plan.work.request.groups[attempt.place.group]
+        return {
             'request_id': self._name(attempt),
             'priority': PRIORITY,
-            'prompt': asked.prompt,
+            'prompt': group.prompt,
             # The members of a group differ by their seed alone.
-            'seed': place.member,
-            'max_tokens': asked.max_tokens,
+            'seed': attempt.place.member,
+            'max_tokens': group.max_tokens,
             'resume_tokens': [
                 token for span in attempt.spans for token in span.tokens
             ],
         }
-        await self._engines.generate(
-            engine.address, request, SAMPLE_SECONDS, take, note
+
+    def _take_chunk(self, attempt: Attempt, chunk: Chunk) -> None:
+        if chunk.weight_version is None:
+            raise errors.AnswerCut('The engine named no weight version.')
+        attempt.spans = sample_module.append(
+            attempt.spans, chunk.weight_version, chunk.tokens
         )
-        if not attempt.spans:
-            raise errors.AnswerCut(f'Engine {engine.id} made no token.')
+        may_go_on = self._scheduler.progress(
+            attempt, chunk.weight_version, len(chunk.tokens), self._now()
+        )
+        if not may_go_on:
+            self._clock.callLater(0, self.pump)
+
+    def _take_report(self, attempt: Attempt, report: load.LoadReport) -> None:
+        if report.queued:
+            self._scheduler.crowded(attempt, self._now())
 
     async def _finish(self, attempt: Attempt) -> None:
-        work, place = attempt.plan.work, attempt.place
+        work, group = attempt.plan.work, attempt.place.group
         sample = sample_module.Sample(
-            id=self._name(attempt), group=place.group, spans=attempt.spans
+            id=self._name(attempt), group=group, spans=attempt.spans
         )
-        finishing = self._finishing_by_work[work]
-        finishing[place] = SampleStage.GENERATED
-        self.active += 1
         try:
-            scored = await self._score(work, sample)
-            if scored is None:
-                return
-            finishing[place] = SampleStage.SCORED
-            finished = sample_module.finish(scored)
-            disks = await self._store.keep(work.trainer, work.step, finished)
-            work.take(finished, disks)
-        finally:
-            self.active -= 1
-            finishing.pop(place, None)
+            is_finished = await self._finisher.finish(work, sample)
+        except errors.GroupFailed as error:
+            self._give_up(work, group, error.message)
+            return
+        if not is_finished:
+            return
         if work.is_whole:
             self._scheduler.settle(work)
             self.pump()
         self._report(work)
 
-    async def _score(self, work: StepWork, sample: Sample) -> Sample | None:
-        # A scorer that fails or is late is asked again: the tokens stand,
-        # and making them anew would cost far more.
-        last = 'it was not asked'
-        for number in range(SCORE_TRIES):
-            if not work.is_open:
-                return None
-            finishing = self._finishing_by_work[work]
-            finishing[sample_module.place_of(sample.id)] = SampleStage.SCORING
-            try:
-                score = await self._scorer.score(
-                    self._scorer_address(work), sample
-                )
-                return msgspec.structs.replace(sample, score=score)
-            except errors.YuccarillError as error:
-                last = error.message
-            finishing[sample_module.place_of(sample.id)] = (
-                SampleStage.GENERATED
-            )
-            await task.deferLater(
-                self._clock, SCORE_RETRY_SECONDS * number, lambda: None
-            )
-        self._give_up(work, sample.group, last)
-        return None
-
-    def _scorer_address(self, work: StepWork) -> str:
-        head = self._blackboard.head
-        trainers = head.inventory.trainers if head is not None else ()
-        for trainer in trainers:
-            if trainer.id == work.trainer and head is not None:
-                scorers = {s.id: s for s in head.inventory.scorers}
-                return scorers[trainer.scorer].address
-        raise errors.UnknownTrainer(f'Trainer {work.trainer} was removed.')
-
     def _give_up(self, work: StepWork, group: GroupNumber, cause: str) -> None:
         if not work.is_open or work.give_up(group):
             return
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/controllers/step_decider.py
@@ -0,0 +1,166 @@
+"""Claim steps and decide which samples they are made of."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+
+from yuccarill.core import errors
+from yuccarill.core.ids import WallTime
+from yuccarill.core.leases import shards
+from yuccarill.core.rollouts import records
+from yuccarill.daemon.controllers import step_ledger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.blackboard import Blackboard
+    from yuccarill.core.ids import Epoch
+    from yuccarill.core.ids import Incarnation
+    from yuccarill.core.rollouts.replicas import Disk
+    from yuccarill.core.rollouts.sample import Place
+    from yuccarill.core.rollouts.work import StepWork
+    from yuccarill.daemon.controllers.fresh_samples import FreshSamples
+    from yuccarill.daemon.controllers.sample_store import SampleStore
+
+# A claim is lost to each announcement and to another holder's claim.
+DECIDE_TRIES = 3
+
+
+class StepDecider:
+    """Write the claims and manifests of the steps worked on here."""
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        incarnation: Incarnation,
+        ledger: step_ledger.StepLedger,
+        store: SampleStore,
+        fresh_samples: FreshSamples,
+        epoch_for: Callable[[str], Epoch | None],
+    ) -> None:
+        self._blackboard = blackboard
+        self._incarnation = incarnation
+        self._ledger = ledger
+        self._store = store
+        self._fresh_samples = fresh_samples
+        self._epoch_for = epoch_for
+        self._claims_by_work: dict[StepWork, step_ledger.Claimed] = {}
+
+    def is_claimed(self, work: StepWork) -> bool:
+        """Tell whether a claim of this instance stands, as far as known."""
+        return work in self._claims_by_work
+
+    def forget(self, work: StepWork) -> None:
+        """Drop what is known of a step's claim."""
+        self._claims_by_work.pop(work, None)
+
+    async def claim(
+        self, work: StepWork
+    ) -> step_ledger.Claimed | records.Manifest:
+        """Claim a step, or take the manifest that another holder decided.
+
+        Raises ClaimLost, StepClosed, StepConflict or StoreUnavailable.
+        """
+        claim = self._new_claim(work)
+        claimed = await self._ledger.claim(work.trainer, work.step, claim)
+        if isinstance(claimed, records.Manifest):
+            work.decide(claimed)
+        else:
+            self._claims_by_work[work] = claimed
+            self._fresh_samples.raise_newest(
+                work.trainer, claimed.claim.newest_version
+            )
+        return claimed
+
+    async def decide(self, work: StepWork) -> None:
+        """Give a step its manifest unless samples or the claim are missing.
+
+        Raises StoreUnavailable.
+        """
+        for _ in range(DECIDE_TRIES):
+            if work.manifest is not None:
+                return
+            try:
+                is_whole = await self._try_to_decide(work)
+            except errors.ClaimLost:
+                self.forget(work)
+                work.waits_for = 'its claim'
+                continue
+            if not is_whole:
+                return
+
+    def _new_claim(self, work: StepWork) -> records.Claim:
+        epoch = self._epoch_for(shards.trainer_duty(work.trainer))
+        if epoch is None:
+            raise errors.ClaimLost(
+                f'This instance does not hold trainer {work.trainer} now; '
+                'try again.',
+                retry_after=0.5,
+            )
+        return records.Claim(
+            holder=self._blackboard.me.id,
+            incarnation=self._incarnation,
+            epoch=epoch,
+            newest_version=self._fresh_samples.raise_newest(
+                work.trainer, work.request.newest_version
+            ),
+            request_digest=work.digest,
+        )
+
+    async def _try_to_decide(self, work: StepWork) -> bool:
+        claimed = self._claims_by_work.get(work) or await self.claim(work)
+        if isinstance(claimed, records.Manifest):
+            return True
+        trainer = self._fresh_samples.trainer(work.trainer)
+        newest = claimed.claim.newest_version
+        self._fresh_samples.renew(trainer, work, newest)
+        if not work.is_whole:
+            return False
+        await self._keep_again(work)
+        manifest = self._manifest(work, claimed.claim)
+        work.decide(await self._ledger.decide(claimed, manifest))
+        return True
+
+    async def _keep_again(self, work: StepWork) -> None:
+        # A disk that was replaced since, or recovered samples of which one
+        # copy was found, would leave a decided step on one disk only.
+        places = [
+            place
+            for place in work.finished_by_place
+            if not self._store.is_kept(work.disks_by_place[place])
+        ]
+        kept = await defer.gatherResults(
+            [self._keep(work, place) for place in places]
+        )
+        for place, disks in zip(places, kept, strict=True):
+            if place in work.disks_by_place:
+                work.disks_by_place[place] = disks
+
+    def _keep(
+        self, work: StepWork, place: Place
+    ) -> defer.Deferred[tuple[Disk, ...]]:
+        finished = work.finished_by_place[place]
+        return defer.ensureDeferred(
+            self._store.keep(work.trainer, work.step, finished)
+        )
+
+    def _manifest(
+        self, work: StepWork, claim: records.Claim
+    ) -> records.Manifest:
+        assert self._blackboard.head is not None
+        return records.Manifest(
+            trainer=work.trainer,
+            step=work.step,
+            newest_version=claim.newest_version,
+            sample_ids=tuple(f.id for f in work.in_order()),
+            digest=work.sample_digest(),
+            holder=self._blackboard.me.id,
+            incarnation=self._incarnation,
+            epoch=claim.epoch,
+            stored_on=work.stored_on(),
+            revision=self._blackboard.head.revision,
+            decided_at=WallTime(time.time()),
+        )
