--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo demo-lifti test lint format
+.PHONY: setup demo demo-lifti test lint format capacity
 
 setup: $(STAMP)
 
@@ -25,6 +25,10 @@
 	$(BIN)/ruff format --check packages tools
 	$(BIN)/flake8 packages tools
 	$(BIN)/mypy -p yuccarill.core -p yuccarill.wire
+	$(BIN)/python tools/capacity.py --check
 
 format: $(STAMP)
 	$(BIN)/ruff format packages tools
+
+capacity: $(STAMP)
+	$(BIN)/python tools/capacity.py
