Give lanes, placement and engines' history modules of their own

Starting one attempt took seven arguments, and steps to be served were sorted as bare tuples.

The tuple became a typed candidate.

--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/rollouts/placement.py
@@ -0,0 +1,162 @@
+"""Choose which places are started on which free engines."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.rollouts import plan as plan_module
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from yuccarill.core.ids import TargetId
+    from yuccarill.core.rollouts.engine_history import EngineHistory
+    from yuccarill.core.rollouts.engines import EnginePool
+    from yuccarill.core.rollouts.lanes import Lane
+    from yuccarill.core.rollouts.plan import Attempt
+    from yuccarill.core.rollouts.plan import StepPlan
+    from yuccarill.core.rollouts.sample import Place
+    from yuccarill.core.rollouts.sample import Span
+
+# Looked at with every event, the last samples of a large step would cost
+# more than all its other decisions.
+HEDGE_SECONDS = 0.5
+# Below this part of the mean rate an attempt has fallen behind.
+SLOW_PART = 0.5
+
+
+class _Candidate(msgspec.Struct, frozen=True):
+    """Hold a step that may be given engines."""
+
+    lane: Lane
+    plan: StepPlan
+    # How many open steps of its trainer come before it.
+    ahead: int
+
+
+class Placement:
+    """Start attempts: first ones, resumed ones and hedges."""
+
+    def __init__(self, history: EngineHistory) -> None:
+        self._history = history
+        self._numbers = itertools.count(1)
+        self.virtual_time = 0.0
+
+    def serve(
+        self, lanes: list[Lane], pool: EnginePool, now: Instant
+    ) -> list[Attempt]:
+        """Start places that wait, steps in the order of virtual finish."""
+        candidates = [
+            _Candidate(lane, plan, ahead)
+            for lane in lanes
+            if pool.has_free
+            for ahead, plan in lane.startable()
+        ]
+        candidates.sort(key=lambda candidate: candidate.plan.finish_tag)
+        started: list[Attempt] = []
+        for candidate in candidates:
+            plan = candidate.plan
+            size = plan.size / candidate.lane.trainer.share
+            while pool.has_free and plan.has_waiting:
+                attempt = self._start_waiting(candidate, pool, now)
+                if attempt is None:
+                    break
+                begun = plan.finish_tag - size
+                self.virtual_time = max(self.virtual_time, begun)
+                started.append(attempt)
+        return started
+
+    def hedge(
+        self, lane: Lane, pool: EnginePool, mean_rate: float, now: Instant
+    ) -> list[Attempt]:
+        """Start seconds of a step's last attempts that have fallen behind."""
+        if now < lane.hedge_due:
+            return []
+        lane.hedge_due = now + HEDGE_SECONDS
+        if not lane.plans:
+            return []
+        candidate = _Candidate(lane, lane.plans[0], ahead=0)
+        started: list[Attempt] = []
+        for first in _lone_stragglers(candidate, mean_rate, now):
+            engine = self._engine(candidate, first.place, pool, now)
+            if engine is not None:
+                second = self._start(
+                    first.plan, first.place, engine, first.spans, pool, now
+                )
+                started.append(second)
+        return started
+
+    def _start_waiting(
+        self, candidate: _Candidate, pool: EnginePool, now: Instant
+    ) -> Attempt | None:
+        plan = candidate.plan
+        place = plan.head()
+        engine = self._engine(candidate, place, pool, now)
+        if engine is None:
+            return None
+        # An engine that has just made samples of a group keeps its prompt.
+        warm_group = self._history.warm_group(engine, plan)
+        if warm_group is not None:
+            place = plan.head(warm_group)
+        spans = plan.remove(place)
+        return self._start(plan, place, engine, spans, pool, now)
+
+    def _engine(
+        self,
+        candidate: _Candidate,
+        place: Place,
+        pool: EnginePool,
+        now: Instant,
+    ) -> TargetId | None:
+        lane, plan = candidate.lane, candidate.plan
+        running = plan.attempts_by_place.get(place, ())
+        taken = {attempt.engine for attempt in running}
+        trainer = lane.trainer
+        # A step ahead is delivered so many versions later. What an engine
+        # with older weights made for it would be too old by then.
+        oldest = lane.newest + candidate.ahead - trainer.staleness_bound
+
+        def allows(engine: TargetId) -> bool:
+            return engine not in taken and self._history.may_have(
+                trainer.id, engine, oldest, now
+            )
+
+        return pool.choose(plan.prefix(place), allows)
+
+    def _start(
+        self,
+        plan: StepPlan,
+        place: Place,
+        engine: TargetId,
+        spans: tuple[Span, ...],
+        pool: EnginePool,
+        now: Instant,
+    ) -> Attempt:
+        pool.start(engine)
+        self._history.note_start(engine, plan, place)
+        attempt = plan_module.Attempt(
+            next(self._numbers), plan, place, engine, spans, now
+        )
+        plan.attempts_by_place.setdefault(place, []).append(attempt)
+        return attempt
+
+
+def _lone_stragglers(
+    candidate: _Candidate, mean_rate: float, now: Instant
+) -> Iterator[Attempt]:
+    plan = candidate.plan
+    policy = candidate.lane.trainer.policy
+    few = max(1, policy.hedge_part * plan.size)
+    if plan.has_waiting or len(plan.unfilled) > few:
+        return
+    for attempts in list(plan.attempts_by_place.values()):
+        first = attempts[0]
+        if len(attempts) > 1 or now - first.started_at < policy.hedge_after:
+            continue
+        # A long sample on a good engine gains nothing from a second one.
+        if first.rate(now) < SLOW_PART * mean_rate:
+            yield first
