Keep one type for the key-value service's entries

Cause: the adapter and the stand-in in memory each defined the same Entry with the same rule for an absent key; a change to one would have been missed in the other, and tests run against the second.

Change: yuccarill.wire.key_value holds it and both take it from there; both modules offer the name as before, so no other file changes.

Of the other pairs of places found in packages/*/src: parameter lists of constructors, field lists of structs, a protocol and its implementation, and pairs within calls and leases; none was merged here. Tests are unchanged.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
@@ -6,22 +6,12 @@
 
 from yuccarill.core import errors
 from yuccarill.daemon.adapters import http
+from yuccarill.wire.key_value import Entry
 
 CALL_SECONDS = 2.0
 WATCH_SECONDS = 10.0
 
 
-class Entry(msgspec.Struct, frozen=True):
-    """Hold a value and the version that a later swap must name."""
-
-    version: int
-    value: bytes
-
-    @property
-    def is_absent(self) -> bool:
-        return self.version == 0
-
-
 class KeyValueAdapter:
     """Read, compare-and-swap and watch keys."""
 
--- a/packages/yuccarill-standins/src/yuccarill/standins/memory.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/memory.py
@@ -10,12 +10,12 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
 from yuccarill.core import errors
 from yuccarill.wire import frames
+from yuccarill.wire.key_value import Entry
 from yuccarill.wire import messages
 
 if TYPE_CHECKING:
@@ -42,17 +42,6 @@
 _DOWNING = (WriteFault.DELAYED_THEN_DOWN, WriteFault.DOWN_AFTER)
 
 
-class Entry(msgspec.Struct, frozen=True):
-    """Hold a value and the version that a later swap must name."""
-
-    version: int
-    value: bytes
-
-    @property
-    def is_absent(self) -> bool:
-        return self.version == 0
-
-
 class MemoryKeyValue:
     """Offer compare-and-swap and watches in memory."""
 
