Reserve chosen ports until the process that chose them ends

One run of the process-level tests had two failures of 17: an instance found its port "already in use" and did not start, and in a fleet beside it a step was not delivered within 20 s. Ports are drawn at random and were only looked at, so fleets that start side by side, or another run on the machine, could draw the same port before either listened. That the second failure has the same cause, one fleet's instances reaching the other's, is likely and not shown. Ruled out: a wider range, which makes it rarer only.

A chosen port is now kept by a socket that is bound and never listens: who else chooses fails to bind it, and the process that it is meant for may listen. The demonstration chooses in a process that ends before its instances start, so it is as before there.

--- a/packages/yuccarill-standins/src/yuccarill/standins/ports.py
+++ b/packages/yuccarill-standins/src/yuccarill/standins/ports.py
@@ -13,21 +13,30 @@
 LAST_PORT = 32_000
 
 _source = random.SystemRandom()
+# Two that choose at the same time may choose the same port, and the later one
+# does not start. A socket that is bound here and never listens keeps a port
+# from whoever else chooses, and lets in the process that it is meant for.
+_reservations: list[socket.socket] = []
 
 
 def free(count: int) -> list[int]:
-    """Return distinct ports on which nothing listens."""
-    found: set[int] = set()
+    """Return distinct ports, reserved until this process ends."""
+    found: list[int] = []
     while len(found) < count:
         port = _source.randint(FIRST_PORT, LAST_PORT)
-        if _is_free(port):
-            found.add(port)
-    return list(found)
+        if _reserve(port):
+            found.append(port)
+    return found
 
 
-def _is_free(port: int) -> bool:
+def _reserve(port: int) -> bool:
+    reservation = socket.socket()
     try:
-        with socket.create_server((LOOPBACK, port)):
-            return True
+        reservation.bind((LOOPBACK, port))
     except OSError:
+        reservation.close()
         return False
+    # Set after the bind, which must fail beside another's reservation.
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _reservations.append(reservation)
+    return True
