--- a/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/rollout_parts.py
@@ -82,10 +82,13 @@
 
     def following(self) -> list[Awaitable[None]]:
         """Return what runs until the process ends."""
-        works = [self._registry.follow(self._mine), self._maker.follow()]
+        works: list[Awaitable[None]] = [
+            self._registry.follow(self._mine),
+            self._maker.follow(),
+        ]
         if self._disk is not None:
             works.append(self._disk.follow())
-        return list(works)
+        return works
 
     async def handle_disk(self, body: messages.DiskRequest) -> messages.Body:
         """Answer a peer's request to this instance's disk.
