Reserve the ports of the measuring tools

The tools chose ports among those that the kernel gives to outgoing connections, and any of these may take one before its instance listens. That this was the cause of both was not shown; the tests of real processes had the same fault.

Change: the tools use the stand-ins' reserved ports; their own function goes.

Seen: a run of each tool starts and ends as before.

--- a/tools/control_fleet.py
+++ b/tools/control_fleet.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +13,8 @@
 
 import psutil
 
+from yuccarill.standins import ports
+
 LOOPBACK = '127.0.0.1'
 DATA_CENTRES = ('centre-a', 'centre-b', 'centre-c')
 START_SECONDS = 60.0
@@ -57,9 +57,9 @@
         self._platform = json.loads(ready.read_text())
         inventory = self._folder / 'inventory.json'
         self._document = json.loads(inventory.read_text())
-        ports = free_ports(2 * self._count)
+        chosen = ports.free(2 * self._count)
         for number in range(self._count):
-            self._start_instance(number, ports[2 * number : 2 * number + 2])
+            self._start_instance(number, chosen[2 * number : 2 * number + 2])
         for port in self.http_ports:
             until(lambda port=port: self._status(port) is not None)
         self.change()
@@ -128,13 +128,13 @@
         for process in self._processes:
             process.wait()
 
-    def _start_instance(self, number: int, ports: list[int]) -> None:
+    def _start_instance(self, number: int, chosen: list[int]) -> None:
         entry = {
             'id': f'entry-{number}',
             'data_centre': DATA_CENTRES[number % len(DATA_CENTRES)],
             'host': LOOPBACK,
-            'http_port': ports[0],
-            'peer_port': ports[1],
+            'http_port': chosen[0],
+            'peer_port': chosen[1],
             'state': 'live',
         }
         url = f'{self._platform["instance_list"]}/admin/instances'
@@ -146,7 +146,7 @@
             words += [f'--{name.replace("_", "-")}', self._platform[name]]
         process = self._spawn(str(entry['id']), words)
         self.members.append(psutil.Process(process.pid))
-        self.http_ports.append(ports[0])
+        self.http_ports.append(chosen[0])
 
     def _spawn(self, name: str, words: list[str]) -> subprocess.Popen[bytes]:
         log = (self._folder / f'{name}.log').open('wb')
@@ -209,13 +209,3 @@
         if time.monotonic() > deadline:
             raise SystemExit('The fleet did not start in time.')
         time.sleep(0.05)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        opened = [
-            stack.enter_context(socket.create_server((LOOPBACK, 0)))
-            for _ in range(count)
-        ]
-        return [one.getsockname()[1] for one in opened]
--- a/tools/measure_process.py
+++ b/tools/measure_process.py
@@ -22,6 +22,8 @@
 import control_fleet
 import psutil
 
+from yuccarill.standins import ports
+
 TOOLS = pathlib.Path(__file__).resolve().parent
 BIN = pathlib.Path(sys.executable).parent
 EXAMPLE = TOOLS.parent / 'examples/landesstelle.toml'
@@ -44,7 +46,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
         self._processes: list[subprocess.Popen[bytes]] = []
-        self._ports = control_fleet.free_ports(3)
+        self._ports = ports.free(3)
         self.instance_port, _, self.relay_port = self._ports
 
     def start(self) -> None:
@@ -87,10 +89,10 @@
 
     def start_seconds(self) -> float:
         """Start another instance and return when it answered."""
-        ports = control_fleet.free_ports(2)
+        chosen = ports.free(2)
         begun_at = time.monotonic()
-        process = self._spawn(*self._words('entry-2', *ports))
-        control_fleet.until(lambda: _listens(ports[0]))
+        process = self._spawn(*self._words('entry-2', *chosen))
+        control_fleet.until(lambda: _listens(chosen[0]))
         seconds = time.monotonic() - begun_at
         process.kill()
         process.wait()
