--- a/packages/yuccarill-core/src/yuccarill/core/calls/admission.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/admission.py
@@ -122,10 +122,6 @@
     def queued(self) -> int:
         return sum(queue.count for queue in self._queues.values())
 
-    def queued_of(self, caller_class: CallerClass) -> int:
-        """Count the calls of a class that wait."""
-        return self._queues[caller_class].count
-
     def offer(
         self,
         waiting: Waiting[T],
