--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements-dev.txt constraints.txt packages/*/pyproject.toml
+$(STAMP): requirements-dev.txt constraints.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements-dev.txt
 	touch $(STAMP)
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how requests of outside clients reach targets."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
@@ -0,0 +1,101 @@
+"""Decide when the holder of a duty may order targets."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import Instant
+
+# Seconds that a lease is given up early. Clocks of two machines drift by far
+# less over a lease of a few seconds; the rest covers an order under way.
+DRIFT_MARGIN = 0.4
+
+
+class LastHolder(msgspec.Struct, frozen=True, kw_only=True):
+    """Record who held a duty last, beyond the end of its lease."""
+
+    instance: InstanceId
+    epoch: Epoch
+    # Set by a holder that gave the duty back: seconds since its last order
+    # at that time; infinity if it never sent one.
+    idle_seconds: float | None = None
+
+
+class HoldPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Set the lease and the pause between two holders, in seconds."""
+
+    lease: float
+    # Orders of two holders may not come to one engine within this time.
+    handover_pause: float
+
+
+class Tenure:
+    """Track one held duty as its holder may rely on it."""
+
+    def __init__(
+        self,
+        epoch: Epoch,
+        policy: HoldPolicy,
+        renewed_at: Instant,
+        orders_from: Instant,
+    ) -> None:
+        self.epoch = epoch
+        self.orders_from = orders_from
+        self._policy = policy
+        self._usable_until = Instant(0.0)
+        self._last_order_at: Instant | None = None
+        self.renew(renewed_at)
+
+    def renew(self, sent_at: Instant) -> None:
+        """Take a renewal that the store confirmed."""
+        # The store counts from when the renewal reached it, this process
+        # from before it was sent. Counting from the reply would let a slow
+        # reply stretch the lease past the successor's takeover, and two
+        # holders would order the same engine.
+        until = sent_at + self._policy.lease - DRIFT_MARGIN
+        self._usable_until = Instant(max(self._usable_until, until))
+
+    def is_held(self, now: Instant) -> bool:
+        """Tell whether work under the duty may go on."""
+        return now < self._usable_until
+
+    def may_order(self, now: Instant) -> bool:
+        """Tell whether an order may be sent."""
+        return now >= self.orders_from and self.is_held(now)
+
+    def order(self, now: Instant) -> None:
+        """Note that an order is sent."""
+        self._last_order_at = now
+
+    def idle_seconds(self, now: Instant) -> float:
+        """Return the seconds since the last order."""
+        if self._last_order_at is None:
+            return math.inf
+        return now - self._last_order_at
+
+
+def orders_from(
+    me: InstanceId,
+    last: LastHolder | None,
+    policy: HoldPolicy,
+    now: Instant,
+) -> Instant:
+    """Return when a new holder may send its first order."""
+    if last is None:
+        # Nobody has held the duty: the record is written with each hold.
+        return now
+    if last.instance == me:
+        # The same machine is the same holder to an engine.
+        return now
+    if last.idle_seconds is not None:
+        left = policy.handover_pause - last.idle_seconds
+        return Instant(now + max(0.0, left))
+    # The last holder may be frozen or cut off from the store, and may rely
+    # on its lease until the lease ends by its own clock, even where the
+    # store took the lease's keys away before. It stops itself by then, so a
+    # whole lease and the pause after it are enough.
+    return Instant(now + policy.lease + policy.handover_pause)
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
@@ -0,0 +1,56 @@
+"""Hold a client's request and the answers to it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+
+
+class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one attempt of a client."""
+
+    id: RequestId
+    method: str
+    host: str
+    # Without the query.
+    path: str
+    # Path and query exactly as they came.
+    target: str
+    # What is passed on; names as they came.
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived_at: Instant
+    # When the client stops waiting, if it said so.
+    deadline: Instant | None = None
+    # The last event that the client has of a stream it resumes.
+    after_event: int | None = None
+
+
+class TargetAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a target's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    # The target's signature of what it answered.
+    stamp: str | None
+    # The target says that it did not run the request.
+    not_run: bool = False
+
+    @property
+    def is_success(self) -> bool:
+        return 200 <= self.status < 300
+
+    @property
+    def is_server_error(self) -> bool:
+        return self.status >= 500
+
+
+class AddressList(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the instances that a client may connect to."""
+
+    addresses: tuple[str, ...]
+    # Seconds for which the answer may be kept.
+    validity: float
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how batch jobs of generations are run and listed."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -0,0 +1,154 @@
+"""Decide which item of which batch job is run next."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from yuccarill.core.jobs.job import ItemResult
+from yuccarill.core.jobs.job import ResultState
+from yuccarill.core.jobs import text as text_module
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from yuccarill.core.ids import Instant
+    from yuccarill.core.jobs.job import GroupId
+    from yuccarill.core.jobs.job import Item
+    from yuccarill.core.jobs.job import ItemId
+    from yuccarill.core.jobs.job import Job
+    from yuccarill.core.jobs.job import JobId
+
+
+class RunState(enum.Enum):
+    """Say how far an item is."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    SCORING = 'scoring'
+    ENDED = 'ended'
+
+
+class ItemRun:
+    """Track one item of one job."""
+
+    def __init__(self, job: Job, item: Item, position: int) -> None:
+        self.job = job
+        self.item = item
+        # The item's place in its job, which is not that of its result.
+        self.position = position
+        self.state = RunState.WAITING
+        self.text = text_module.ItemText()
+        # Answers that said the item failed at an engine, or at its scorer.
+        self.failures = 0
+        self.score_failures = 0
+
+    def fail(self) -> ItemResult | None:
+        """Count a failed run; return the result if it was the last."""
+        self.failures += 1
+        if self.failures >= self.job.max_attempts:
+            return self.given_up()
+        return None
+
+    def fail_score(self) -> ItemResult | None:
+        """Count a failed scoring; return the result if it was the last."""
+        self.score_failures += 1
+        if self.score_failures >= self.job.max_attempts:
+            return self.given_up()
+        return None
+
+    def given_up(self) -> ItemResult:
+        return ItemResult(id=self.item.id, state=ResultState.FAILED)
+
+    def completed(self, score: str) -> ItemResult:
+        return ItemResult(
+            id=self.item.id,
+            state=ResultState.COMPLETED,
+            text=self.text.text,
+            versions=self.text.versions,
+            score=score,
+        )
+
+
+class JobState:
+    """Track one open job."""
+
+    def __init__(
+        self, job: Job, due_at: Instant, retained_until: Instant
+    ) -> None:
+        self.job = job
+        self.due_at = due_at
+        self.retained_until = retained_until
+        self.runs_by_id: dict[ItemId, ItemRun] = {}
+        self._left_by_group: dict[GroupId, int] = {}
+        self._begun: set[GroupId] = set()
+        for position, item in enumerate(job.items):
+            self.runs_by_id[item.id] = ItemRun(job, item, position)
+            left = self._left_by_group.get(item.group, 0)
+            self._left_by_group[item.group] = left + 1
+
+    def begin(self, run: ItemRun) -> None:
+        self._begun.add(run.item.group)
+
+    def end(self, item_id: ItemId) -> None:
+        """Note that an item has its result."""
+        run = self.runs_by_id.get(item_id)
+        if run is None or run.state is RunState.ENDED:
+            return
+        run.state = RunState.ENDED
+        self._left_by_group[run.item.group] -= 1
+
+    @property
+    def is_finished(self) -> bool:
+        return not any(self._left_by_group.values())
+
+    def waiting(self) -> Iterator[ItemRun]:
+        for run in self.runs_by_id.values():
+            if run.state is RunState.WAITING:
+                yield run
+
+    def rank(self, run: ItemRun) -> tuple[bool, int, int]:
+        """Order the job's items; the lowest goes first."""
+        # A trainer counts whole groups: one that was begun is finished
+        # before the next, those with the fewest items left first. Groups
+        # carried over from an earlier step stand first in the job.
+        group = run.item.group
+        return (
+            group not in self._begun,
+            self._left_by_group[group] if group in self._begun else 0,
+            run.position,
+        )
+
+
+class JobBoard:
+    """Hold the open jobs of one service."""
+
+    def __init__(self) -> None:
+        self.jobs_by_id: dict[JobId, JobState] = {}
+
+    def add(self, state: JobState, listed: Iterable[ItemId] = ()) -> None:
+        """Take a job and the items that already have their results."""
+        self.jobs_by_id[state.job.id] = state
+        for item_id in listed:
+            state.end(item_id)
+
+    def remove(self, job: JobId) -> JobState | None:
+        """Forget a job that its trainer ended."""
+        return self.jobs_by_id.pop(job, None)
+
+    def waiting(self) -> Iterator[ItemRun]:
+        """Yield the items to run, the most urgent first."""
+        states = sorted(self.jobs_by_id.values(), key=lambda s: s.due_at)
+        for state in states:
+            yield from sorted(state.waiting(), key=state.rank)
+
+    def expired(self, now: Instant) -> list[ItemRun]:
+        """Return the unfinished items whose time is over."""
+        return [
+            run
+            for state in self.jobs_by_id.values()
+            if now >= state.retained_until
+            for run in state.runs_by_id.values()
+            if run.state is not RunState.ENDED
+        ]
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve outside clients and trainers in front of the users' targets."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -0,0 +1,218 @@
+"""Hold the duty for a service's engines, one instance at a time."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+import zlib
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.gateway import leadership
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import Revision
+from yuccarill.daemon.gateway import session as session_module
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon import logs
+from yuccarill.platform import keys
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.gateway.session import Session
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.store import Store
+
+log = logs.for_part('duty')
+
+# Seconds that each further instance in the order of candidates waits, so
+# that one write decides in most cases.
+RANK_SECONDS = 0.15
+
+
+class Duty:
+    """Contend for one service's duty and track its hold."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        state: GatewayState,
+        session: Session,
+        store: Store,
+        on_change: Callable[[], None],
+        clock: Any,
+    ) -> None:
+        self.service = service
+        self.tenure: leadership.Tenure | None = None
+        self._state = state
+        self._session = session
+        self._store = store
+        self._on_change = on_change
+        self._clock = clock
+        self._attempt: defer.Deferred[None] | None = None
+        self._policy = leadership.HoldPolicy(
+            lease=session_module.LEASE_SECONDS,
+            handover_pause=state.settings.handover_pause
+            + leadership.DRIFT_MARGIN,
+        )
+
+    @property
+    def revision(self) -> Revision | None:
+        """Return the change that gave this instance the duty, if it did."""
+        if self.tenure is None:
+            return None
+        return Revision(self.tenure.epoch)
+
+    def is_held(self) -> bool:
+        """Tell whether work under the duty may go on."""
+        return self.tenure is not None and self.tenure.is_held(self._now())
+
+    def update(self) -> None:
+        """Compare what is known with what this instance holds."""
+        holder = self._state.duties_by_service.get(self.service)
+        if self.tenure is not None:
+            self._check(holder)
+        elif holder is None and self._attempt is None:
+            self._contend()
+
+    async def release(self) -> None:
+        """Give the duty back, telling when the last order was sent."""
+        tenure, self.tenure = self.tenure, None
+        if tenure is None:
+            return
+        self._on_change()
+        idle = tenure.idle_seconds(self._now())
+        expected = store_module.Expectation(
+            key=keys.duty(self.service), revision=Revision(tenure.epoch)
+        )
+        await self._store.transact(
+            expected=[expected],
+            writes=[
+                self._last_holder(tenure.epoch, min(idle, 1e9)),
+            ],
+            removals=[keys.duty(self.service)],
+        )
+        log.info('Duty given back.', service=self.service)
+
+    def _check(self, holder: state_module.DutyRecord | None) -> None:
+        assert self.tenure is not None
+        epoch = self.tenure.epoch
+        lost = holder is not None and holder.revision > epoch
+        if self._session.lease is None or lost:
+            log.warning('Duty lost.', service=self.service, epoch=epoch)
+            self.tenure = None
+            self._on_change()
+            return
+        # The keys of a lease go with it: a lease that was renewed shows
+        # that the duty was held when the renewal was sent.
+        self.tenure.renew(self._session.renewed_at)
+
+    def _contend(self) -> None:
+        # The record of the last holder has to be known: it says from when
+        # on orders may be sent.
+        if self._state.is_leaving or not self._state.is_current:
+            return
+        if self._session.lease is None:
+            return
+        if not self._state.targets.ready(self.service):
+            return
+        self._attempt = defer.Deferred.fromCoroutine(self._take())
+        self._attempt.addErrback(self._failed)
+        self._attempt.addBoth(self._ended)
+
+    async def _take(self) -> None:
+        await task.deferLater(self._clock, RANK_SECONDS * self._rank())
+        lease = self._session.lease
+        is_free = self.service not in self._state.duties_by_service
+        if lease is None or not is_free or self._state.is_leaving:
+            return
+        me = self._state.settings.instance
+        sent_at = self._now()
+        key = keys.duty(self.service)
+        record = state_module.DutyRecord(instance=me)
+        # Read before it is overwritten by this write.
+        last = self._state.last_holders_by_service.get(self.service)
+        revision = await self._store.transact(
+            expected=[
+                store_module.Expectation(key=key, revision=store_module.ABSENT)
+            ],
+            writes=[
+                store_module.Write(
+                    key=key,
+                    value=msgspec.msgpack.encode(record),
+                    lease=lease,
+                ),
+                self._last_holder(Epoch(0), None),
+            ],
+        )
+        orders_from = leadership.orders_from(
+            me, last, self._policy, self._now()
+        )
+        self.tenure = leadership.Tenure(
+            Epoch(revision), self._policy, sent_at, orders_from
+        )
+        log.info(
+            'Duty taken.',
+            service=self.service,
+            epoch=revision,
+            last_holder=None if last is None else last.instance,
+            orders_in=round(orders_from - self._now(), 2),
+        )
+        self._on_change()
+
+    def _last_holder(
+        self, epoch: Epoch, idle: float | None
+    ) -> store_module.Write:
+        record = leadership.LastHolder(
+            instance=self._state.settings.instance,
+            epoch=epoch,
+            idle_seconds=idle,
+        )
+        return store_module.Write(
+            key=keys.last_holder(self.service),
+            value=msgspec.msgpack.encode(record),
+        )
+
+    def _rank(self) -> int:
+        """Return this instance's place among the candidates."""
+        candidates = {
+            record.instance
+            for record in self._state.instances_by_id.values()
+            if not record.is_leaving
+        }
+        me = str(self._state.settings.instance)
+        ordered = sorted(
+            candidates | {me}, key=lambda name: _order(name, self.service)
+        )
+        return ordered.index(me)
+
+    def _failed(self, failure: Any) -> None:
+        if failure.check(
+            store_module.StoreConflict,
+            store_module.StoreRefused,
+            store_module.StoreUnclear,
+            store_module.LeaseEnded,
+            defer.CancelledError,
+        ):
+            log.info(
+                'Duty not taken.',
+                service=self.service,
+                cause=repr(failure.value),
+            )
+            return
+        log.error('Duty failed.', cause=failure.getTraceback())
+
+    def _ended(self, _: object) -> None:
+        self._attempt = None
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+def _order(instance: str, service: str) -> int:
+    return zlib.crc32(f'{instance} {service}'.encode())
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/forwarding.py
@@ -0,0 +1,185 @@
+"""Pass clients' requests on to targets."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core import errors
+from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway.routes import Route
+from yuccarill.core.gateway.routes import RouteKind
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway import sender as sender_module
+from yuccarill.daemon import logs
+from yuccarill.platform import calls as calls_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.gateway.intake import Intake
+    from yuccarill.daemon.gateway.sender import Sender
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.streams import StreamForwarder
+    from yuccarill.platform.calls import Calls
+    from yuccarill.platform.server import Answerer
+
+log = logs.for_part('request')
+
+# Seconds after which a request is worth sending again while this instance
+# knows no configuration yet; it reads it within some milliseconds.
+NO_CONFIGURATION_RETRY = 0.3
+
+
+class Forwarder:
+    """Serve each request as its route says."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        sender: Sender,
+        calls: Calls,
+        streams: StreamForwarder,
+        intake: Intake,
+        clock: Any,
+    ) -> None:
+        self._state = state
+        self._sender = sender
+        self._calls = calls
+        self._streams = streams
+        self._intake = intake
+        self._clock = clock
+        self._random = random.Random()
+
+    async def forward(
+        self, request: ClientRequest, answerer: Answerer
+    ) -> None:
+        """Serve one request.
+
+        Raises YuccarillError for what is refused or failed.
+        """
+        route = self._find(request)
+        outcome = 'cancelled'
+        try:
+            outcome = await self._serve(route, request, answerer)
+        except errors.YuccarillError as error:
+            outcome = f'code {int(error.code)}'
+            raise
+        finally:
+            seconds = self._clock.seconds() - request.arrived_at
+            meters.REQUESTS.labels(route.name, outcome).inc()
+            meters.REQUEST_SECONDS.labels(route.name).observe(seconds)
+            log.info(
+                'Answered.',
+                request=request.id,
+                route=route.name,
+                outcome=outcome,
+                ms=round(seconds * 1000.0),
+            )
+
+    def _find(self, request: ClientRequest) -> Route:
+        table = self._state.table
+        if table is None:
+            raise errors.NoConfiguration(
+                'No configuration is known here yet.', NO_CONFIGURATION_RETRY
+            )
+        route = table.find(request.host, request.path)
+        if route is None:
+            raise errors.UnknownService(
+                f'No route begins this path in version {table.version}.'
+            )
+        return route
+
+    async def _serve(
+        self, route: Route, request: ClientRequest, answerer: Answerer
+    ) -> str:
+        match route.kind:
+            case RouteKind.BATCH:
+                answer = await self._intake.submit(route, request)
+            case RouteKind.IDEMPOTENT:
+                answer = await self._idempotent(route, request)
+            case RouteKind.AT_MOST_ONCE:
+                answer = await self._at_most_once(route, request)
+            case RouteKind.STREAM:
+                return await self._streams.serve(route, request, answerer)
+        answerer.answer(answer)
+        return f'status {answer.status}'
+
+    async def _idempotent(
+        self, route: Route, request: ClientRequest
+    ) -> TargetAnswer:
+        deadline = time_limit(route, request)
+        plan = attempts.AttemptPlan(
+            deadline=deadline,
+            max_attempts=route.max_attempts,
+            hedge_delay=attempts.hedge_delay(route.objective),
+        )
+        return await self._sender.send(
+            self._service(route),
+            call_of(request, deadline),
+            plan,
+            sender_module.SendRecord(),
+        )
+
+    async def _at_most_once(
+        self, route: Route, request: ClientRequest
+    ) -> TargetAnswer:
+        deadline = time_limit(route, request)
+        service = self._service(route)
+        call = call_of(request, deadline)
+        tried = set()
+        cause = 'no target is ready'
+        for _ in range(route.max_attempts):
+            target = self._sender.choose(service, frozenset(tried))
+            if target is None or self._clock.seconds() >= deadline:
+                break
+            tried.add(target.id)
+            try:
+                answer = await self._calls.send(
+                    target, call, deadline, is_fresh=True
+                )
+            except calls_module.CallFailed as error:
+                if error.end is calls_module.CallEnd.BROKEN:
+                    # It may have run; another target could run it twice.
+                    raise errors.OutcomeUnknown(
+                        f'The target broke off: {error}.'
+                    ) from error
+                cause = str(error)
+                continue
+            if not answer.not_run:
+                return answer
+            cause = f'refused with status {answer.status}'
+        raise errors.NotRun(
+            f'The request was not run: {cause}.', sender_module.RETRY_AFTER
+        )
+
+    def _service(self, route: Route) -> ServiceName:
+        service = route.choose_service(self._random)
+        if service is None:
+            raise errors.NoTarget('The route has no service.', 1.0)
+        return service
+
+
+def time_limit(route: Route, request: ClientRequest) -> Instant:
+    """Return when a request gets its last answer at the latest."""
+    limit = Instant(request.arrived_at + route.timeout)
+    if request.deadline is None:
+        return limit
+    return min(limit, request.deadline)
+
+
+def call_of(
+    request: ClientRequest, deadline: Instant | None
+) -> calls_module.TargetCall:
+    """Return a request as a target gets it."""
+    return calls_module.TargetCall(
+        id=request.id,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        deadline=deadline,
+    )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
@@ -0,0 +1,109 @@
+"""Answer clients, trainers and the platform's checks of one instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccarill.core import errors
+from yuccarill.core.gateway.requests import AddressList
+from yuccarill.core.gateway.routes import ClientLimits
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.ids import DataCentreId
+    from yuccarill.core.jobs.job import ItemId
+    from yuccarill.core.jobs.job import JobId
+    from yuccarill.daemon.gateway.forwarding import Forwarder
+    from yuccarill.daemon.gateway.intake import Intake
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.server import Answerer
+    from yuccarill.platform.server import ResultsQuery
+
+log = logs.for_part('front')
+
+# Seconds for which clients may keep the addresses. A stopping instance
+# serves on for longer; a killed one is left out within its lease.
+ADDRESS_VALIDITY = 2.0
+# Addresses in one answer; clients take up to 64.
+MAX_ADDRESSES = 64
+
+
+class Front:
+    """Be the gateway that the platform's server asks."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        forwarder: Forwarder,
+        intake: Intake,
+    ) -> None:
+        self._state = state
+        self._forwarder = forwarder
+        self._intake = intake
+
+    def is_ready(self) -> bool:
+        """Tell whether this instance should get new connections."""
+        if self._state.is_leaving or self._state.table is None:
+            return False
+        return self._state.is_current
+
+    def is_leaving(self) -> bool:
+        return self._state.is_leaving
+
+    def limits(self) -> ClientLimits:
+        table = self._state.table
+        return ClientLimits() if table is None else table.limits
+
+    def addresses(self, data_centre: DataCentreId) -> AddressList:
+        """Return where clients may connect.
+
+        Raises NotRun if no instance is known that takes requests.
+        """
+        found = {
+            record.client_address
+            for record in self._state.instances_by_id.values()
+            if not record.is_leaving
+        }
+        me = self._state.settings
+        if self.is_ready():
+            found.add(me.client_address)
+        else:
+            found.discard(me.client_address)
+        if not found:
+            raise errors.NotRun('No instance is ready.', 1.0)
+        validity = min(ADDRESS_VALIDITY, me.max_address_validity)
+        return AddressList(
+            addresses=tuple(sorted(found)[:MAX_ADDRESSES]), validity=validity
+        )
+
+    async def forward(
+        self, request: ClientRequest, answerer: Answerer
+    ) -> None:
+        """Serve one request by its route."""
+        await self._forwarder.forward(request, answerer)
+
+    async def read_results(self, query: ResultsQuery) -> bytes:
+        """Return a page of a job's results."""
+        return await self._intake.read_results(query)
+
+    async def read_item(self, job: JobId, item: ItemId) -> bytes:
+        """Return the body of one item."""
+        return await self._intake.read_item(job, item)
+
+    async def end_job(self, job: JobId) -> None:
+        """End a job for its trainer."""
+        await self._intake.end_job(job)
+
+    def refused(self, request_id: str, error: errors.YuccarillError) -> None:
+        """Log why a request got no answer of a target."""
+        table = self._state.table
+        log.info(
+            'Refused or failed.',
+            request=request_id,
+            code=int(error.code),
+            status=error.http_status,
+            retry_after=error.retry_after,
+            configuration=None if table is None else table.version,
+            cause=error.message,
+        )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
@@ -0,0 +1,157 @@
+"""Let an engine generate one item's text, or go on with it."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.jobs import text as text_module
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon import logs
+from yuccarill.platform import calls as calls_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.jobs.board import ItemRun
+    from yuccarill.core.jobs.engines import EngineFleet
+    from yuccarill.core.jobs.engines import EngineState
+    from yuccarill.core.jobs.text import StreamEvent
+    from yuccarill.platform.calls import Calls
+
+log = logs.for_part('generation')
+
+# Seconds without an event after which a run goes on elsewhere. Events come
+# every 40 ms, at a fourfold slow engine every 160 ms; a change of weights
+# under way stops them for about a second.
+SILENCE_SECONDS = 2.0
+# Seconds that one run may take. The longest texts have some 100 events.
+RUN_SECONDS = 60.0
+
+
+class Outcome(enum.Enum):
+    """Say how a run ended."""
+
+    WHOLE = 'whole'
+    # The engine says that the item failed.
+    FAILED = 'failed'
+    # The engine says that the item can never be done.
+    IMPOSSIBLE = 'impossible'
+    # The text goes on elsewhere, from its last whole event.
+    BROKEN = 'broken'
+
+
+class Generator:
+    """Run items at engines."""
+
+    def __init__(self, calls: Calls, clock: Any) -> None:
+        self._calls = calls
+        self._clock = clock
+
+    async def run(
+        self, run: ItemRun, engine: EngineState, fleet: EngineFleet
+    ) -> Outcome:
+        """Run an item, from its last whole event on."""
+        sink = _TextSink(run, engine, self._clock)
+        before = run.text.events
+        outcome, cause = Outcome.BROKEN, 'cancelled'
+        try:
+            answer = await self._calls.generate(
+                engine.target,
+                _call(run),
+                Instant(self._now() + RUN_SECONDS),
+                SILENCE_SECONDS,
+                sink,
+            )
+            outcome, cause = self._judge(answer, engine, run)
+        except calls_module.CallFailed as error:
+            cause = str(error)
+            engine.fail(self._now())
+            if sink.must_restart:
+                run.text.clear()
+        finally:
+            log.info(
+                'Run ended.',
+                item=run.item.id,
+                job=run.job.id,
+                engine=engine.target.id,
+                outcome=outcome,
+                cause=cause,
+                first=before,
+                events=run.text.events,
+                versions=run.text.versions,
+            )
+        return outcome
+
+    def _judge(
+        self, answer: TargetAnswer, engine: EngineState, run: ItemRun
+    ) -> tuple[Outcome, str]:
+        if answer.is_success:
+            engine.succeed()
+            return Outcome.WHOLE, ''
+        cause = f'status {answer.status}'
+        if answer.not_run:
+            engine.fail(self._now())
+            return Outcome.BROKEN, cause
+        if answer.status == 422:
+            return Outcome.IMPOSSIBLE, cause
+        if answer.status == 500:
+            return Outcome.FAILED, cause
+        engine.fail(self._now())
+        return Outcome.BROKEN, cause
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+class _TextSink(calls_module.GenerationSink):
+    """Add a run's events to its item's text."""
+
+    def __init__(self, run: ItemRun, engine: EngineState, clock: Any) -> None:
+        self._run = run
+        self._engine = engine
+        self._clock = clock
+        self._last_at: float | None = None
+        # The text so far can't be listed and has to be made anew.
+        self.must_restart = False
+
+    def begin(self, answer: TargetAnswer, version: int | None) -> None:
+        known = None if version is None else WeightVersion(version)
+        self._see(known)
+        if known is not None and known < self._run.job.min_version:
+            raise connections.SinkRefused(f'its weights are version {known}')
+        self._run.text.begin_run(known)
+
+    def event(self, event: StreamEvent) -> None:
+        self._see(event.version)
+        try:
+            self._run.text.take(event)
+        except text_module.TextBroken as error:
+            raise connections.SinkRefused(str(error)) from error
+        job = self._run.job
+        if not self._run.text.fits(job.min_version, job.is_single_version):
+            self.must_restart = True
+            raise connections.SinkRefused('its weights changed under way')
+        now = self._clock.seconds()
+        if self._last_at is not None:
+            self._engine.saw_gap(now - self._last_at, Instant(now))
+        self._last_at = now
+
+    def _see(self, version: WeightVersion | None) -> None:
+        if version is not None and self._run.job.model is not None:
+            self._engine.saw_version(self._run.job.model, version)
+
+
+def _call(run: ItemRun) -> calls_module.TargetCall:
+    item = run.item
+    return calls_module.TargetCall(
+        id=RequestId(item.id),
+        method='POST',
+        target=item.path,
+        headers=(('Host', run.job.host), *item.headers),
+        body=item.body,
+        after_event=run.text.events or None,
+    )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
@@ -0,0 +1,277 @@
+"""Accept trainers' batch jobs and answer what they ask of them."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import WallTime
+from yuccarill.core.jobs.job import Job
+from yuccarill.core.jobs.job import JobId
+from yuccarill.daemon.gateway import forwarding
+from yuccarill.daemon import logs
+from yuccarill.platform import jobs as wire_jobs
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.ids import Revision
+    from yuccarill.core.jobs.job import ItemId
+    from yuccarill.core.jobs.job import ItemResult
+    from yuccarill.daemon.gateway.job_store import JobStore
+    from yuccarill.daemon.gateway.job_store import StoredResults
+    from yuccarill.daemon.gateway.job_store import Summary
+    from yuccarill.platform.server import ResultsQuery
+
+log = logs.for_part('jobs')
+
+# Part of the time that a trainer waits for which an acceptance is tried
+# while the store is away. A refusal sends the trainer to another instance
+# before the same store, and it comes back only once.
+ACCEPT_PART = 0.75
+RETRY_SECONDS = 0.2
+# Seconds after which a trainer may come back when the store is away.
+RETRY_AFTER = 1.0
+# Bytes of results in one answer, under the megabyte that readers take.
+PAGE_BYTES = 800 * 1024
+# Jobs whose results are kept in memory for readers.
+CACHED_JOBS = 24
+CACHED_BODIES = 3
+# From a job's submission until its results are due, where its route names
+# no time.
+DEFAULT_DUE = 30.0
+DEFAULT_RETENTION = 60.0
+
+
+@dataclasses.dataclass
+class JobView:
+    """Hold what this instance has read of one job."""
+
+    summary: Summary
+    results: list[ItemResult]
+    last_key: str
+    revision: Revision
+
+    @property
+    def is_whole(self) -> bool:
+        return len(self.results) >= self.summary.total
+
+    def take(self, found: StoredResults) -> None:
+        """Add the results that follow those already here."""
+        # Two readers of one job may read the same chunk side by side.
+        for position, chunk in sorted(found.chunks_by_position.items()):
+            if position == len(self.results):
+                self.results += chunk.results
+        if found.last_key is not None:
+            self.last_key = max(self.last_key, found.last_key)
+        self.revision = max(self.revision, found.revision)
+
+
+class Intake:
+    """Answer trainers' calls about jobs from the store."""
+
+    def __init__(self, store: JobStore, clock: Any) -> None:
+        self._store = store
+        self._clock = clock
+        self._views_by_id: collections.OrderedDict[JobId, JobView] = (
+            collections.OrderedDict()
+        )
+        self._jobs_by_id: collections.OrderedDict[JobId, Job] = (
+            collections.OrderedDict()
+        )
+
+    async def submit(
+        self, route: Route, request: ClientRequest
+    ) -> TargetAnswer:
+        """Accept a job once it is stored.
+
+        Raises RequestError, NotRun if it was not stored and never will be,
+        or OutcomeUnknown.
+        """
+        if request.method != 'POST':
+            raise errors.WrongMethod('Batch jobs are submitted by POST.')
+        job = _job(route, request)
+        give_up_at = forwarding.time_limit(route, request)
+        left = give_up_at - self._clock.seconds()
+        try_until = Instant(self._clock.seconds() + ACCEPT_PART * left)
+        await self._accept(job, try_until)
+        log.info(
+            'Job accepted.',
+            request=request.id,
+            service=job.service,
+            step=job.step,
+            model=job.model,
+            min_version=job.min_version,
+            items=len(job.items),
+        )
+        return TargetAnswer(status=202, headers=(), body=b'', stamp=None)
+
+    async def read_results(self, query: ResultsQuery) -> bytes:
+        """Return results from a position on, waiting for the first.
+
+        Raises UnknownStep if there is no such job, StoreUnavailable if
+        that is not known.
+        """
+        deadline = Instant(self._clock.seconds() + query.wait)
+        try:
+            view = await self._view(query)
+            while len(view.results) <= query.first and not view.is_whole:
+                left = deadline - self._clock.seconds()
+                if left <= 0.0:
+                    break
+                view.take(
+                    await self._store.watch_results(
+                        query.job, view.revision, left
+                    )
+                )
+        except store_module.HistoryGone:
+            # The reader asks again; by then the view is read anew.
+            self._views_by_id.pop(query.job, None)
+        except (
+            store_module.StoreRefused,
+            store_module.StoreUnclear,
+        ) as error:
+            raise errors.StoreUnavailable(
+                f'The results can not be read now: {error}.', RETRY_AFTER
+            ) from error
+        return _page(view, query.first)
+
+    async def read_item(self, job_id: JobId, item_id: ItemId) -> bytes:
+        """Return the body of one item.
+
+        Raises UnknownStep if there is no such item, StoreUnavailable if
+        that is not known.
+        """
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            try:
+                job = await self._store.read_job(job_id)
+            except (
+                store_module.StoreRefused,
+                store_module.StoreUnclear,
+            ) as error:
+                raise errors.StoreUnavailable(
+                    f'The job can not be read now: {error}.', RETRY_AFTER
+                ) from error
+        if job is None:
+            raise errors.UnknownStep('There is no such batch job.')
+        self._jobs_by_id[job_id] = job
+        if len(self._jobs_by_id) > CACHED_BODIES:
+            self._jobs_by_id.popitem(last=False)
+        for item in job.items:
+            if item.id == item_id:
+                return item.body
+        raise errors.UnknownStep('There is no such item.')
+
+    async def end_job(self, job_id: JobId) -> None:
+        """End a job.
+
+        Raises UnknownStep if there is none, StoreUnavailable if the end
+        may not have been written.
+        """
+        try:
+            if job_id not in self._views_by_id:
+                await self._load(job_id)
+            await self._store.end(job_id)
+        except (
+            store_module.StoreRefused,
+            store_module.StoreUnclear,
+        ) as error:
+            raise errors.StoreUnavailable(
+                f'The end can not be written now: {error}.', RETRY_AFTER
+            ) from error
+        log.info('Job ended by its trainer.', job=job_id)
+
+    async def _accept(self, job: Job, try_until: Instant) -> None:
+        is_unclear = False
+        while True:
+            try:
+                await self._store.accept(job)
+                return
+            except store_module.StoreRefused as error:
+                cause: Exception = error
+            except store_module.StoreUnclear as error:
+                is_unclear = True
+                cause = error
+            if self._clock.seconds() >= try_until:
+                break
+            await task.deferLater(self._clock, RETRY_SECONDS)
+        if is_unclear:
+            # An unanswered write may be carried out later: the job may run
+            # and must not be refused as one that never will.
+            raise errors.OutcomeUnknown(f'The job may stand: {cause}.')
+        raise errors.NotRun(f'The job was not stored: {cause}.', RETRY_AFTER)
+
+    async def _view(self, query: ResultsQuery) -> JobView:
+        view = self._views_by_id.get(query.job)
+        if view is None:
+            return await self._load(query.job)
+        self._views_by_id.move_to_end(query.job)
+        if len(view.results) <= query.first and not view.is_whole:
+            await self._refresh(query.job, view)
+        return view
+
+    async def _load(self, job_id: JobId) -> JobView:
+        found = await self._store.read_results(job_id)
+        if found.summary is None or found.last_key is None:
+            raise errors.UnknownStep('There is no such batch job.')
+        view = JobView(
+            summary=found.summary,
+            results=[],
+            last_key=found.last_key,
+            revision=found.revision,
+        )
+        view.take(found)
+        self._views_by_id[job_id] = view
+        if len(self._views_by_id) > CACHED_JOBS:
+            self._views_by_id.popitem(last=False)
+        return view
+
+    async def _refresh(self, job_id: JobId, view: JobView) -> None:
+        view.take(await self._store.read_results(job_id, view.last_key))
+
+
+def _job(route: Route, request: ClientRequest) -> Job:
+    submitted = wire_jobs.submission(request.body)
+    if not route.services:
+        raise errors.NoTarget('The route has no service.', RETRY_AFTER)
+    now = WallTime(time.time())
+    due_after = route.due_after or DEFAULT_DUE
+    retention = route.retention or DEFAULT_RETENTION
+    return Job(
+        id=JobId(request.id),
+        service=route.services[0],
+        host=request.host,
+        route=route.name,
+        step=submitted.step,
+        model=submitted.model,
+        min_version=submitted.min_version,
+        wanted_groups=submitted.wanted_groups,
+        is_single_version=route.is_single_version,
+        max_attempts=route.max_attempts,
+        submitted_at=now,
+        due_at=WallTime(now + due_after),
+        retained_until=WallTime(now + retention),
+        items=submitted.items,
+    )
+
+
+def _page(view: JobView, first: int) -> bytes:
+    taken = 0
+    following = first
+    for result in view.results[first:]:
+        taken += len(result.text)
+        if following > first and taken > PAGE_BYTES:
+            break
+        following += 1
+    page = tuple(view.results[first:following])
+    return wire_jobs.results_page(view.summary.total, following, page)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -0,0 +1,78 @@
+"""Count what the gateway does, for the metrics address."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+REGISTRY = prometheus_client.CollectorRegistry()
+# Seconds; the aims of requests lie between 0.1 and 10 s.
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+REQUESTS = prometheus_client.Counter(
+    'yuccarill_requests',
+    'Client requests by route and outcome',
+    ('route', 'outcome'),
+    registry=REGISTRY,
+)
+REQUEST_SECONDS = prometheus_client.Histogram(
+    'yuccarill_request_seconds',
+    'From a request to the end of its answer',
+    ('route',),
+    buckets=_SECONDS,
+    registry=REGISTRY,
+)
+ATTEMPTS = prometheus_client.Counter(
+    'yuccarill_attempts',
+    'Calls of targets by service and end',
+    ('service', 'end'),
+    registry=REGISTRY,
+)
+ATTEMPT_SECONDS = prometheus_client.Histogram(
+    'yuccarill_attempt_seconds',
+    'From a call of a target to its end',
+    ('service',),
+    buckets=_SECONDS,
+    registry=REGISTRY,
+)
+CONNECTIONS = prometheus_client.Counter(
+    'yuccarill_connections',
+    'Connections opened',
+    registry=REGISTRY,
+)
+STORE_CALLS = prometheus_client.Counter(
+    'yuccarill_store_calls',
+    'Calls of the store by method and end',
+    ('method', 'end'),
+    registry=REGISTRY,
+)
+STORE_SECONDS = prometheus_client.Histogram(
+    'yuccarill_store_seconds',
+    'From a call of the store to its end, watches aside',
+    ('method',),
+    buckets=_SECONDS,
+    registry=REGISTRY,
+)
+ITEMS = prometheus_client.Counter(
+    'yuccarill_items',
+    'Items of batch jobs by how they ended',
+    ('end',),
+    registry=REGISTRY,
+)
+ITEM_SECONDS = prometheus_client.Histogram(
+    'yuccarill_item_seconds',
+    "From a job's arrival at its runner to an item's result",
+    buckets=_SECONDS,
+    registry=REGISTRY,
+)
+ORDERS = prometheus_client.Counter(
+    'yuccarill_orders',
+    'Orders to engines by outcome',
+    ('outcome',),
+    registry=REGISTRY,
+)
+
+
+def exposition() -> bytes:
+    """Return every metric as text."""
+    text: bytes = prometheus_client.generate_latest(REGISTRY)
+    return text
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -0,0 +1,245 @@
+"""Compose and run one instance on the users' platform."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.gateway import duties
+from yuccarill.daemon.gateway import forwarding
+from yuccarill.daemon.gateway import front
+from yuccarill.daemon.gateway import generation
+from yuccarill.daemon.gateway import intake
+from yuccarill.daemon.gateway import job_store
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway import observer
+from yuccarill.daemon.gateway import retirement
+from yuccarill.daemon.gateway import runner
+from yuccarill.daemon.gateway import scoring
+from yuccarill.daemon.gateway import sender
+from yuccarill.daemon.gateway import session
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon.gateway import streams
+from yuccarill.daemon import logs
+from yuccarill.platform import calls as calls_module
+from yuccarill.platform import engines
+from yuccarill.platform import server
+from yuccarill.platform import settings_file
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.platform.settings_file import InstanceSettings
+
+log = logs.for_part('instance')
+
+# Where metrics are read, beside the client's port.
+METRICS_PORT = 9464
+# Seconds before the platform's kill at which a stopping instance closes
+# what is idle, and at which it ends whatever is left.
+CLOSE_BEFORE_KILL = 1.8
+END_BEFORE_KILL = 0.7
+# Seconds between looks at the requests under way during a stop.
+STOP_STEP = 0.05
+
+
+class GatewayProcess:
+    """Run one instance until it is stopped."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        settings_path: pathlib.Path,
+        clock: Any = default_reactor,
+    ) -> None:
+        self._path = settings_path
+        self._clock = clock
+        self._state = state_module.GatewayState(settings)
+        links = connections.Connections(clock, _count_connection)
+        self._store = store_module.Store(
+            links, settings.store_address, self._now
+        )
+        self._calls = calls_module.Calls(links, self._now)
+        self._engines = engines.Engines(links)
+        self._observer = observer.Observer(self._state, self._store, clock)
+        self._session = session.Session(self._state, self._store, clock)
+        self._sender = sender.Sender(
+            sender.Pools(self._state), self._calls, clock
+        )
+        self._jobs = job_store.JobStore(self._store, clock)
+        taking = intake.Intake(self._jobs, clock)
+        forwarder = forwarding.Forwarder(
+            self._state,
+            self._sender,
+            self._calls,
+            streams.StreamForwarder(self._sender, self._calls, clock),
+            taking,
+            clock,
+        )
+        self._front = front.Front(self._state, forwarder, taking)
+        self._clients = server.ClientFactory(self._front, clock, self._now)
+        self._retirement = retirement.Retirement(
+            self._observer, self._store, clock
+        )
+        self._duties_by_service: dict[ServiceName, duties.Duty] = {}
+        self._runners_by_service: dict[ServiceName, runner.Runner] = {}
+        self._following: list[defer.Deferred[None]] = []
+        self._ports: list[Any] = []
+        self._client_port: Any = None
+
+    def start(self) -> None:
+        """Open the ports and begin to follow the store."""
+        settings = self._state.settings
+        log.info(
+            'Starting.',
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            store=settings.store_address,
+        )
+        self._client_port = self._listen(
+            settings.client_address, self._clients
+        )
+        checks = server.CheckFactory(
+            self._clock, server.page_of(self._front, meters.exposition)
+        )
+        host = settings.client_address.rpartition(':')[0]
+        for address in {
+            settings.readiness_address,
+            settings.directory_address,
+            f'{host}:{METRICS_PORT}',
+        } - {None}:
+            self._ports.append(self._listen(str(address), checks))
+        self._observer.listen(self._update)
+        self._session.listen(self._update)
+        for work in (*self._observer.following(), self._session.follow()):
+            following = defer.ensureDeferred(work)
+            following.addErrback(self._crashed)
+            self._following.append(following)
+
+    def reload(self) -> None:
+        """Read the settings file again."""
+        try:
+            settings = settings_file.read(self._path)
+        except errors.SettingsInvalid as error:
+            log.error('Settings kept: not valid.', cause=error.message)
+            return
+        changed = settings != self._state.settings
+        self._state.settings = settings
+        log.info('Settings read again.', changed=changed)
+
+    async def stop(self) -> None:
+        """Leave, serve on until clients have moved, and end."""
+        grace = self._state.settings.stop_grace
+        close_at = self._now() + grace - CLOSE_BEFORE_KILL
+        end_at = self._now() + grace - END_BEFORE_KILL
+        log.info('Stopping.', under_way=self._clients.requests_under_way)
+        self._state.is_leaving = True
+        await self._leave()
+        while self._now() < close_at:
+            await self._pause()
+        await defer.maybeDeferred(self._client_port.stopListening)
+        self._clients.close_idle()
+        while self._clients.requests_under_way and self._now() < end_at:
+            await self._pause()
+            self._clients.close_idle()
+        await self._end()
+        log.info('Stopped.', cut_off=self._clients.requests_under_way)
+
+    async def _leave(self) -> None:
+        try:
+            await self._session.leave()
+            for duty in self._duties_by_service.values():
+                await duty.release()
+        except _STORE_FAILURES as error:
+            log.warning('Not told the others.', cause=str(error))
+
+    async def _end(self) -> None:
+        for following in self._following:
+            following.cancel()
+        try:
+            await self._session.end()
+        except _STORE_FAILURES as error:
+            log.warning('Lease not ended.', cause=str(error))
+
+    def _update(self) -> None:
+        table = self._state.table
+        if table is None:
+            return
+        for service in table.services_by_name.values():
+            if service.engine is None:
+                continue
+            if service.name not in self._duties_by_service:
+                self._add_duty(service.name)
+        for duty in list(self._duties_by_service.values()):
+            duty.update()
+        for running in list(self._runners_by_service.values()):
+            running.pump()
+        self._retirement.update()
+
+    def _add_duty(self, service: ServiceName) -> None:
+        self._duties_by_service[service] = duties.Duty(
+            service,
+            self._state,
+            self._session,
+            self._store,
+            functools.partial(self._duty_changed, service),
+            self._clock,
+        )
+
+    def _duty_changed(self, service: ServiceName) -> None:
+        duty = self._duties_by_service[service]
+        known = self._runners_by_service.pop(service, None)
+        if known is not None:
+            known.stop()
+        if duty.tenure is None:
+            return
+        started = runner.Runner(
+            self._state,
+            duty,
+            self._store,
+            self._jobs,
+            generation.Generator(self._calls, self._clock),
+            scoring.Scorer(self._state, self._sender, self._clock),
+            self._engines,
+            self._clock,
+        )
+        self._runners_by_service[service] = started
+        started.start()
+
+    def _listen(self, address: str, factory: Any) -> Any:
+        host, _, port = address.rpartition(':')
+        return self._clock.listenTCP(
+            int(port), factory, backlog=512, interface=host
+        )
+
+    async def _pause(self) -> None:
+        await task.deferLater(self._clock, STOP_STEP)
+
+    def _crashed(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            log.error('Work ended.', cause=failure.getTraceback())
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+_STORE_FAILURES = (
+    store_module.StoreRefused,
+    store_module.StoreUnclear,
+    store_module.StoreConflict,
+    store_module.LeaseEnded,
+)
+
+
+def _count_connection(_: str) -> None:
+    meters.CONNECTIONS.inc()
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -0,0 +1,281 @@
+"""Run the batch jobs of one service while this instance holds its duty."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import board as board_module
+from yuccarill.core.jobs import engines as engines_module
+from yuccarill.daemon.gateway import follower
+from yuccarill.daemon.gateway import generation
+from yuccarill.daemon.gateway import job_store as job_store_module
+from yuccarill.daemon.gateway import listing
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway import weight_switcher
+from yuccarill.daemon import logs
+from yuccarill.platform import keys
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.jobs.job import ItemResult
+    from yuccarill.core.jobs.job import Job
+    from yuccarill.core.jobs.job import JobId
+    from yuccarill.daemon.gateway.duties import Duty
+    from yuccarill.daemon.gateway.generation import Generator
+    from yuccarill.daemon.gateway.job_store import JobStore
+    from yuccarill.daemon.gateway.scoring import Scorer
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.engines import Engines
+    from yuccarill.platform.store import Entry
+    from yuccarill.platform.store import Removal
+    from yuccarill.platform.store import Store
+
+log = logs.for_part('runner')
+
+# Seconds between looks at what has no event of its own: engines that come
+# back, items whose time is over.
+TICK_SECONDS = 0.1
+
+
+class Runner:
+    """Run the items of every open job of a service."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        duty: Duty,
+        store: Store,
+        jobs: JobStore,
+        generator: Generator,
+        scorer: Scorer,
+        engines: Engines,
+        clock: Any,
+    ) -> None:
+        self._state = state
+        self._duty = duty
+        self._jobs = jobs
+        self._generator = generator
+        self._scorer = scorer
+        self._clock = clock
+        self._board = board_module.JobBoard()
+        self._fleet = engines_module.EngineFleet()
+        self._switcher = weight_switcher.WeightSwitcher(
+            state, duty, self._fleet, engines, self.pump, clock
+        )
+        self._listings_by_job: dict[JobId, listing.Listing] = {}
+        self._works_by_job: dict[JobId, set[defer.Deferred[None]]] = {}
+        self._ended_jobs: set[JobId] = set()
+        self._follower = follower.PrefixFollower(
+            store, keys.JOB_PREFIX, self._job_change, clock
+        )
+        self._ticker = task.LoopingCall(self._tick)
+        self._ticker.clock = clock
+        self._following: defer.Deferred[None] | None = None
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Begin with the jobs that stand in the store."""
+        self._following = defer.Deferred.fromCoroutine(self._follower.follow())
+        self._following.addErrback(self._crashed)
+        self._ticker.start(TICK_SECONDS).addErrback(self._crashed)
+
+    def stop(self) -> None:
+        """Give up everything; another instance goes on from the store."""
+        self._is_stopped = True
+        if self._ticker.running:
+            self._ticker.stop()
+        if self._following is not None:
+            self._following.cancel()
+        self._switcher.stop()
+        for job in list(self._works_by_job):
+            self._forget(job)
+
+    def pump(self) -> None:
+        """Start what can be started now."""
+        if self._is_stopped or not self._duty.is_held():
+            return
+        self._fleet.update(
+            self._state.targets.ready(self._duty.service).values()
+        )
+        self._switcher.update()
+        now = self._now()
+        for run in list(self._board.waiting()):
+            engine = self._fleet.choose(run.job, now)
+            if engine is not None:
+                self._start(run, engine)
+
+    def _tick(self) -> None:
+        self.pump()
+        for run in self._board.expired(self._now()):
+            self._finish(run, run.given_up(), 'time is over')
+
+    def _job_change(self, change: Entry | Removal) -> None:
+        if isinstance(change, store_module.Removal):
+            return
+        ended = keys.job_of_end(change.key)
+        if ended is not None:
+            self._end(ended)
+            return
+        if keys.job_of_spec(change.key) is None:
+            return
+        try:
+            job = job_store_module.decode_job(change.value)
+        except msgspec.MsgspecError as error:
+            log.error('Entry left out.', key=change.key, cause=str(error))
+            return
+        if job.service == self._duty.service:
+            self._works_by_job[job.id] = set()
+            self._track(job.id, self._take(job))
+
+    async def _take(self, job: Job) -> None:
+        # Ends stand after their jobs in the store: by the next turn of the
+        # loop an ended job of an earlier time is known as such.
+        await task.deferLater(self._clock, 0)
+        if job.id in self._ended_jobs:
+            return
+        known = await self._listed(job)
+        found = listing.Listing(
+            job.id, known, self._jobs, self._duty, self._clock
+        )
+        age = max(0.0, time.time() - job.submitted_at)
+        submitted = self._now() - age
+        due = job.due_at - job.submitted_at
+        retained = job.retained_until - job.submitted_at
+        state = board_module.JobState(
+            job, Instant(submitted + due), Instant(submitted + retained)
+        )
+        self._listings_by_job[job.id] = found
+        self._board.add(state, [result.id for result in known])
+        log.info(
+            'Job taken.',
+            job=job.id,
+            step=job.step,
+            model=job.model,
+            min_version=job.min_version,
+            items=len(job.items),
+            listed=len(known),
+            age=round(age, 2),
+        )
+        self.pump()
+
+    async def _listed(self, job: Job) -> list[ItemResult]:
+        while True:
+            try:
+                found = await self._jobs.read_results(job.id)
+            except (store_module.StoreRefused, store_module.StoreUnclear):
+                await task.deferLater(
+                    self._clock, job_store_module.RETRY_SECONDS
+                )
+                continue
+            chunks = sorted(found.chunks_by_position.items())
+            return [r for _, chunk in chunks for r in chunk.results]
+
+    def _end(self, job: JobId) -> None:
+        self._ended_jobs.add(job)
+        if self._board.remove(job) is not None:
+            log.info('Job ended.', job=job)
+        self._forget(job)
+
+    def _forget(self, job: JobId) -> None:
+        found = self._listings_by_job.pop(job, None)
+        if found is not None:
+            found.stop()
+        for work in list(self._works_by_job.pop(job, ())):
+            work.cancel()
+
+    def _start(
+        self, run: board_module.ItemRun, engine: engines_module.EngineState
+    ) -> None:
+        run.state = board_module.RunState.RUNNING
+        self._board.jobs_by_id[run.job.id].begin(run)
+        engine.running += 1
+        work = self._track(run.job.id, self._run(run, engine))
+        work.addBoth(lambda _: self.pump())
+
+    async def _run(
+        self,
+        run: board_module.ItemRun,
+        engine: engines_module.EngineState,
+    ) -> None:
+        try:
+            outcome = await self._generator.run(run, engine, self._fleet)
+        finally:
+            engine.running -= 1
+        match outcome:
+            case generation.Outcome.WHOLE:
+                await self._score(run)
+            case generation.Outcome.FAILED:
+                self._failed(run, run.fail())
+            case generation.Outcome.IMPOSSIBLE:
+                self._finish(run, run.given_up(), 'impossible')
+            case generation.Outcome.BROKEN:
+                run.state = board_module.RunState.WAITING
+
+    async def _score(self, run: board_module.ItemRun) -> None:
+        run.state = board_module.RunState.SCORING
+        score = await self._scorer.score(run)
+        if score is None:
+            self._finish(run, run.given_up(), 'not scored')
+        else:
+            self._finish(run, run.completed(score), 'completed')
+
+    def _failed(
+        self, run: board_module.ItemRun, result: ItemResult | None
+    ) -> None:
+        if result is None:
+            run.state = board_module.RunState.WAITING
+        else:
+            self._finish(run, result, 'failed at each attempt')
+
+    def _finish(
+        self, run: board_module.ItemRun, result: ItemResult, cause: str
+    ) -> None:
+        state = self._board.jobs_by_id.get(run.job.id)
+        found = self._listings_by_job.get(run.job.id)
+        if state is None or found is None:
+            return
+        state.end(run.item.id)
+        seconds = self._now() - (
+            state.due_at - run.job.due_at + run.job.submitted_at
+        )
+        meters.ITEMS.labels(result.state.value).inc()
+        meters.ITEM_SECONDS.observe(seconds)
+        log.info(
+            'Item ended.',
+            item=run.item.id,
+            job=run.job.id,
+            end=result.state,
+            cause=cause,
+            versions=result.versions,
+            failures=run.failures,
+            score_failures=run.score_failures,
+            seconds=round(seconds, 2),
+        )
+        found.add(result)
+
+    def _track(self, job: JobId, work: Any) -> defer.Deferred[None]:
+        running = defer.Deferred.fromCoroutine(work)
+        works = self._works_by_job.setdefault(job, set())
+        works.add(running)
+
+        def ended(result: Any) -> None:
+            works.discard(running)
+            if hasattr(result, 'check'):
+                self._crashed(result)
+
+        running.addBoth(ended)
+        return running
+
+    def _crashed(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            log.error('Work failed.', cause=failure.getTraceback())
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scoring.py
@@ -0,0 +1,135 @@
+"""Get the score of a finished text."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.gateway import attempts
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway import sender as sender_module
+from yuccarill.daemon import logs
+from yuccarill.platform import calls as calls_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.jobs.board import ItemRun
+    from yuccarill.core.jobs.job import ScoreRequest
+    from yuccarill.daemon.gateway.sender import Sender
+    from yuccarill.daemon.gateway.state import GatewayState
+
+log = logs.for_part('scoring')
+
+# Seconds between tries of a score that could not be had.
+RETRY_SECONDS = 0.2
+# Part of a scoring target's places that scores may take, so that requests
+# of people find a free one.
+PLACES_PART = 0.7
+
+
+class Scorer:
+    """Call scoring services, a bounded number of calls at a time."""
+
+    def __init__(
+        self, state: GatewayState, sender: Sender, clock: Any
+    ) -> None:
+        self._state = state
+        self._sender = sender
+        self._clock = clock
+        self._random = random.Random()
+        self._running = 0
+        self._waiting: list[defer.Deferred[None]] = []
+
+    async def score(self, run: ItemRun) -> str | None:
+        """Return a text's score, none if the scorer failed too often."""
+        request = run.item.score_request
+        if request is None:
+            return ''
+        while True:
+            answer = await self._try(run, request)
+            if answer is not None and answer.stamp is not None:
+                if answer.is_success:
+                    return answer.stamp
+            if run.score_failures >= run.job.max_attempts:
+                return None
+            await task.deferLater(self._clock, RETRY_SECONDS)
+
+    async def _try(
+        self, run: ItemRun, request: ScoreRequest
+    ) -> TargetAnswer | None:
+        table = self._state.table
+        path = request.path.partition('?')[0]
+        route = table.find(request.host, path) if table else None
+        if route is None:
+            log.warning('No route for a score.', item=run.item.id)
+            return None
+        await self._enter(route)
+        try:
+            return await self._send(run, request, route)
+        finally:
+            self._leave()
+
+    async def _send(
+        self, run: ItemRun, request: ScoreRequest, route: Route
+    ) -> TargetAnswer | None:
+        service = route.choose_service(self._random)
+        if service is None:
+            return None
+        now = self._clock.seconds()
+        deadline = Instant(now + route.timeout)
+        record = sender_module.SendRecord()
+        plan = attempts.AttemptPlan(
+            deadline=deadline,
+            max_attempts=route.max_attempts,
+            hedge_delay=max(0.5, attempts.hedge_delay(route.objective)),
+        )
+        call = calls_module.TargetCall(
+            id=request.id,
+            method='POST',
+            target=request.path,
+            headers=(('Host', request.host),),
+            body=request.body,
+            deadline=deadline,
+        )
+        try:
+            answer = await self._sender.send(service, call, plan, record)
+        except errors.YuccarillError as error:
+            answer = None
+            log.info(
+                'Not scored.',
+                request=request.id,
+                item=run.item.id,
+                cause=error.message,
+            )
+        for _ in range(record.server_errors):
+            run.fail_score()
+        return answer
+
+    async def _enter(self, route: Route) -> None:
+        while self._running >= self._places(route):
+            waiting: defer.Deferred[None] = defer.Deferred()
+            self._waiting.append(waiting)
+            await waiting
+        self._running += 1
+
+    def _leave(self) -> None:
+        self._running -= 1
+        while self._waiting:
+            waiting = self._waiting.pop(0)
+            if not waiting.called:
+                waiting.callback(None)
+                return
+
+    def _places(self, route: Route) -> int:
+        places = sum(
+            target.slots
+            for service in route.services
+            for target in self._state.targets.ready(service).values()
+        )
+        return max(1, int(PLACES_PART * places))
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
@@ -0,0 +1,282 @@
+"""Send idempotent requests to a service's targets until one answers."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.core.calls import pool as pool_module
+from yuccarill.core import errors
+from yuccarill.core.gateway import attempts
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon import logs
+from yuccarill.platform import calls as calls_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.gateway.targets import ListedTarget
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import TargetId
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.calls import Calls
+    from yuccarill.platform.calls import TargetCall
+
+log = logs.for_part('sender')
+
+# Seconds after which a refused request may come back: long enough for a
+# target's queue to move, short against the deadlines of 1.5 s and more.
+RETRY_AFTER = 0.2
+
+
+class Pools:
+    """Keep one pool of targets a service, as the list has them."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._pools_by_service: dict[ServiceName, pool_module.Pool] = {}
+
+    def pool(self, service: ServiceName, now: Instant) -> pool_module.Pool:
+        """Return a service's pool with its ready targets."""
+        pool = self._pools_by_service.get(service)
+        if pool is None:
+            pool = pool_module.Pool(
+                pool_module.RoutingPolicy(), random.Random()
+            )
+            self._pools_by_service[service] = pool
+        ready = self._state.targets.ready(service)
+        centres_by_id = {t.id: t.data_centre for t in ready.values()}
+        pool.update(centres_by_id, self._state.settings.data_centre, now)
+        return pool
+
+    def target(self, target_id: TargetId) -> ListedTarget | None:
+        return self._state.targets.targets_by_id.get(target_id)
+
+
+class SendRecord(msgspec.Struct, kw_only=True):
+    """Count what became of one request's attempts."""
+
+    attempts: int = 0
+    # Attempts that may have run.
+    may_have_run: int = 0
+    server_errors: int = 0
+    last_cause: str = ''
+    # A target's own failure, passed on if no other target does better.
+    failure: TargetAnswer | None = None
+
+
+class Sender:
+    """Send requests that may be repeated."""
+
+    def __init__(self, pools: Pools, calls: Calls, clock: Any) -> None:
+        self._pools = pools
+        self._calls = calls
+        self._clock = clock
+
+    async def send(
+        self,
+        service: ServiceName,
+        call: TargetCall,
+        plan: attempts.AttemptPlan,
+        record: SendRecord,
+    ) -> TargetAnswer:
+        """Return the first success, else a target's own failure.
+
+        Raises NotRun if no attempt can have run, else OutcomeUnknown or
+        DeadlinePassed.
+        """
+        exchange = _Exchange(self, service, call, plan, record)
+        try:
+            return await exchange.run()
+        finally:
+            exchange.cancel()
+
+    def now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+    def choose(
+        self, service: ServiceName, tried: frozenset[TargetId]
+    ) -> ListedTarget | None:
+        """Return a target that was not tried yet, or any one."""
+        pool = self._pools.pool(service, self.now())
+        chosen = pool.choose(self.now(), tried) or pool.choose(self.now())
+        return None if chosen is None else self._pools.target(chosen)
+
+    async def attempt(
+        self, target: ListedTarget, call: TargetCall, deadline: Instant
+    ) -> TargetAnswer:
+        """Send one attempt and let the pool learn from it."""
+        pool = self._pools.pool(target.service, self.now())
+        pool.send(target.id)
+        started_at = self.now()
+        end = 'cancelled'
+        try:
+            answer = await self._calls.send(target, call, deadline)
+            end = self._learn(pool, target, answer, started_at)
+            return answer
+        except calls_module.CallFailed as error:
+            end = error.end.value
+            pool.fail(target.id, _failure(error), self.now())
+            raise
+        except defer.CancelledError:
+            pool.give_up(target.id)
+            raise
+        finally:
+            seconds = self.now() - started_at
+            meters.ATTEMPTS.labels(target.service, end).inc()
+            meters.ATTEMPT_SECONDS.labels(target.service).observe(seconds)
+            log.info(
+                'Attempt ended.',
+                request=call.id,
+                target=target.id,
+                end=end,
+                ms=round(seconds * 1000.0),
+            )
+
+    def later(self, at: Instant) -> defer.Deferred[None]:
+        """Return what fires at an instant."""
+        waiting: defer.Deferred[None] = defer.Deferred(
+            lambda _: timer.cancel()
+        )
+        timer = self._clock.callLater(
+            max(0.0, at - self.now()), waiting.callback, None
+        )
+        return waiting
+
+    def _learn(
+        self,
+        pool: pool_module.Pool,
+        target: ListedTarget,
+        answer: TargetAnswer,
+        started_at: Instant,
+    ) -> str:
+        if answer.not_run:
+            pool.fail(target.id, pool_module.Failure.REFUSED, self.now())
+            return 'refused'
+        seconds = self.now() - started_at
+        pool.answer(target.id, seconds, None, self.now())
+        return f'status {answer.status}'
+
+
+class _Exchange:
+    """Run one request's attempts side by side."""
+
+    def __init__(
+        self,
+        sender: Sender,
+        service: ServiceName,
+        call: TargetCall,
+        plan: attempts.AttemptPlan,
+        record: SendRecord,
+    ) -> None:
+        self._sender = sender
+        self._service = service
+        self._call = call
+        self._plan = plan
+        self._record = record
+        self._tried: set[TargetId] = set()
+        self._running: list[defer.Deferred[None]] = []
+        self._success: TargetAnswer | None = None
+        self._wake: defer.Deferred[None] | None = None
+
+    async def run(self) -> TargetAnswer:
+        while self._success is None:
+            match self._plan.next(self._sender.now()):
+                case attempts.Next.START:
+                    self._start()
+                case attempts.Next.WAIT:
+                    await self._sleep()
+                case attempts.Next.GIVE_UP:
+                    return self._give_up()
+        return self._success
+
+    def cancel(self) -> None:
+        """Close what is still under way."""
+        for running in list(self._running):
+            running.cancel()
+
+    def _start(self) -> None:
+        target = self._sender.choose(self._service, frozenset(self._tried))
+        if target is None:
+            # No target is left: more attempts would find none either.
+            self._record.last_cause = 'no target is ready'
+            self._plan.max_attempts = self._plan.started
+            return
+        self._tried.add(target.id)
+        self._plan.start(self._sender.now())
+        self._record.attempts += 1
+        running = defer.Deferred.fromCoroutine(self._attempt(target))
+        if not running.called:
+            self._running.append(running)
+            running.addBoth(self._ended, running)
+
+    def _ended(self, result: object, running: defer.Deferred[None]) -> None:
+        if running in self._running:
+            self._running.remove(running)
+
+    async def _attempt(self, target: ListedTarget) -> None:
+        try:
+            answer = await self._sender.attempt(
+                target, self._call, self._plan.deadline
+            )
+        except calls_module.CallFailed as error:
+            if error.end is calls_module.CallEnd.BROKEN:
+                self._record.may_have_run += 1
+            self._record.last_cause = str(error)
+        except defer.CancelledError:
+            return
+        else:
+            self._take(answer)
+        self._plan.end()
+        self._wake_up()
+
+    def _take(self, answer: TargetAnswer) -> None:
+        if answer.not_run:
+            self._record.last_cause = f'refused with status {answer.status}'
+            return
+        self._record.may_have_run += 1
+        if answer.is_server_error:
+            self._record.server_errors += 1
+            self._record.last_cause = f'status {answer.status}'
+            self._record.failure = answer
+            return
+        self._success = answer
+
+    async def _sleep(self) -> None:
+        self._wake = defer.Deferred()
+        timer = self._sender.later(self._plan.wakes_at())
+        timer.addCallbacks(lambda _: self._wake_up(), lambda _: None)
+        try:
+            await self._wake
+        finally:
+            timer.cancel()
+
+    def _wake_up(self) -> None:
+        wake, self._wake = self._wake, None
+        if wake is not None:
+            wake.callback(None)
+
+    def _give_up(self) -> TargetAnswer:
+        record = self._record
+        if record.failure is not None and record.failure.stamp is not None:
+            return record.failure
+        cause = record.last_cause or 'no target answered in time'
+        if record.may_have_run == 0 and self._plan.in_flight == 0:
+            raise errors.NotRun(
+                f'The request was not run: {cause}.', RETRY_AFTER
+            )
+        if self._sender.now() >= self._plan.deadline:
+            raise errors.DeadlinePassed(f'No answer came in time: {cause}.')
+        raise errors.OutcomeUnknown(f'No whole answer came: {cause}.')
+
+
+def _failure(error: calls_module.CallFailed) -> pool_module.Failure:
+    match error.end:
+        case calls_module.CallEnd.NOT_SENT:
+            return pool_module.Failure.NOT_CONNECTED
+        case calls_module.CallEnd.BROKEN:
+            return pool_module.Failure.CUT
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -0,0 +1,63 @@
+"""Hold what one process knows, in sections that one controller writes."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.gateway.targets import TargetList
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.leadership import LastHolder
+    from yuccarill.core.gateway.routes import RouteTable
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import ModelName
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import WeightVersion
+    from yuccarill.platform.settings_file import InstanceSettings
+
+
+class InstanceRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an instance to the others."""
+
+    instance: str
+    data_centre: str
+    client_address: str
+    # Set at the start of a graceful shutdown.
+    is_leaving: bool = False
+
+
+class DutyRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the instance that holds a duty."""
+
+    instance: str
+    # The change that gave it the duty; the epoch of its orders.
+    revision: int = 0
+
+
+@dataclasses.dataclass
+class GatewayState:
+    """Hold what controllers read and write."""
+
+    settings: InstanceSettings
+    # Written by the observer.
+    table: RouteTable | None = None
+    targets: TargetList = dataclasses.field(default_factory=TargetList)
+    versions_by_model: dict[ModelName, WeightVersion] = dataclasses.field(
+        default_factory=dict
+    )
+    instances_by_id: dict[InstanceId, InstanceRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    duties_by_service: dict[ServiceName, DutyRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    last_holders_by_service: dict[ServiceName, LastHolder] = dataclasses.field(
+        default_factory=dict
+    )
+    # Every section above has been read once.
+    is_current: bool = False
+    # Written by the process.
+    is_leaving: bool = False
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
@@ -0,0 +1,129 @@
+"""Pass a target's stream of events on to a client as it arrives."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core import errors
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.gateway import sender as sender_module
+from yuccarill.platform import calls as calls_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.jobs.text import StreamEvent
+    from yuccarill.daemon.gateway.sender import Sender
+    from yuccarill.platform.calls import Calls
+    from yuccarill.platform.server import Answerer
+
+# Seconds without an event after which a run is taken for silent. Clients
+# give up after two seconds at the earliest.
+SILENCE_SECONDS = 1.5
+
+
+class StreamForwarder:
+    """Forward streams, resuming those that may be resumed."""
+
+    def __init__(self, sender: Sender, calls: Calls, clock: Any) -> None:
+        self._sender = sender
+        self._calls = calls
+        self._clock = clock
+        self._random = random.Random()
+
+    async def serve(
+        self, route: Route, request: ClientRequest, answerer: Answerer
+    ) -> str:
+        """Forward one stream and return how it ended.
+
+        Raises YuccarillError if it ended before its head was passed on.
+        """
+        service = route.choose_service(self._random)
+        if service is None:
+            raise errors.NoTarget('The route has no service.', 1.0)
+        run = _StreamRun(request, answerer)
+        deadline = Instant(self._clock.seconds() + 600.0)
+        tried = set()
+        cause = 'no target is ready'
+        for _ in range(route.max_attempts):
+            target = self._sender.choose(service, frozenset(tried))
+            if target is None:
+                break
+            tried.add(target.id)
+            try:
+                answer = await self._calls.generate(
+                    target, run.call(), deadline, SILENCE_SECONDS, run
+                )
+            except calls_module.CallFailed as error:
+                cause = str(error)
+                if error.end is calls_module.CallEnd.BROKEN:
+                    run.may_have_run = True
+                    if not route.is_resumable:
+                        break
+                continue
+            if answer.not_run:
+                cause = f'refused with status {answer.status}'
+                continue
+            return run.end(answer)
+        return run.give_up(cause)
+
+
+class _StreamRun(calls_module.GenerationSink):
+    """Pass the events of one client's stream on, over several runs."""
+
+    def __init__(self, request: ClientRequest, answerer: Answerer) -> None:
+        self._request = request
+        self._answerer = answerer
+        self._has_begun = False
+        # An attempt broke off after it was sent.
+        self.may_have_run = False
+        self._last = request.after_event
+
+    def call(self) -> calls_module.TargetCall:
+        """Return the request for the next run."""
+        return calls_module.TargetCall(
+            id=self._request.id,
+            method=self._request.method,
+            target=self._request.target,
+            headers=self._request.headers,
+            body=self._request.body,
+            after_event=self._last,
+        )
+
+    def begin(self, answer: TargetAnswer, version: int | None) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._answerer.begin(answer)
+
+    def event(self, event: StreamEvent) -> None:
+        expected = (self._last or 0) + 1
+        if event.number != expected:
+            raise connections.SinkRefused(
+                f'event {event.number} came instead of {expected}'
+            )
+        self._last = expected
+        self._answerer.write(event.raw)
+
+    def end(self, answer: TargetAnswer) -> str:
+        """Finish the client's answer."""
+        if self._has_begun:
+            self._answerer.finish()
+        else:
+            self._answerer.answer(answer)
+        return f'status {answer.status}'
+
+    def give_up(self, cause: str) -> str:
+        """End a stream that no target finished."""
+        if self._has_begun:
+            # The client must not take the part for the whole.
+            self._answerer.abort()
+            return 'cut'
+        if self.may_have_run:
+            raise errors.OutcomeUnknown(f'The stream broke off: {cause}.')
+        raise errors.NotRun(
+            f'The request was not run: {cause}.', sender_module.RETRY_AFTER
+        )
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -0,0 +1,196 @@
+"""Order engines to change weights, under the duty for their service."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import weights
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon import logs
+from yuccarill.platform import engines as wire_engines
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.jobs.engines import EngineFleet
+    from yuccarill.core.jobs.engines import EngineState
+    from yuccarill.daemon.gateway.duties import Duty
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.engines import Engines
+
+log = logs.for_part('weights')
+
+# Seconds to wait for an answer to an order or a question.
+ORDER_SECONDS = 1.0
+# Seconds between questions while weights load. A load takes 0.9 s and more;
+# a question is cheap, and an engine that waits idle is not.
+REPORT_SECONDS = 0.2
+# Seconds after which a switch that is not seen is ordered again.
+SWITCH_SECONDS = 6.0
+# Seconds before an engine that refused is asked again.
+RETRY_SECONDS = 0.5
+
+
+class WeightSwitcher:
+    """Carry out the switches that the plan asks for."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        duty: Duty,
+        fleet: EngineFleet,
+        engines: Engines,
+        on_switched: Callable[[], None],
+        clock: Any,
+    ) -> None:
+        self._state = state
+        self._duty = duty
+        self._fleet = fleet
+        self._engines = engines
+        self._on_switched = on_switched
+        self._clock = clock
+        self._running: set[defer.Deferred[None]] = set()
+
+    def update(self) -> None:
+        """Begin the switches that may begin now."""
+        tenure = self._duty.tenure
+        if tenure is None or not tenure.may_order(self._now()):
+            return
+        versions_by_model = {
+            model: version
+            for model, version in self._state.versions_by_model.items()
+            if self._is_served(model)
+        }
+        for switch in weights.next_switches(self._fleet, versions_by_model):
+            engine = self._fleet.engines_by_id[switch.engine]
+            engine.switching.add(switch.model)
+            running = defer.Deferred.fromCoroutine(
+                self._switch(engine, switch)
+            )
+            self._running.add(running)
+            running.addBoth(self._ended, running, engine, switch)
+
+    def stop(self) -> None:
+        """Give up what is under way."""
+        for running in list(self._running):
+            running.cancel()
+
+    def _is_served(self, model: str) -> bool:
+        return any(
+            model in engine.target.versions_by_model
+            for engine in self._fleet.engines_by_id.values()
+        )
+
+    def _ended(
+        self,
+        result: Any,
+        running: defer.Deferred[None],
+        engine: EngineState,
+        switch: weights.Switch,
+    ) -> None:
+        self._running.discard(running)
+        engine.switching.discard(switch.model)
+        if hasattr(result, 'check') and not result.check(defer.CancelledError):
+            log.error('Switch failed.', cause=result.getTraceback())
+        self._on_switched()
+
+    async def _switch(
+        self, engine: EngineState, switch: weights.Switch
+    ) -> None:
+        give_up_at = self._now() + SWITCH_SECONDS
+        report = await self._report(engine)
+        if report is None:
+            await self._pause(RETRY_SECONDS)
+            return
+        if _has(report, switch):
+            engine.saw_version(switch.model, switch.version)
+            return
+        if not report.is_busy:
+            outcome = await self._order(engine, switch, report)
+            if outcome is wire_engines.OrderOutcome.ALREADY_HOLDS:
+                engine.saw_version(switch.model, switch.version)
+                return
+            if outcome not in (
+                wire_engines.OrderOutcome.ACCEPTED,
+                wire_engines.OrderOutcome.UNKNOWN,
+            ):
+                await self._pause(RETRY_SECONDS)
+                return
+        while self._now() < give_up_at:
+            await self._pause(REPORT_SECONDS)
+            seen = await self._report(engine)
+            if seen is None:
+                continue
+            if _has(seen, switch) and not seen.is_busy:
+                engine.saw_version(switch.model, switch.version)
+                return
+            is_lost = seen.orders_accepted == report.orders_accepted
+            if is_lost and not seen.is_busy and not report.is_busy:
+                # Reports lag: the second one without a sign tells.
+                if self._now() > give_up_at - SWITCH_SECONDS + 1.5:
+                    return
+
+    async def _order(
+        self,
+        engine: EngineState,
+        switch: weights.Switch,
+        report: wire_engines.EngineReport,
+    ) -> wire_engines.OrderOutcome:
+        tenure = self._duty.tenure
+        now = self._now()
+        # Checked right before the order: the question before it may have
+        # taken longer than the lease.
+        if tenure is None or not tenure.may_order(now):
+            return wire_engines.OrderOutcome.FENCED
+        tenure.order(now)
+        order = wire_engines.VersionOrder(
+            model=switch.model,
+            version=switch.version,
+            mode=wire_engines.SwitchMode.CONTINUE,
+            holder=self._state.settings.instance,
+            epoch=tenure.epoch,
+            # An order without an answer may be carried out seconds later:
+            # with the count it expects, it fails once another one stands.
+            expected_orders=report.orders_accepted,
+        )
+        outcome = await self._engines.order(
+            engine.target, order, Instant(now + ORDER_SECONDS)
+        )
+        meters.ORDERS.labels(outcome.value).inc()
+        log.info(
+            'Ordered.',
+            engine=engine.target.id,
+            model=switch.model,
+            version=switch.version,
+            epoch=tenure.epoch,
+            expected=report.orders_accepted,
+            running=engine.running,
+            outcome=outcome,
+        )
+        return outcome
+
+    async def _report(
+        self, engine: EngineState
+    ) -> wire_engines.EngineReport | None:
+        deadline = Instant(self._now() + ORDER_SECONDS)
+        try:
+            return await self._engines.report(engine.target, deadline)
+        except wire_engines.ReportUnavailable as error:
+            log.info('No report.', engine=engine.target.id, cause=str(error))
+            return None
+
+    async def _pause(self, seconds: float) -> None:
+        await task.deferLater(self._clock, seconds)
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+def _has(report: wire_engines.EngineReport, switch: weights.Switch) -> bool:
+    version = report.versions_by_model.get(switch.model)
+    return version is not None and version >= switch.version
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/logs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/logs.py
@@ -24,6 +24,15 @@
     renderer: Any = structlog.dev.ConsoleRenderer(colors=False)
     if log_format is LogFormat.JSON:
         renderer = structlog.processors.JSONRenderer()
+    _configure(renderer, sys.stderr, log_level)
+
+
+def configure_stream(stream: Any, log_level: LogLevel) -> None:
+    """Write JSON lines to a stream of one's own, from a level on."""
+    _configure(structlog.processors.JSONRenderer(), stream, log_level)
+
+
+def _configure(renderer: Any, stream: Any, log_level: LogLevel) -> None:
     level = logging.getLevelNamesMapping()[log_level.name]
     structlog.configure(
         processors=[
@@ -34,7 +43,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
     )
 
 
