--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,14 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages tools
-	$(BIN)/flake8 packages tools
-	$(BIN)/mypy -p yuccarill.core -p yuccarill.wire
+	$(BIN)/ruff format --check packages platform tools
+	$(BIN)/flake8 packages platform tools
+	$(BIN)/mypy -p yuccarill.core -p yuccarill.wire -p yuccarill.platform \
+		-p yuccarill.daemon.gateway
 	$(BIN)/python tools/capacity.py --check
 
 format: $(STAMP)
-	$(BIN)/ruff format packages tools
+	$(BIN)/ruff format packages platform tools
 
 capacity: $(STAMP)
 	$(BIN)/python tools/capacity.py
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import Revision
 
 # Seconds that a lease is given up early. Clocks of two machines drift by far
 # less over a lease of a few seconds; the rest covers an order under way.
@@ -19,10 +21,13 @@
     """Record who held a duty last, beyond the end of its lease."""
 
     instance: InstanceId
-    epoch: Epoch
+    # The process that held it; a restarted one has lost what it ran.
+    incarnation: Incarnation
     # Set by a holder that gave the duty back: seconds since its last order
     # at that time; infinity if it never sent one.
     idle_seconds: float | None = None
+    # The change that wrote this record.
+    revision: Revision = Revision(0)
 
 
 class HoldPolicy(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -21,6 +21,10 @@
     from yuccarill.core.jobs.job import JobId
 
 
+# Texts kept of ended jobs: the items of some steps, some 10 kB each.
+MAX_LEFT = 500
+
+
 class RunState(enum.Enum):
     """Say how far an item is."""
 
@@ -40,10 +44,24 @@
         self.position = position
         self.state = RunState.WAITING
         self.text = text_module.ItemText()
+        # Set once the text is scored.
+        self.score: str | None = None
         # Answers that said the item failed at an engine, or at its scorer.
         self.failures = 0
         self.score_failures = 0
 
+    def reuse(self, left: ItemRun) -> bool:
+        """Go on with what an earlier job left of the same item."""
+        is_single = self.job.is_single_version
+        if left.item.body != self.item.body:
+            return False
+        if not left.text.fits(self.job.min_version, is_single):
+            return False
+        self.text = left.text
+        if left.item.score_request == self.item.score_request:
+            self.score = left.score
+        return True
+
     def fail(self) -> ItemResult | None:
         """Count a failed run; return the result if it was the last."""
         self.failures += 1
@@ -75,9 +93,14 @@
     """Track one open job."""
 
     def __init__(
-        self, job: Job, due_at: Instant, retained_until: Instant
+        self,
+        job: Job,
+        submitted_at: Instant,
+        due_at: Instant,
+        retained_until: Instant,
     ) -> None:
         self.job = job
+        self.submitted_at = submitted_at
         self.due_at = due_at
         self.retained_until = retained_until
         self.runs_by_id: dict[ItemId, ItemRun] = {}
@@ -126,16 +149,39 @@
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[JobId, JobState] = {}
+        # What was made of items whose jobs have ended, the oldest first.
+        self._left_by_id: dict[ItemId, ItemRun] = {}
+
+    def add(
+        self, state: JobState, listed: Iterable[ItemId] = ()
+    ) -> list[ItemRun]:
+        """Take a job and the items that already have their results.
 
-    def add(self, state: JobState, listed: Iterable[ItemId] = ()) -> None:
-        """Take a job and the items that already have their results."""
+        Returns the runs whose text is whole, from an earlier job.
+        """
         self.jobs_by_id[state.job.id] = state
         for item_id in listed:
             state.end(item_id)
+        whole = []
+        for run in list(state.waiting()):
+            left = self._left_by_id.pop(run.item.id, None)
+            if left is not None and run.reuse(left) and run.text.is_whole:
+                whole.append(run)
+        return whole
 
     def remove(self, job: JobId) -> JobState | None:
         """Forget a job that its trainer ended."""
-        return self.jobs_by_id.pop(job, None)
+        state = self.jobs_by_id.pop(job, None)
+        if state is None:
+            return None
+        # The trainer asks again for groups that were not whole, and what
+        # is made of them is work saved in the next step.
+        for run in state.runs_by_id.values():
+            if run.text.events:
+                self._left_by_id[run.item.id] = run
+        while len(self._left_by_id) > MAX_LEFT:
+            del self._left_by_id[next(iter(self._left_by_id))]
+        return state
 
     def waiting(self) -> Iterator[ItemRun]:
         """Yield the items to run, the most urgent first."""
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -19,9 +19,17 @@
     from yuccarill.core.ids import WeightVersion
     from yuccarill.core.jobs.job import Job
 
-# Part of a new event gap in an engine's average: three or four events in a
-# row show that an engine turned slow.
-_PACE_PART = 0.3
+# Seconds after which a gap has lost two thirds of its weight in an engine's
+# average. All runs of an engine share its pauses: counted by events, one
+# pause of 0.1 s made an engine look slow and moved 45 runs off it.
+_PACE_MEMORY = 0.3
+# Seconds for which a measured pace counts. An engine that nothing runs on
+# any more has to be tried again to see whether it still is slow.
+PACE_SECONDS = 2.0
+# Times the usual pace, and seconds at least, without an event after which
+# a run goes on elsewhere: to go on costs some ms of reading the text again.
+SILENT_FACTOR = 10.0
+MIN_SILENCE = 0.4
 # Times the median pace above which an engine counts as slow. Engines of one
 # fleet differ by up to 1.3, a fault by 2.5 and more.
 SLOW_FACTOR = 2.0
@@ -61,11 +69,17 @@
 
     def saw_gap(self, seconds: float, now: Instant) -> None:
         """Learn from the time between two events of a run."""
+        is_old = self.known_pace(now) is None
+        part = 1.0 - math.exp((self.paced_at - now) / _PACE_MEMORY)
         self.paced_at = now
-        if self.pace is None:
+        if self.pace is None or is_old:
             self.pace = seconds
         else:
-            self.pace += _PACE_PART * (seconds - self.pace)
+            self.pace += part * (seconds - self.pace)
+
+    def known_pace(self, now: Instant) -> float | None:
+        """Return the pace if it was measured lately."""
+        return self.pace if now < self.paced_at + PACE_SECONDS else None
 
     def succeed(self) -> None:
         self.failures = 0
@@ -97,15 +111,17 @@
             else:
                 known.target = target
 
-    def choose(self, job: Job, now: Instant) -> EngineState | None:
+    def choose(
+        self, job: Job, now: Instant, without: EngineState | None = None
+    ) -> EngineState | None:
         """Return the engine with a free place that will be fastest."""
         fitting = [
             engine
             for engine in self.engines_by_id.values()
-            if self.can_run(engine, job, now)
+            if engine is not without and self.can_run(engine, job, now)
         ]
-        usual = self.usual_pace()
-        return min(fitting, key=lambda e: _cost(e, usual), default=None)
+        usual = self.usual_pace(now) or 0.0
+        return min(fitting, key=lambda e: _cost(e, usual, now), default=None)
 
     def can_run(self, engine: EngineState, job: Job, now: Instant) -> bool:
         """Tell whether an engine may get an item of a job."""
@@ -120,27 +136,43 @@
         version = engine.version(job.model)
         return version is not None and version >= job.min_version
 
-    def usual_pace(self) -> float | None:
+    def usual_pace(self, now: Instant) -> float | None:
         """Return the median pace, none if no engine was seen at work."""
         paces = [
-            engine.pace
+            pace
             for engine in self.engines_by_id.values()
-            if engine.pace is not None
+            if (pace := engine.known_pace(now)) is not None
         ]
         return statistics.median_low(paces) if paces else None
 
-    def is_slow(self, engine: EngineState) -> bool:
-        """Tell whether an engine is much slower than the others."""
-        usual = self.usual_pace()
-        if usual is None or engine.pace is None:
+    def should_move(
+        self, engine: EngineState, job: Job, last_at: Instant, now: Instant
+    ) -> bool:
+        """Tell whether a run had better go on at another engine."""
+        usual = self.usual_pace(now) or 0.0
+        silence = max(MIN_SILENCE, SILENT_FACTOR * usual)
+        is_held_up = (
+            now - last_at > silence
+            or _slowness(engine, usual, now) >= SLOW_FACTOR
+            or job.model in engine.switching
+        )
+        if not is_held_up:
+            return False
+        other = self.choose(job, now, without=engine)
+        if other is None:
             return False
-        return engine.pace > SLOW_FACTOR * usual
+        return _slowness(other, usual, now) < SLOW_FACTOR
+
+
+def _slowness(engine: EngineState, usual: float, now: Instant) -> float:
+    pace = engine.known_pace(now)
+    if pace is None or usual <= 0.0:
+        return 1.0
+    return max(1.0, pace / usual)
 
 
-def _cost(engine: EngineState, usual: float | None) -> float:
-    slowness = 1.0
-    if usual and engine.pace is not None:
-        slowness = max(1.0, engine.pace / usual)
+def _cost(engine: EngineState, usual: float, now: Instant) -> float:
+    slowness = _slowness(engine, usual, now)
     load = (engine.running + 1) / max(1, engine.target.slots)
     # Slow engines come last whatever their load is, since the last item of
     # a group decides when the group counts.
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/text.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/text.py
@@ -34,6 +34,8 @@
         self._parts: list[str] = []
         self._versions: set[WeightVersion] = set()
         self._current: WeightVersion | None = None
+        # Set once an engine has sent the last event.
+        self.is_whole = False
 
     @property
     def events(self) -> int:
@@ -82,3 +84,4 @@
         self._parts.clear()
         self._versions.clear()
         self._current = None
+        self.is_whole = False
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
@@ -32,8 +32,8 @@
 # Part of the server's own idle time after which a connection is not used
 # again, so that a request hardly ever crosses the server's close.
 IDLE_PART = 0.7
-# Idle connections kept to one address.
-MAX_IDLE = 4
+# Idle connections kept to one address: as many as an engine has places.
+MAX_IDLE = 16
 # Seconds of silence after which the kernel probes a connection, between
 # probes, and probes without a reply after which the connection is dead. A
 # connection forgotten by something between its ends is found in 3 s.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 from typing import TYPE_CHECKING
+import uuid
 import zlib
 
 import msgspec
@@ -12,6 +13,7 @@
 
 from yuccarill.core.gateway import leadership
 from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
 from yuccarill.daemon.gateway import session as session_module
@@ -33,6 +35,8 @@
 # Seconds that each further instance in the order of candidates waits, so
 # that one write decides in most cases.
 RANK_SECONDS = 0.15
+# Seconds that stand for an order never sent.
+LONG_AGO = 1e9
 
 
 class Duty:
@@ -49,6 +53,9 @@
     ) -> None:
         self.service = service
         self.tenure: leadership.Tenure | None = None
+        # Nobody else has held the duty since this process last held it.
+        self.is_continued = False
+        self._incarnation = Incarnation(uuid.uuid4().hex)
         self._state = state
         self._session = session
         self._store = store
@@ -72,6 +79,14 @@
         """Tell whether work under the duty may go on."""
         return self.tenure is not None and self.tenure.is_held(self._now())
 
+    @property
+    def is_elsewhere(self) -> bool:
+        """Tell whether another instance is known to hold the duty."""
+        holder = self._state.duties_by_service.get(self.service)
+        if holder is None:
+            return False
+        return holder.instance != self._state.settings.instance
+
     def update(self) -> None:
         """Compare what is known with what this instance holds."""
         holder = self._state.duties_by_service.get(self.service)
@@ -93,7 +108,7 @@
         await self._store.transact(
             expected=[expected],
             writes=[
-                self._last_holder(tenure.epoch, min(idle, 1e9)),
+                self._last_holder(min(idle, LONG_AGO)),
             ],
             removals=[keys.duty(self.service)],
         )
@@ -147,12 +162,15 @@
                     value=msgspec.msgpack.encode(record),
                     lease=lease,
                 ),
-                self._last_holder(Epoch(0), None),
+                self._last_holder(None),
             ],
         )
         orders_from = leadership.orders_from(
             me, last, self._policy, self._now()
         )
+        self.is_continued = (
+            last is not None and last.incarnation == self._incarnation
+        )
         self.tenure = leadership.Tenure(
             Epoch(revision), self._policy, sent_at, orders_from
         )
@@ -165,12 +183,10 @@
         )
         self._on_change()
 
-    def _last_holder(
-        self, epoch: Epoch, idle: float | None
-    ) -> store_module.Write:
+    def _last_holder(self, idle: float | None) -> store_module.Write:
         record = leadership.LastHolder(
             instance=self._state.settings.instance,
-            epoch=epoch,
+            incarnation=self._incarnation,
             idle_seconds=idle,
         )
         return store_module.Write(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/forwarding.py
@@ -20,6 +20,7 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.intake import Intake
     from yuccarill.daemon.gateway.sender import Sender
     from yuccarill.daemon.gateway.state import GatewayState
@@ -130,7 +131,7 @@
         deadline = time_limit(route, request)
         service = self._service(route)
         call = call_of(request, deadline)
-        tried = set()
+        tried: set[TargetId] = set()
         cause = 'no target is ready'
         for _ in range(route.max_attempts):
             target = self._sender.choose(service, frozenset(tried))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
@@ -11,14 +11,13 @@
 
 if TYPE_CHECKING:
     from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import DataCentreId
-    from yuccarill.core.jobs.job import ItemId
-    from yuccarill.core.jobs.job import JobId
     from yuccarill.daemon.gateway.forwarding import Forwarder
-    from yuccarill.daemon.gateway.intake import Intake
     from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.trainers import TrainerDesk
     from yuccarill.platform.server import Answerer
-    from yuccarill.platform.server import ResultsQuery
+    from yuccarill.platform.server import TrainerCall
 
 log = logs.for_part('front')
 
@@ -36,11 +35,11 @@
         self,
         state: GatewayState,
         forwarder: Forwarder,
-        intake: Intake,
+        trainers: TrainerDesk,
     ) -> None:
         self._state = state
         self._forwarder = forwarder
-        self._intake = intake
+        self._trainers = trainers
 
     def is_ready(self) -> bool:
         """Tell whether this instance should get new connections."""
@@ -83,17 +82,11 @@
         """Serve one request by its route."""
         await self._forwarder.forward(request, answerer)
 
-    async def read_results(self, query: ResultsQuery) -> bytes:
-        """Return a page of a job's results."""
-        return await self._intake.read_results(query)
-
-    async def read_item(self, job: JobId, item: ItemId) -> bytes:
-        """Return the body of one item."""
-        return await self._intake.read_item(job, item)
-
-    async def end_job(self, job: JobId) -> None:
-        """End a job for its trainer."""
-        await self._intake.end_job(job)
+    async def trainer_call(
+        self, call: TrainerCall, request: ClientRequest
+    ) -> TargetAnswer:
+        """Serve a trainer's call about one of its jobs."""
+        return await self._trainers.serve(call, request)
 
     def refused(self, request_id: str, error: errors.YuccarillError) -> None:
         """Log why a request got no answer of a target."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
@@ -15,9 +15,10 @@
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.jobs.board import ItemRun
-    from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.platform.calls import Calls
@@ -52,10 +53,13 @@
         self._clock = clock
 
     async def run(
-        self, run: ItemRun, engine: EngineState, fleet: EngineFleet
+        self,
+        run: ItemRun,
+        engine: EngineState,
+        on_progress: Callable[[Instant], None],
     ) -> Outcome:
         """Run an item, from its last whole event on."""
-        sink = _TextSink(run, engine, self._clock)
+        sink = _TextSink(run, engine, on_progress, self._clock)
         before = run.text.events
         outcome, cause = Outcome.BROKEN, 'cancelled'
         try:
@@ -110,11 +114,18 @@
 class _TextSink(calls_module.GenerationSink):
     """Add a run's events to its item's text."""
 
-    def __init__(self, run: ItemRun, engine: EngineState, clock: Any) -> None:
+    def __init__(
+        self,
+        run: ItemRun,
+        engine: EngineState,
+        on_progress: Callable[[Instant], None],
+        clock: Any,
+    ) -> None:
         self._run = run
         self._engine = engine
+        self._on_progress = on_progress
         self._clock = clock
-        self._last_at: float | None = None
+        self._last_at: Instant | None = None
         # The text so far can't be listed and has to be made anew.
         self.must_restart = False
 
@@ -135,9 +146,10 @@
         if not self._run.text.fits(job.min_version, job.is_single_version):
             self.must_restart = True
             raise connections.SinkRefused('its weights changed under way')
-        now = self._clock.seconds()
+        now = Instant(self._clock.seconds())
+        self._on_progress(now)
         if self._last_at is not None:
-            self._engine.saw_gap(now - self._last_at, Instant(now))
+            self._engine.saw_gap(now - self._last_at, now)
         self._last_at = now
 
     def _see(self, version: WeightVersion | None) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
@@ -17,6 +17,7 @@
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
 from yuccarill.daemon.gateway import forwarding
+from yuccarill.daemon.gateway import relay as relay_module
 from yuccarill.daemon import logs
 from yuccarill.platform import jobs as wire_jobs
 from yuccarill.platform import store as store_module
@@ -30,6 +31,7 @@
     from yuccarill.daemon.gateway.job_store import JobStore
     from yuccarill.daemon.gateway.job_store import StoredResults
     from yuccarill.daemon.gateway.job_store import Summary
+    from yuccarill.daemon.gateway.relay import Relay
     from yuccarill.platform.server import ResultsQuery
 
 log = logs.for_part('jobs')
@@ -39,6 +41,10 @@
 # before the same store, and it comes back only once.
 ACCEPT_PART = 0.75
 RETRY_SECONDS = 0.2
+# Seconds that a peer may take to store a job in this instance's place.
+RELAY_SECONDS = 2.0
+# Seconds that a relayed submission is tried; its sender tries others then.
+RELAYED_TRY_SECONDS = 1.0
 # Seconds after which a trainer may come back when the store is away.
 RETRY_AFTER = 1.0
 # Bytes of results in one answer, under the megabyte that readers take.
@@ -50,6 +56,7 @@
 # no time.
 DEFAULT_DUE = 30.0
 DEFAULT_RETENTION = 60.0
+_REFUSED = TargetAnswer(status=503, headers=(), body=b'', stamp=None)
 
 
 @dataclasses.dataclass
@@ -79,8 +86,9 @@
 class Intake:
     """Answer trainers' calls about jobs from the store."""
 
-    def __init__(self, store: JobStore, clock: Any) -> None:
+    def __init__(self, store: JobStore, relay: Relay, clock: Any) -> None:
         self._store = store
+        self._relay = relay
         self._clock = clock
         self._views_by_id: collections.OrderedDict[JobId, JobView] = (
             collections.OrderedDict()
@@ -102,8 +110,11 @@
         job = _job(route, request)
         give_up_at = forwarding.time_limit(route, request)
         left = give_up_at - self._clock.seconds()
-        try_until = Instant(self._clock.seconds() + ACCEPT_PART * left)
-        await self._accept(job, try_until)
+        try_for = ACCEPT_PART * left
+        if relay_module.is_relayed(request):
+            try_for = RELAYED_TRY_SECONDS
+        try_until = Instant(self._clock.seconds() + try_for)
+        await self._accept(job, request, try_until)
         log.info(
             'Job accepted.',
             request=request.id,
@@ -143,7 +154,7 @@
             raise errors.StoreUnavailable(
                 f'The results can not be read now: {error}.', RETRY_AFTER
             ) from error
-        return _page(view, query.first)
+        return page(view.summary.total, view.results, query.first)
 
     async def read_item(self, job_id: JobId, item_id: ItemId) -> bytes:
         """Return the body of one item.
@@ -179,9 +190,9 @@
         may not have been written.
         """
         try:
-            if job_id not in self._views_by_id:
-                await self._load(job_id)
-            await self._store.end(job_id)
+            view = self._views_by_id.get(job_id)
+            view = view or await self._load(job_id)
+            await self._store.end(view.summary.service, job_id)
         except (
             store_module.StoreRefused,
             store_module.StoreUnclear,
@@ -191,8 +202,10 @@
             ) from error
         log.info('Job ended by its trainer.', job=job_id)
 
-    async def _accept(self, job: Job, try_until: Instant) -> None:
-        is_unclear = False
+    async def _accept(
+        self, job: Job, request: ClientRequest, try_until: Instant
+    ) -> None:
+        may_stand = False
         while True:
             try:
                 await self._store.accept(job)
@@ -200,17 +213,32 @@
             except store_module.StoreRefused as error:
                 cause: Exception = error
             except store_module.StoreUnclear as error:
-                is_unclear = True
+                may_stand = True
                 cause = error
+            if not relay_module.is_relayed(request):
+                answer = await self._pass_on(request)
+                if answer is not None and answer.status == 202:
+                    return
+                may_stand = may_stand or answer is None
             if self._clock.seconds() >= try_until:
                 break
             await task.deferLater(self._clock, RETRY_SECONDS)
-        if is_unclear:
+        if may_stand:
             # An unanswered write may be carried out later: the job may run
             # and must not be refused as one that never will.
             raise errors.OutcomeUnknown(f'The job may stand: {cause}.')
         raise errors.NotRun(f'The job was not stored: {cause}.', RETRY_AFTER)
 
+    async def _pass_on(self, request: ClientRequest) -> TargetAnswer | None:
+        """Submit through a peer; none if the job may stand there."""
+        peer = self._relay.peer()
+        if peer is None:
+            return _REFUSED
+        answer = await self._relay.send(peer, request, RELAY_SECONDS)
+        if answer is not None and answer.status not in (202, 503):
+            return None
+        return answer
+
     async def _view(self, query: ResultsQuery) -> JobView:
         view = self._views_by_id.get(query.job)
         if view is None:
@@ -265,13 +293,14 @@
     )
 
 
-def _page(view: JobView, first: int) -> bytes:
+def page(total: int, results: list[ItemResult], first: int) -> bytes:
+    """Return one page of results from a position on."""
     taken = 0
     following = first
-    for result in view.results[first:]:
+    for result in results[first:]:
         taken += len(result.text)
         if following > first and taken > PAGE_BYTES:
             break
         following += 1
-    page = tuple(view.results[first:following])
-    return wire_jobs.results_page(view.summary.total, following, page)
+    found = tuple(results[first:following])
+    return wire_jobs.results_page(total, following, found)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/job_store.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/job_store.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 
 from yuccarill.core.ids import Revision
+from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import WallTime
 from yuccarill.core.jobs.job import ItemResult
 from yuccarill.core.jobs.job import Job
@@ -17,7 +18,6 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import JobId
     from yuccarill.platform.store import Store
 
@@ -28,10 +28,17 @@
 class Summary(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what readers need of a job beside its results."""
 
+    service: ServiceName
     total: int
     submitted_at: WallTime
 
 
+class WorkRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell a service's runner of one job."""
+
+    is_ended: bool = False
+
+
 class Chunk(msgspec.Struct, frozen=True, kw_only=True):
     """Hold results at consecutive positions."""
 
@@ -66,7 +73,11 @@
         Raises StoreRefused if the store did nothing, StoreUnclear if the
         job may stand.
         """
-        summary = Summary(total=len(job.items), submitted_at=job.submitted_at)
+        summary = Summary(
+            service=job.service,
+            total=len(job.items),
+            submitted_at=job.submitted_at,
+        )
         spec_key = keys.job_spec(job.id)
         try:
             await self._store.transact(
@@ -83,6 +94,7 @@
                         key=keys.summary(job.id),
                         value=msgspec.msgpack.encode(summary),
                     ),
+                    _work(job.service, job.id, WorkRecord()),
                 ],
             )
         except store_module.StoreConflict:
@@ -153,18 +165,19 @@
             except (store_module.StoreRefused, store_module.StoreUnclear):
                 await task.deferLater(self._clock, RETRY_SECONDS)
 
-    async def end(self, job: JobId) -> None:
+    async def end(self, service: ServiceName, job: JobId) -> None:
         """Write that a trainer has ended a job."""
-        await self._store.transact(
-            writes=[store_module.Write(key=keys.job_end(job), value=b'')]
-        )
+        record = WorkRecord(is_ended=True)
+        await self._store.transact(writes=[_work(service, job, record)])
 
-    async def remove(self, job: JobId, positions: list[int]) -> None:
+    async def remove(
+        self, service: ServiceName, job: JobId, positions: list[int]
+    ) -> None:
         """Remove a job that nobody may read any more."""
         await self._store.transact(
             removals=[
                 keys.job_spec(job),
-                keys.job_end(job),
+                keys.work(service, job),
                 keys.summary(job),
                 *(keys.chunk(job, position) for position in positions),
             ][:32]
@@ -187,6 +200,19 @@
             found.chunks_by_position[position] = chunk
 
 
+def _work(
+    service: ServiceName, job: JobId, record: WorkRecord
+) -> store_module.Write:
+    return store_module.Write(
+        key=keys.work(service, job), value=msgspec.msgpack.encode(record)
+    )
+
+
+def decode_work(value: bytes) -> WorkRecord:
+    """Decode what stands of a job; raises MsgspecError."""
+    return msgspec.msgpack.decode(value, type=WorkRecord)
+
+
 def decode_job(value: bytes) -> Job:
     """Decode a job's content; raises MsgspecError."""
     return msgspec.msgpack.decode(value, type=Job)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -32,6 +32,7 @@
     def __init__(
         self,
         job: JobId,
+        total: int,
         known: list[ItemResult],
         jobs: JobStore,
         duty: Duty,
@@ -41,7 +42,10 @@
         self._jobs = jobs
         self._duty = duty
         self._clock = clock
-        self._listed = len(known)
+        self.total = total
+        # What readers may be told of: it stands in the store.
+        self.results = list(known)
+        self._readers: list[defer.Deferred[None]] = []
         self._ids = {result.id for result in known}
         self._pending: list[ItemResult] = []
         self._writing: defer.Deferred[None] | None = None
@@ -56,12 +60,34 @@
         if self._writing is None:
             self._write_soon()
 
+    async def wait(self, seconds: float) -> None:
+        """Wait until something is listed, or for a time."""
+        reader: defer.Deferred[None] = defer.Deferred()
+        self._readers.append(reader)
+        timer = self._clock.callLater(seconds, self._wake, reader)
+        try:
+            await reader
+        finally:
+            if timer.active():
+                timer.cancel()
+
     def stop(self) -> None:
         """Write nothing more."""
         self._is_stopped = True
+        self._wake_readers()
         if self._writing is not None:
             self._writing.cancel()
 
+    def _wake_readers(self) -> None:
+        for reader in list(self._readers):
+            self._wake(reader)
+
+    def _wake(self, reader: defer.Deferred[None]) -> None:
+        if reader in self._readers:
+            self._readers.remove(reader)
+        if not reader.called:
+            reader.callback(None)
+
     def _write_soon(self) -> None:
         self._writing = defer.Deferred.fromCoroutine(self._write())
         self._writing.addErrback(self._failed)
@@ -70,18 +96,37 @@
     async def _write(self) -> None:
         await task.deferLater(self._clock, COLLECT_SECONDS)
         chunk = self._next_chunk()
-        revision = self._duty.revision
-        while revision is None:
+        while not await self._append(chunk):
             await task.deferLater(self._clock, COLLECT_SECONDS)
-            revision = self._duty.revision
-        await self._jobs.append(
-            self._job, self._listed, chunk, self._duty.service, revision
-        )
         log.info(
-            'Listed.', job=self._job, first=self._listed, count=len(chunk)
+            'Listed.',
+            job=self._job,
+            first=len(self.results),
+            count=len(chunk),
         )
-        self._listed += len(chunk)
+        self.results += chunk
         del self._pending[: len(chunk)]
+        self._wake_readers()
+
+    async def _append(self, chunk: tuple[ItemResult, ...]) -> bool:
+        revision = self._duty.revision
+        if revision is None:
+            return False
+        try:
+            await self._jobs.append(
+                self._job,
+                len(self.results),
+                chunk,
+                self._duty.service,
+                revision,
+            )
+        except job_store_module.DutyLost:
+            # Without the lease nothing is listed here. The same chunk is
+            # tried again if this process gets the duty back; if another
+            # one gets it, this listing is stopped.
+            log.warning('Not listed: the duty is lost.', job=self._job)
+            return False
+        return True
 
     def _next_chunk(self) -> tuple[ItemResult, ...]:
         taken: list[ItemResult] = []
@@ -96,11 +141,6 @@
     def _failed(self, failure: Any) -> None:
         if failure.check(defer.CancelledError):
             return
-        # Whoever holds the duty now lists what it has itself.
-        if failure.check(job_store_module.DutyLost):
-            log.warning('Not listed: the duty is lost.', job=self._job)
-            self._is_stopped = True
-            return
         log.error('Listing failed.', cause=failure.getTraceback())
 
     def _written(self, _: object) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
@@ -53,6 +53,11 @@
         """Return what runs until the process ends."""
         return [each.follow() for each in self._followers]
 
+    def refresh(self) -> None:
+        """Read everything again, after the store was away."""
+        for each in self._followers:
+            each.refresh()
+
     def listen(self, on_change: Callable[[], None]) -> None:
         """Call a function after each change."""
         self._listeners.append(on_change)
@@ -155,17 +160,18 @@
                 state.duties_by_service.pop(service, None)
                 log.info('Duty free.', service=service)
                 return
-            record = msgspec.msgpack.decode(
+            duty = msgspec.msgpack.decode(
                 change.value, type=state_module.DutyRecord
             )
             state.duties_by_service[service] = msgspec.structs.replace(
-                record, revision=change.revision
+                duty, revision=change.revision
             )
         elif key.startswith(keys.LAST_HOLDER_PREFIX):
             service = ServiceName(key[len(keys.LAST_HOLDER_PREFIX) :])
             if not isinstance(change, store_module.Removal):
+                record = msgspec.msgpack.decode(change.value, type=LastHolder)
                 state.last_holders_by_service[service] = (
-                    msgspec.msgpack.decode(change.value, type=LastHolder)
+                    msgspec.structs.replace(record, revision=change.revision)
                 )
 
     def _read(self) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -21,6 +21,7 @@
 from yuccarill.daemon.gateway import job_store
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import observer
+from yuccarill.daemon.gateway import relay
 from yuccarill.daemon.gateway import retirement
 from yuccarill.daemon.gateway import runner
 from yuccarill.daemon.gateway import scoring
@@ -28,6 +29,7 @@
 from yuccarill.daemon.gateway import session
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway import streams
+from yuccarill.daemon.gateway import trainers
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 from yuccarill.platform import engines
@@ -77,7 +79,11 @@
             sender.Pools(self._state), self._calls, clock
         )
         self._jobs = job_store.JobStore(self._store, clock)
-        taking = intake.Intake(self._jobs, clock)
+        passing_on = relay.Relay(self._state, links, clock)
+        taking = intake.Intake(self._jobs, passing_on, clock)
+        desk = trainers.TrainerDesk(
+            taking, passing_on, lambda: self._runners_by_service.values()
+        )
         forwarder = forwarding.Forwarder(
             self._state,
             self._sender,
@@ -86,7 +92,7 @@
             taking,
             clock,
         )
-        self._front = front.Front(self._state, forwarder, taking)
+        self._front = front.Front(self._state, forwarder, desk)
         self._clients = server.ClientFactory(self._front, clock, self._now)
         self._retirement = retirement.Retirement(
             self._observer, self._store, clock
@@ -121,6 +127,7 @@
             self._ports.append(self._listen(str(address), checks))
         self._observer.listen(self._update)
         self._session.listen(self._update)
+        self._session.on_return = self._observer.refresh
         for work in (*self._observer.following(), self._session.follow()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
@@ -182,8 +189,11 @@
                 self._add_duty(service.name)
         for duty in list(self._duties_by_service.values()):
             duty.update()
-        for running in list(self._runners_by_service.values()):
-            running.pump()
+        for name, running in list(self._runners_by_service.items()):
+            if self._duties_by_service[name].is_elsewhere:
+                self._stop_runner(name)
+            else:
+                running.pump()
         self._retirement.update()
 
     def _add_duty(self, service: ServiceName) -> None:
@@ -198,11 +208,17 @@
 
     def _duty_changed(self, service: ServiceName) -> None:
         duty = self._duties_by_service[service]
-        known = self._runners_by_service.pop(service, None)
-        if known is not None:
-            known.stop()
+        known = self._runners_by_service.get(service)
         if duty.tenure is None:
+            # A lease that lapsed while the store was away usually comes
+            # back here: what is under way goes on meanwhile.
+            if known is not None and self._state.is_leaving:
+                self._stop_runner(service)
+            return
+        if known is not None and duty.is_continued:
+            known.resume()
             return
+        self._stop_runner(service)
         started = runner.Runner(
             self._state,
             duty,
@@ -216,6 +232,11 @@
         self._runners_by_service[service] = started
         started.start()
 
+    def _stop_runner(self, service: ServiceName) -> None:
+        known = self._runners_by_service.pop(service, None)
+        if known is not None:
+            known.stop()
+
     def _listen(self, address: str, factory: Any) -> Any:
         host, _, port = address.rpartition(':')
         return self._clock.listenTCP(
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/relay.py
@@ -0,0 +1,133 @@
+"""Pass a trainer's call on to another instance.
+
+The instance that runs a job has its results in memory, and an instance
+that is cut off from the store can still serve through one that is not.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway.routes import RouteKind
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.adapters.connections import Connections
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.state import InstanceRecord
+
+log = logs.for_part('relay')
+
+# Marks a call that was passed on once, which is not passed on again.
+HEADER = 'Yuccarill-Relayed'
+# Seconds beyond the call's own waiting time for an answer of the peer.
+ANSWER_SECONDS = 0.8
+# Seconds for which a peer that did not answer is left out.
+SUSPECT_SECONDS = 2.0
+# What belongs to the connection that an answer came over.
+_DROPPED = frozenset({'content-length', 'connection', 'transfer-encoding'})
+
+
+class Relay:
+    """Send trainers' calls to peers."""
+
+    def __init__(
+        self, state: GatewayState, links: Connections, clock: Any
+    ) -> None:
+        self._state = state
+        self._links = links
+        self._clock = clock
+        self._random = random.Random()
+        self._suspect_until: dict[str, Instant] = {}
+
+    def holder(self, host: str) -> InstanceRecord | None:
+        """Return the other instance that runs a host's batch jobs."""
+        service = self._service(host)
+        duty = service and self._state.duties_by_service.get(service)
+        if not duty or duty.instance == self._state.settings.instance:
+            return None
+        for record in self._state.instances_by_id.values():
+            if record.instance == duty.instance:
+                return record
+        return None
+
+    def peer(self) -> InstanceRecord | None:
+        """Return any other instance that serves."""
+        me = self._state.settings.instance
+        now = self._clock.seconds()
+        found = [
+            record
+            for record in self._state.instances_by_id.values()
+            if record.instance != me
+            and not record.is_leaving
+            and now >= self._suspect_until.get(record.instance, 0.0)
+        ]
+        return self._random.choice(found) if found else None
+
+    async def send(
+        self, peer: InstanceRecord, request: ClientRequest, seconds: float
+    ) -> TargetAnswer | None:
+        """Return a peer's answer, none if it did not give one in time."""
+        now = self._clock.seconds()
+        if now < self._suspect_until.get(peer.instance, 0.0):
+            return None
+        outgoing = connections.OutgoingRequest(
+            method=request.method,
+            target=request.target,
+            headers=(*request.headers, (HEADER, '1')),
+            body=request.body,
+        )
+        deadline = Instant(now + seconds + ANSWER_SECONDS)
+        try:
+            reply = await self._links.exchange(
+                peer.client_address, outgoing, deadline
+            )
+        except (
+            connections.NotConnected,
+            connections.ExchangeBroken,
+        ) as error:
+            until = Instant(self._clock.seconds() + SUSPECT_SECONDS)
+            self._suspect_until[peer.instance] = until
+            log.info(
+                'Peer did not answer.',
+                request=request.id,
+                peer=peer.instance,
+                cause=str(error),
+            )
+            return None
+        headers = tuple(
+            header
+            for header in reply.head.headers
+            if header[0] not in _DROPPED
+        )
+        return TargetAnswer(
+            status=reply.head.status,
+            headers=headers,
+            body=reply.body,
+            stamp=None,
+        )
+
+    def _service(self, host: str) -> ServiceName | None:
+        table = self._state.table
+        if table is None:
+            return None
+        name = (host.rpartition(':')[0] or host).lower()
+        found = {
+            service
+            for route in table.routes_by_name.values()
+            if route.kind is RouteKind.BATCH and route.host == name
+            for service in route.services
+        }
+        return found.pop() if len(found) == 1 else None
+
+
+def is_relayed(request: ClientRequest) -> bool:
+    """Tell whether a peer passed the request on."""
+    return any(name.lower() == HEADER.lower() for name, _ in request.headers)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -15,6 +15,7 @@
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.daemon.gateway import follower
 from yuccarill.daemon.gateway import generation
+from yuccarill.daemon.gateway import intake
 from yuccarill.daemon.gateway import job_store as job_store_module
 from yuccarill.daemon.gateway import listing
 from yuccarill.daemon.gateway import meters
@@ -33,6 +34,7 @@
     from yuccarill.daemon.gateway.scoring import Scorer
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.engines import Engines
+    from yuccarill.platform.server import ResultsQuery
     from yuccarill.platform.store import Entry
     from yuccarill.platform.store import Removal
     from yuccarill.platform.store import Store
@@ -44,6 +46,22 @@
 TICK_SECONDS = 0.1
 
 
+class _Generating:
+    """Track one run of an item at an engine."""
+
+    def __init__(
+        self, engine: engines_module.EngineState, now: Instant
+    ) -> None:
+        self.engine = engine
+        self.last_at = now
+        self.is_moved = False
+        self.work: defer.Deferred[generation.Outcome] = defer.Deferred()
+
+    def progress(self, now: Instant) -> None:
+        """Note that an event came."""
+        self.last_at = now
+
+
 class Runner:
     """Run the items of every open job of a service."""
 
@@ -71,14 +89,21 @@
         )
         self._listings_by_job: dict[JobId, listing.Listing] = {}
         self._works_by_job: dict[JobId, set[defer.Deferred[None]]] = {}
-        self._ended_jobs: set[JobId] = set()
+        self._generating_by_run: dict[board_module.ItemRun, _Generating] = {}
         self._follower = follower.PrefixFollower(
-            store, keys.JOB_PREFIX, self._job_change, clock
+            store,
+            keys.work_of_service(duty.service),
+            self._work_change,
+            clock,
+            # One instance follows this, and a job waits for it.
+            settle_seconds=0.0,
         )
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = clock
         self._following: defer.Deferred[None] | None = None
         self._is_stopped = False
+        self._is_pumping = False
+        self._is_asked = False
 
     def start(self) -> None:
         """Begin with the jobs that stand in the store."""
@@ -97,14 +122,49 @@
         for job in list(self._works_by_job):
             self._forget(job)
 
+    def resume(self) -> None:
+        """Go on after the duty was lost and came back unused."""
+        self._follower.refresh()
+        self.pump()
+
+    async def read_results(self, query: ResultsQuery) -> bytes | None:
+        """Return a job's results, none if the store has to be asked."""
+        found = self._listings_by_job.get(query.job)
+        if found is None:
+            return None
+        deadline = self._now() + query.wait
+        while query.first >= len(found.results) < found.total:
+            left = deadline - self._now()
+            if left <= 0.0 or query.job not in self._listings_by_job:
+                break
+            await found.wait(left)
+        # Without the duty, another instance may have listed more, which a
+        # reader may have seen there.
+        if not self._duty.is_held():
+            return None
+        return intake.page(found.total, found.results, query.first)
+
     def pump(self) -> None:
         """Start what can be started now."""
-        if self._is_stopped or not self._duty.is_held():
+        if self._is_stopped or self._is_pumping:
+            # A run that ends while others are moved asks for a pump too.
+            self._is_asked = True
             return
+        self._is_pumping = True
+        try:
+            self._is_asked = True
+            while self._is_asked:
+                self._is_asked = False
+                self._pump()
+        finally:
+            self._is_pumping = False
+
+    def _pump(self) -> None:
         self._fleet.update(
             self._state.targets.ready(self._duty.service).values()
         )
         self._switcher.update()
+        self._move_runs()
         now = self._now()
         for run in list(self._board.waiting()):
             engine = self._fleet.choose(run.job, now)
@@ -116,43 +176,41 @@
         for run in self._board.expired(self._now()):
             self._finish(run, run.given_up(), 'time is over')
 
-    def _job_change(self, change: Entry | Removal) -> None:
+    def _work_change(self, change: Entry | Removal) -> None:
         if isinstance(change, store_module.Removal):
             return
-        ended = keys.job_of_end(change.key)
-        if ended is not None:
-            self._end(ended)
-            return
-        if keys.job_of_spec(change.key) is None:
-            return
+        job = keys.job_of_work(change.key)
         try:
-            job = job_store_module.decode_job(change.value)
+            record = job_store_module.decode_work(change.value)
         except msgspec.MsgspecError as error:
             log.error('Entry left out.', key=change.key, cause=str(error))
             return
-        if job.service == self._duty.service:
-            self._works_by_job[job.id] = set()
-            self._track(job.id, self._take(job))
-
-    async def _take(self, job: Job) -> None:
-        # Ends stand after their jobs in the store: by the next turn of the
-        # loop an ended job of an earlier time is known as such.
-        await task.deferLater(self._clock, 0)
-        if job.id in self._ended_jobs:
+        if record.is_ended:
+            self._end(job)
+        elif job not in self._works_by_job:
+            self._works_by_job[job] = set()
+            self._track(job, self._take(job))
+
+    async def _take(self, job_id: JobId) -> None:
+        job = await self._read(job_id)
+        if job is None or job_id not in self._works_by_job:
             return
         known = await self._listed(job)
         found = listing.Listing(
-            job.id, known, self._jobs, self._duty, self._clock
+            job.id, len(job.items), known, self._jobs, self._duty, self._clock
         )
         age = max(0.0, time.time() - job.submitted_at)
         submitted = self._now() - age
         due = job.due_at - job.submitted_at
         retained = job.retained_until - job.submitted_at
         state = board_module.JobState(
-            job, Instant(submitted + due), Instant(submitted + retained)
+            job,
+            Instant(submitted),
+            Instant(submitted + due),
+            Instant(submitted + retained),
         )
+        reused = self._board.add(state, [result.id for result in known])
         self._listings_by_job[job.id] = found
-        self._board.add(state, [result.id for result in known])
         log.info(
             'Job taken.',
             job=job.id,
@@ -161,10 +219,25 @@
             min_version=job.min_version,
             items=len(job.items),
             listed=len(known),
+            reused=len(reused),
             age=round(age, 2),
         )
+        for run in reused:
+            self._track(job.id, self._score(run))
         self.pump()
 
+    async def _read(self, job_id: JobId) -> Job | None:
+        while True:
+            try:
+                return await self._jobs.read_job(job_id)
+            except (store_module.StoreRefused, store_module.StoreUnclear):
+                await task.deferLater(
+                    self._clock, job_store_module.RETRY_SECONDS
+                )
+            except msgspec.MsgspecError as error:
+                log.error('Job left out.', job=job_id, cause=str(error))
+                return None
+
     async def _listed(self, job: Job) -> list[ItemResult]:
         while True:
             try:
@@ -178,7 +251,6 @@
             return [r for _, chunk in chunks for r in chunk.results]
 
     def _end(self, job: JobId) -> None:
-        self._ended_jobs.add(job)
         if self._board.remove(job) is not None:
             log.info('Job ended.', job=job)
         self._forget(job)
@@ -199,17 +271,48 @@
         work = self._track(run.job.id, self._run(run, engine))
         work.addBoth(lambda _: self.pump())
 
+    def _move_runs(self) -> None:
+        """Move runs off engines that hold them up."""
+        now = self._now()
+        for run, generating in list(self._generating_by_run.items()):
+            if not self._fleet.should_move(
+                generating.engine, run.job, generating.last_at, now
+            ):
+                continue
+            log.info(
+                'Run moved.',
+                item=run.item.id,
+                engine=generating.engine.target.id,
+                pace=generating.engine.pace,
+                usual=self._fleet.usual_pace(now),
+                silent=round(now - generating.last_at, 3),
+            )
+            generating.is_moved = True
+            generating.work.cancel()
+
     async def _run(
         self,
         run: board_module.ItemRun,
         engine: engines_module.EngineState,
     ) -> None:
+        generating = _Generating(engine, self._now())
+        generating.work = defer.Deferred.fromCoroutine(
+            self._generator.run(run, engine, generating.progress)
+        )
+        self._generating_by_run[run] = generating
         try:
-            outcome = await self._generator.run(run, engine, self._fleet)
+            outcome = await generating.work
+        except defer.CancelledError:
+            if not generating.is_moved:
+                raise
+            outcome = generation.Outcome.BROKEN
         finally:
+            del self._generating_by_run[run]
             engine.running -= 1
+            generating.work.cancel()
         match outcome:
             case generation.Outcome.WHOLE:
+                run.text.is_whole = True
                 await self._score(run)
             case generation.Outcome.FAILED:
                 self._failed(run, run.fail())
@@ -220,7 +323,10 @@
 
     async def _score(self, run: board_module.ItemRun) -> None:
         run.state = board_module.RunState.SCORING
-        score = await self._scorer.score(run)
+        score = run.score
+        if score is None:
+            score = await self._scorer.score(run)
+        run.score = score
         if score is None:
             self._finish(run, run.given_up(), 'not scored')
         else:
@@ -242,9 +348,7 @@
         if state is None or found is None:
             return
         state.end(run.item.id)
-        seconds = self._now() - (
-            state.due_at - run.job.due_at + run.job.submitted_at
-        )
+        seconds = self._now() - state.submitted_at
         meters.ITEMS.labels(result.state.value).inc()
         meters.ITEM_SECONDS.observe(seconds)
         log.info(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
@@ -18,6 +18,8 @@
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ServiceName
@@ -137,15 +139,9 @@
                 ms=round(seconds * 1000.0),
             )
 
-    def later(self, at: Instant) -> defer.Deferred[None]:
-        """Return what fires at an instant."""
-        waiting: defer.Deferred[None] = defer.Deferred(
-            lambda _: timer.cancel()
-        )
-        timer = self._clock.callLater(
-            max(0.0, at - self.now()), waiting.callback, None
-        )
-        return waiting
+    def wake_at(self, at: Instant, wake: Callable[[], None]) -> Any:
+        """Call a function at an instant; returns a timer to cancel."""
+        return self._clock.callLater(max(0.0, at - self.now()), wake)
 
     def _learn(
         self,
@@ -248,12 +244,12 @@
 
     async def _sleep(self) -> None:
         self._wake = defer.Deferred()
-        timer = self._sender.later(self._plan.wakes_at())
-        timer.addCallbacks(lambda _: self._wake_up(), lambda _: None)
+        timer = self._sender.wake_at(self._plan.wakes_at(), self._wake_up)
         try:
             await self._wake
         finally:
-            timer.cancel()
+            if timer.active():
+                timer.cancel()
 
     def _wake_up(self) -> None:
         wake, self._wake = self._wake, None
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
@@ -42,6 +42,9 @@
         self._clock = clock
         self._listeners: list[Callable[[], None]] = []
         self._is_ended = False
+        self._is_lost = False
+        # Called when the store is reached again after it was away.
+        self.on_return: Callable[[], None] = lambda: None
 
     def listen(self, on_change: Callable[[], None]) -> None:
         """Call a function after each renewal and each loss of the lease."""
@@ -62,6 +65,7 @@
                 store_module.StoreUnclear,
             ) as error:
                 log.warning('Lease not renewed.', cause=str(error))
+                self._is_lost = True
                 pause = RETRY_SECONDS
             await task.deferLater(self._clock, pause)
 
@@ -87,6 +91,9 @@
         else:
             await self._store.keep_lease(self.lease)
         self.renewed_at = sent_at
+        if self._is_lost:
+            self._is_lost = False
+            self.on_return()
         self._tell()
 
     async def _register(self, lease: int) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
@@ -16,6 +16,7 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.ids import TargetId
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.sender import Sender
     from yuccarill.platform.calls import Calls
@@ -47,7 +48,7 @@
             raise errors.NoTarget('The route has no service.', 1.0)
         run = _StreamRun(request, answerer)
         deadline = Instant(self._clock.seconds() + 600.0)
-        tried = set()
+        tried: set[TargetId] = set()
         cause = 'no target is ready'
         for _ in range(route.max_attempts):
             target = self._sender.choose(service, frozenset(tried))
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
@@ -0,0 +1,88 @@
+"""Answer trainers' calls, by the instance that runs the job if it can be."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccarill.core import errors
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.daemon.gateway import intake as intake_module
+from yuccarill.daemon.gateway import relay as relay_module
+from yuccarill.platform import server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.daemon.gateway.intake import Intake
+    from yuccarill.daemon.gateway.relay import Relay
+    from yuccarill.daemon.gateway.runner import Runner
+    from yuccarill.platform.server import TrainerCall
+
+_JSON = (('Content-Type', 'application/json'),)
+
+
+class TrainerDesk:
+    """Choose who answers a call: a runner here, its holder, the store."""
+
+    def __init__(
+        self,
+        intake: Intake,
+        relay: Relay,
+        runners: Callable[[], Iterable[Runner]],
+    ) -> None:
+        self._intake = intake
+        self._relay = relay
+        self._runners = runners
+
+    async def serve(
+        self, call: TrainerCall, request: ClientRequest
+    ) -> TargetAnswer:
+        """Answer one call.
+
+        Raises YuccarillError for what is refused or failed.
+        """
+        match call:
+            case server.ResultsQuery():
+                return await self._results(call, request)
+            case server.ItemQuery():
+                body = await self._intake.read_item(call.job, call.item)
+                return _answer((), body)
+            case server.JobEnd():
+                return await self._end(call, request)
+
+    async def _results(
+        self, query: server.ResultsQuery, request: ClientRequest
+    ) -> TargetAnswer:
+        for runner in self._runners():
+            body = await runner.read_results(query)
+            if body is not None:
+                return _answer(_JSON, body)
+        if not relay_module.is_relayed(request):
+            holder = self._relay.holder(request.host)
+            if holder is not None:
+                answer = await self._relay.send(holder, request, query.wait)
+                if answer is not None and answer.status == 200:
+                    return answer
+        return _answer(_JSON, await self._intake.read_results(query))
+
+    async def _end(
+        self, call: server.JobEnd, request: ClientRequest
+    ) -> TargetAnswer:
+        try:
+            await self._intake.end_job(call.job)
+        except errors.StoreUnavailable:
+            peer = self._relay.peer()
+            if peer is None or relay_module.is_relayed(request):
+                raise
+            answer = await self._relay.send(
+                peer, request, intake_module.RELAY_SECONDS
+            )
+            if answer is None or answer.status != 200:
+                raise
+        return _answer(_JSON, b'{}')
+
+
+def _answer(headers: tuple[tuple[str, str], ...], body: bytes) -> TargetAnswer:
+    return TargetAnswer(status=200, headers=headers, body=body, stamp=None)
