Answer trainers from the holder's memory and watch less

Change: only a duty's holder follows versions and retirements; it answers reads of open and ended jobs from memory; a submission goes to it first; a watch waits a moment after a change.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
@@ -24,10 +24,6 @@
 # Seconds that one watch waits. Each return is a paid call, so waits are
 # long; a watch that no longer hears anything is found by the checks.
 WATCH_SECONDS = 15.0
-# Seconds before a watch is sent again after a change. Changes come in
-# groups, as engines switch weights; each return to each instance is paid
-# for, and the shortest time in which one has to take effect is 2 s.
-SETTLE_SECONDS = 0.35
 # Seconds between checks. A configuration has to be in force 2 s after it
 # was acknowledged, and a check costs a tenth of a read.
 CHECK_SECONDS = 1.0
@@ -46,7 +42,7 @@
         on_change: Callable[[Entry | Removal], None],
         clock: Any,
         on_read: Callable[[], None] = lambda: None,
-        settle_seconds: float = SETTLE_SECONDS,
+        settle_seconds: float = 0.0,
     ) -> None:
         self.is_current = False
         self._revision = Revision(0)
@@ -135,7 +131,7 @@
         for change in page.changes:
             self._take(change)
         self._revision = Revision(max(self._revision, page.revision))
-        if page.changes:
+        if page.changes and self._settle_seconds:
             await task.deferLater(self._clock, self._settle_seconds)
 
     async def _check_often(self) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
@@ -23,15 +23,19 @@
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.routes import Route
     from yuccarill.core.ids import Revision
+    from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.daemon.gateway.job_store import JobStore
     from yuccarill.daemon.gateway.job_store import StoredResults
     from yuccarill.daemon.gateway.job_store import Summary
     from yuccarill.daemon.gateway.relay import Relay
+    from yuccarill.daemon.gateway.runner import Runner
     from yuccarill.platform.server import ResultsQuery
 
 log = logs.for_part('jobs')
@@ -56,6 +60,7 @@
 # no time.
 DEFAULT_DUE = 30.0
 DEFAULT_RETENTION = 60.0
+_ACCEPTED = TargetAnswer(status=202, headers=(), body=b'', stamp=None)
 _REFUSED = TargetAnswer(status=503, headers=(), body=b'', stamp=None)
 
 
@@ -86,9 +91,16 @@
 class Intake:
     """Answer trainers' calls about jobs from the store."""
 
-    def __init__(self, store: JobStore, relay: Relay, clock: Any) -> None:
+    def __init__(
+        self,
+        store: JobStore,
+        relay: Relay,
+        runners_by_service: Mapping[ServiceName, Runner],
+        clock: Any,
+    ) -> None:
         self._store = store
         self._relay = relay
+        self._runners_by_service = runners_by_service
         self._clock = clock
         self._views_by_id: collections.OrderedDict[JobId, JobView] = (
             collections.OrderedDict()
@@ -108,6 +120,14 @@
         if request.method != 'POST':
             raise errors.WrongMethod('Batch jobs are submitted by POST.')
         job = _job(route, request)
+        runner = self._runners_by_service.get(job.service)
+        if runner is None and not relay_module.is_relayed(request):
+            # The instance that runs the job then need not read it back.
+            holder = self._relay.holder(request.host)
+            if holder is not None:
+                answer = await self._relay.send(holder, request, RELAY_SECONDS)
+                if answer is not None and answer.status == 202:
+                    return _ACCEPTED
         give_up_at = forwarding.time_limit(route, request)
         left = give_up_at - self._clock.seconds()
         try_for = ACCEPT_PART * left
@@ -124,7 +144,9 @@
             min_version=job.min_version,
             items=len(job.items),
         )
-        return TargetAnswer(status=202, headers=(), body=b'', stamp=None)
+        if runner is not None:
+            runner.offer(job)
+        return _ACCEPTED
 
     async def read_results(self, query: ResultsQuery) -> bytes:
         """Return results from a position on, waiting for the first.
@@ -183,16 +205,20 @@
                 return item.body
         raise errors.UnknownStep('There is no such item.')
 
-    async def end_job(self, job_id: JobId) -> None:
-        """End a job.
+    async def end_job(
+        self, job_id: JobId, service: ServiceName | None
+    ) -> None:
+        """End a job, whose service is looked up if it is not given.
 
         Raises UnknownStep if there is none, StoreUnavailable if the end
         may not have been written.
         """
         try:
-            view = self._views_by_id.get(job_id)
-            view = view or await self._load(job_id)
-            await self._store.end(view.summary.service, job_id)
+            if service is None:
+                view = self._views_by_id.get(job_id)
+                view = view or await self._load(job_id)
+                service = view.summary.service
+            await self._store.end(service, job_id)
         except (
             store_module.StoreRefused,
             store_module.StoreUnclear,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -72,11 +72,12 @@
                 timer.cancel()
 
     def stop(self) -> None:
-        """Write nothing more."""
+        """Write nothing more.
+
+        A write under way goes on: what it lists is read here as well.
+        """
         self._is_stopped = True
         self._wake_readers()
-        if self._writing is not None:
-            self._writing.cancel()
 
     def _wake_readers(self) -> None:
         for reader in list(self._readers):
@@ -95,8 +96,12 @@
 
     async def _write(self) -> None:
         await task.deferLater(self._clock, COLLECT_SECONDS)
+        if self._is_stopped:
+            return
         chunk = self._next_chunk()
         while not await self._append(chunk):
+            if self._is_stopped:
+                return
             await task.deferLater(self._clock, COLLECT_SECONDS)
         log.info(
             'Listed.',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
@@ -30,6 +30,14 @@
 
 log = logs.for_part('observer')
 
+# Seconds before a watch is sent again after a change. Changes come in
+# groups, and each return to each instance is paid for. A configuration and
+# a target that leaves have to be known after 2 s.
+SETTLE_SECONDS = 0.3
+# Engines' entries change with each switch of their weights, of which only
+# the holder of their duty needs to know, and learns by itself.
+TARGET_SETTLE_SECONDS = 0.9
+
 
 class Observer:
     """Keep the state's sections that come from the store."""
@@ -37,15 +45,14 @@
     def __init__(self, state: GatewayState, store: Store, clock: Any) -> None:
         self._state = state
         self._listeners: list[Callable[[], None]] = []
-        self.retiring: set[InstanceId] = set()
         self._followers = [
             follower.PrefixFollower(
-                store, prefix, on_change, clock, self._read
+                store, prefix, on_change, clock, self._read, settle
             )
-            for prefix, on_change in (
-                (keys.OPERATOR_PREFIX, self._operators),
-                (keys.TARGET_PREFIX, self._target),
-                (keys.FLEET_PREFIX, self._fleet),
+            for prefix, on_change, settle in (
+                (keys.CONFIGURATION, self._configuration, SETTLE_SECONDS),
+                (keys.TARGET_PREFIX, self._target, TARGET_SETTLE_SECONDS),
+                (keys.FLEET_PREFIX, self._fleet, SETTLE_SECONDS),
             )
         ]
 
@@ -62,40 +69,16 @@
         """Call a function after each change."""
         self._listeners.append(on_change)
 
-    def _operators(self, change: Entry | Removal) -> None:
-        if isinstance(change, store_module.Removal):
+    def _configuration(self, entry: Entry | Removal) -> None:
+        if isinstance(entry, store_module.Removal):
             return
         try:
-            self._operator_entry(change)
+            decoded = operators.configuration(entry.value)
         except errors.InventoryInvalid as error:
-            # What was in force goes on: an entry that can't be read must
+            # What was in force goes on: a document that can't be read must
             # not take routes away.
-            log.error('Entry left out.', key=change.key, cause=error.message)
+            log.error('Entry left out.', key=entry.key, cause=error.message)
             return
-        self._tell()
-
-    def _operator_entry(self, entry: Entry) -> None:
-        if entry.key == keys.CONFIGURATION:
-            self._configuration(entry)
-        elif keys.model_of(entry.key) is not None:
-            model, version = operators.named_version(entry.value)
-            known = self._state.versions_by_model.get(model)
-            if known is None or version > known:
-                self._state.versions_by_model[model] = version
-                log.info(
-                    'Version named.',
-                    model=model,
-                    version=version,
-                    revision=entry.revision,
-                )
-        else:
-            instance = keys.retiring_instance(entry.key)
-            if instance is not None:
-                self.retiring.add(instance)
-                log.info('Retirement asked.', instance=instance)
-
-    def _configuration(self, entry: Entry) -> None:
-        decoded = operators.configuration(entry.value)
         for fault in decoded.faults:
             log.error('Part left out.', key=entry.key, cause=fault)
         known = self._state.table
@@ -110,6 +93,7 @@
             revision=entry.revision,
             routes=len(decoded.table.routes_by_name),
         )
+        self._tell()
 
     def _target(self, change: Entry | Removal) -> None:
         target_id = keys.target_of(change.key)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -22,7 +22,6 @@
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import observer
 from yuccarill.daemon.gateway import relay
-from yuccarill.daemon.gateway import retirement
 from yuccarill.daemon.gateway import runner
 from yuccarill.daemon.gateway import scoring
 from yuccarill.daemon.gateway import sender
@@ -67,6 +66,8 @@
         self._path = settings_path
         self._clock = clock
         self._state = state_module.GatewayState(settings)
+        self._duties_by_service: dict[ServiceName, duties.Duty] = {}
+        self._runners_by_service: dict[ServiceName, runner.Runner] = {}
         links = connections.Connections(clock, _count_connection)
         self._store = store_module.Store(
             links, settings.store_address, self._now
@@ -80,7 +81,9 @@
         )
         self._jobs = job_store.JobStore(self._store, clock)
         passing_on = relay.Relay(self._state, links, clock)
-        taking = intake.Intake(self._jobs, passing_on, clock)
+        taking = intake.Intake(
+            self._jobs, passing_on, self._runners_by_service, clock
+        )
         desk = trainers.TrainerDesk(
             taking, passing_on, lambda: self._runners_by_service.values()
         )
@@ -94,11 +97,6 @@
         )
         self._front = front.Front(self._state, forwarder, desk)
         self._clients = server.ClientFactory(self._front, clock, self._now)
-        self._retirement = retirement.Retirement(
-            self._observer, self._store, clock
-        )
-        self._duties_by_service: dict[ServiceName, duties.Duty] = {}
-        self._runners_by_service: dict[ServiceName, runner.Runner] = {}
         self._following: list[defer.Deferred[None]] = []
         self._ports: list[Any] = []
         self._client_port: Any = None
@@ -194,7 +192,6 @@
                 self._stop_runner(name)
             else:
                 running.pump()
-        self._retirement.update()
 
     def _add_duty(self, service: ServiceName) -> None:
         self._duties_by_service[service] = duties.Duty(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/retirement.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/retirement.py
@@ -15,7 +15,6 @@
 
 if TYPE_CHECKING:
     from yuccarill.core.ids import InstanceId
-    from yuccarill.daemon.gateway.observer import Observer
     from yuccarill.platform.store import Store
 
 log = logs.for_part('retirement')
@@ -26,21 +25,19 @@
 class Retirement:
     """Report at once that an instance is empty: nothing is kept on disks."""
 
-    def __init__(self, observer: Observer, store: Store, clock: Any) -> None:
-        self._observer = observer
+    def __init__(self, store: Store, clock: Any) -> None:
         self._store = store
         self._clock = clock
 
-    def update(self) -> None:
-        """Answer what was asked since the last time."""
-        asked, self._observer.retiring = self._observer.retiring, set()
-        for instance in asked:
-            answering = defer.Deferred.fromCoroutine(self._answer(instance))
-            answering.addErrback(
-                lambda failure: log.error(
-                    'Not answered.', cause=failure.getTraceback()
-                )
+    def answer(self, instance: InstanceId) -> None:
+        """Answer in the background, until the store has the answer."""
+        log.info('Retirement asked.', instance=instance)
+        answering = defer.Deferred.fromCoroutine(self._answer(instance))
+        answering.addErrback(
+            lambda failure: log.error(
+                'Not answered.', cause=failure.getTraceback()
             )
+        )
 
     async def _answer(self, instance: InstanceId) -> None:
         key = keys.retirement(instance)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -4,6 +4,7 @@
 
 import time
 from typing import Any
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +14,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
+from yuccarill.daemon.gateway import engine_requests
 from yuccarill.daemon.gateway import follower
 from yuccarill.daemon.gateway import generation
 from yuccarill.daemon.gateway import intake
@@ -25,6 +27,8 @@
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
@@ -44,6 +48,11 @@
 # Seconds between looks at what has no event of its own: engines that come
 # back, items whose time is over.
 TICK_SECONDS = 0.1
+# Seconds before the watch for jobs is sent again after a change. Most jobs
+# and ends come here first; the watch tells of the others.
+WORK_SETTLE_SECONDS = 0.2
+# Jobs kept for readers: about 0.6 MB each.
+MAX_KEPT = 30
 
 
 class _Generating:
@@ -62,6 +71,13 @@
         self.last_at = now
 
 
+class _KeptJob(NamedTuple):
+    """Keep a job and its results for readers."""
+
+    job: Job
+    listing: listing.Listing
+
+
 class Runner:
     """Run the items of every open job of a service."""
 
@@ -84,10 +100,21 @@
         self._clock = clock
         self._board = board_module.JobBoard()
         self._fleet = engines_module.EngineFleet()
+        self._requests = engine_requests.EngineRequests(
+            store, self.pump, clock
+        )
         self._switcher = weight_switcher.WeightSwitcher(
-            state, duty, self._fleet, engines, self.pump, clock
+            state,
+            duty,
+            self._fleet,
+            engines,
+            self._requests,
+            self.pump,
+            clock,
         )
         self._listings_by_job: dict[JobId, listing.Listing] = {}
+        # Jobs that readers may still ask for, the oldest first.
+        self._kept_by_id: dict[JobId, _KeptJob] = {}
         self._works_by_job: dict[JobId, set[defer.Deferred[None]]] = {}
         self._generating_by_run: dict[board_module.ItemRun, _Generating] = {}
         self._follower = follower.PrefixFollower(
@@ -95,20 +122,21 @@
             keys.work_of_service(duty.service),
             self._work_change,
             clock,
-            # One instance follows this, and a job waits for it.
-            settle_seconds=0.0,
+            settle_seconds=WORK_SETTLE_SECONDS,
         )
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = clock
-        self._following: defer.Deferred[None] | None = None
+        self._following: list[defer.Deferred[None]] = []
         self._is_stopped = False
         self._is_pumping = False
         self._is_asked = False
 
     def start(self) -> None:
         """Begin with the jobs that stand in the store."""
-        self._following = defer.Deferred.fromCoroutine(self._follower.follow())
-        self._following.addErrback(self._crashed)
+        for work in (self._follower.follow(), *self._requests.following()):
+            following = defer.ensureDeferred(work)
+            following.addErrback(self._crashed)
+            self._following.append(following)
         self._ticker.start(TICK_SECONDS).addErrback(self._crashed)
 
     def stop(self) -> None:
@@ -116,8 +144,8 @@
         self._is_stopped = True
         if self._ticker.running:
             self._ticker.stop()
-        if self._following is not None:
-            self._following.cancel()
+        for following in self._following:
+            following.cancel()
         self._switcher.stop()
         for job in list(self._works_by_job):
             self._forget(job)
@@ -125,13 +153,15 @@
     def resume(self) -> None:
         """Go on after the duty was lost and came back unused."""
         self._follower.refresh()
+        self._requests.refresh()
         self.pump()
 
     async def read_results(self, query: ResultsQuery) -> bytes | None:
         """Return a job's results, none if the store has to be asked."""
-        found = self._listings_by_job.get(query.job)
-        if found is None:
+        kept = self._kept_by_id.get(query.job)
+        if kept is None:
             return None
+        found = kept.listing
         deadline = self._now() + query.wait
         while query.first >= len(found.results) < found.total:
             left = deadline - self._now()
@@ -144,6 +174,30 @@
             return None
         return intake.page(found.total, found.results, query.first)
 
+    def read_item(self, job_id: JobId, item_id: ItemId) -> bytes | None:
+        """Return an item's body, none if the store has to be asked."""
+        kept = self._kept_by_id.get(job_id)
+        if kept is None:
+            return None
+        for item in kept.job.items:
+            if item.id == item_id:
+                return item.body
+        return None
+
+    def knows(self, job: JobId) -> bool:
+        """Tell whether a job is one of this service."""
+        return job in self._kept_by_id
+
+    @property
+    def service(self) -> ServiceName:
+        return self._duty.service
+
+    def offer(self, job: Job) -> None:
+        """Take a job that was accepted here."""
+        if job.id not in self._works_by_job and job.id not in self._kept_by_id:
+            self._works_by_job[job.id] = set()
+            self._track(job.id, self._begin(job, []))
+
     def pump(self) -> None:
         """Start what can be started now."""
         if self._is_stopped or self._is_pumping:
@@ -187,7 +241,7 @@
             return
         if record.is_ended:
             self._end(job)
-        elif job not in self._works_by_job:
+        elif job not in self._works_by_job and job not in self._kept_by_id:
             self._works_by_job[job] = set()
             self._track(job, self._take(job))
 
@@ -195,7 +249,9 @@
         job = await self._read(job_id)
         if job is None or job_id not in self._works_by_job:
             return
-        known = await self._listed(job)
+        await self._begin(job, await self._listed(job))
+
+    async def _begin(self, job: Job, known: list[ItemResult]) -> None:
         found = listing.Listing(
             job.id, len(job.items), known, self._jobs, self._duty, self._clock
         )
@@ -211,6 +267,7 @@
         )
         reused = self._board.add(state, [result.id for result in known])
         self._listings_by_job[job.id] = found
+        self._keep(job, found)
         log.info(
             'Job taken.',
             job=job.id,
@@ -226,6 +283,14 @@
             self._track(job.id, self._score(run))
         self.pump()
 
+    def _keep(self, job: Job, found: listing.Listing) -> None:
+        self._kept_by_id[job.id] = _KeptJob(job, found)
+        if len(self._kept_by_id) > MAX_KEPT:
+            for job_id in list(self._kept_by_id):
+                if job_id not in self._listings_by_job:
+                    del self._kept_by_id[job_id]
+                    return
+
     async def _read(self, job_id: JobId) -> Job | None:
         while True:
             try:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -13,9 +13,7 @@
     from yuccarill.core.gateway.leadership import LastHolder
     from yuccarill.core.gateway.routes import RouteTable
     from yuccarill.core.ids import InstanceId
-    from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import ServiceName
-    from yuccarill.core.ids import WeightVersion
     from yuccarill.platform.settings_file import InstanceSettings
 
 
@@ -45,9 +43,6 @@
     # Written by the observer.
     table: RouteTable | None = None
     targets: TargetList = dataclasses.field(default_factory=TargetList)
-    versions_by_model: dict[ModelName, WeightVersion] = dataclasses.field(
-        default_factory=dict
-    )
     instances_by_id: dict[InstanceId, InstanceRecord] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
@@ -43,35 +43,56 @@
 
         Raises YuccarillError for what is refused or failed.
         """
+        if not relay_module.is_relayed(request):
+            answer = await self._ask_holder(call, request)
+            if answer is not None:
+                return answer
         match call:
             case server.ResultsQuery():
-                return await self._results(call, request)
+                return await self._results(call)
             case server.ItemQuery():
-                body = await self._intake.read_item(call.job, call.item)
-                return _answer((), body)
+                return await self._item(call)
             case server.JobEnd():
                 return await self._end(call, request)
 
-    async def _results(
-        self, query: server.ResultsQuery, request: ClientRequest
-    ) -> TargetAnswer:
+    async def _ask_holder(
+        self, call: TrainerCall, request: ClientRequest
+    ) -> TargetAnswer | None:
+        """Return the answer of the instance that runs the job, if any."""
+        holder = self._relay.holder(request.host)
+        if holder is None:
+            return None
+        seconds = intake_module.RELAY_SECONDS
+        if isinstance(call, server.ResultsQuery):
+            seconds = call.wait
+        answer = await self._relay.send(holder, request, seconds)
+        if answer is None or answer.status != 200:
+            return None
+        return answer
+
+    async def _results(self, query: server.ResultsQuery) -> TargetAnswer:
         for runner in self._runners():
             body = await runner.read_results(query)
             if body is not None:
                 return _answer(_JSON, body)
-        if not relay_module.is_relayed(request):
-            holder = self._relay.holder(request.host)
-            if holder is not None:
-                answer = await self._relay.send(holder, request, query.wait)
-                if answer is not None and answer.status == 200:
-                    return answer
         return _answer(_JSON, await self._intake.read_results(query))
 
+    async def _item(self, query: server.ItemQuery) -> TargetAnswer:
+        for runner in self._runners():
+            body = runner.read_item(query.job, query.item)
+            if body is not None:
+                return _answer((), body)
+        return _answer((), await self._intake.read_item(query.job, query.item))
+
     async def _end(
         self, call: server.JobEnd, request: ClientRequest
     ) -> TargetAnswer:
+        service = None
+        for runner in self._runners():
+            if runner.knows(call.job):
+                service = runner.service
         try:
-            await self._intake.end_job(call.job)
+            await self._intake.end_job(call.job, service)
         except errors.StoreUnavailable:
             peer = self._relay.peer()
             if peer is None or relay_module.is_relayed(request):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -20,6 +20,7 @@
     from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
     from yuccarill.daemon.gateway.duties import Duty
+    from yuccarill.daemon.gateway.engine_requests import EngineRequests
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.engines import Engines
 
@@ -45,6 +46,7 @@
         duty: Duty,
         fleet: EngineFleet,
         engines: Engines,
+        requests: EngineRequests,
         on_switched: Callable[[], None],
         clock: Any,
     ) -> None:
@@ -52,6 +54,7 @@
         self._duty = duty
         self._fleet = fleet
         self._engines = engines
+        self._requests = requests
         self._on_switched = on_switched
         self._clock = clock
         self._running: set[defer.Deferred[None]] = set()
@@ -63,7 +66,7 @@
             return
         versions_by_model = {
             model: version
-            for model, version in self._state.versions_by_model.items()
+            for model, version in self._requests.versions_by_model.items()
             if self._is_served(model)
         }
         for switch in weights.next_switches(self._fleet, versions_by_model):
