Carry store calls through a peer and hand duties over sooner

After the store's return calls still hung for 1.5 s.

Change: a call that does not reach the store directly goes through another instance; leases of 2.5 s; orders only within 1.3 s after a renewal, so that a successor waits 4.6 s instead of 6.4 s; a restarted instance takes its own duty back at once; leases are timed by the clock that counts suspensions; a group's results are written as soon as it is whole; one engine of a model goes on serving while the others change weights.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
@@ -12,9 +12,10 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
 
-# Seconds that a lease is given up early. Clocks of two machines drift by far
-# less over a lease of a few seconds; the rest covers an order under way.
-DRIFT_MARGIN = 0.4
+# Seconds that a lease is given up early, and that a pause is longer than it
+# has to be. Clocks of two machines drift by far less over a few seconds;
+# the rest covers an order under way.
+DRIFT_MARGIN = 0.3
 
 
 class LastHolder(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,6 +35,10 @@
     """Set the lease and the pause between two holders, in seconds."""
 
     lease: float
+    # Orders are sent for this long after a renewal was sent. Shorter than
+    # the lease, since a successor has to wait it out: the store may take a
+    # holder's keys away long before the holder can know.
+    order_window: float
     # Orders of two holders may not come to one engine within this time.
     handover_pause: float
 
@@ -51,9 +56,8 @@
         self.epoch = epoch
         self.orders_from = orders_from
         self._policy = policy
-        self._usable_until = Instant(0.0)
+        self._renewed_at = renewed_at
         self._last_order_at: Instant | None = None
-        self.renew(renewed_at)
 
     def renew(self, sent_at: Instant) -> None:
         """Take a renewal that the store confirmed."""
@@ -61,16 +65,16 @@
         # from before it was sent. Counting from the reply would let a slow
         # reply stretch the lease past the successor's takeover, and two
         # holders would order the same engine.
-        until = sent_at + self._policy.lease - DRIFT_MARGIN
-        self._usable_until = Instant(max(self._usable_until, until))
+        self._renewed_at = max(self._renewed_at, sent_at)
 
     def is_held(self, now: Instant) -> bool:
         """Tell whether work under the duty may go on."""
-        return now < self._usable_until
+        return now < self._renewed_at + self._policy.lease - DRIFT_MARGIN
 
     def may_order(self, now: Instant) -> bool:
         """Tell whether an order may be sent."""
-        return now >= self.orders_from and self.is_held(now)
+        window_ends = self._renewed_at + self._policy.order_window
+        return self.orders_from <= now < window_ends
 
     def order(self, now: Instant) -> None:
         """Note that an order is sent."""
@@ -100,7 +104,7 @@
         left = policy.handover_pause - last.idle_seconds
         return Instant(now + max(0.0, left))
     # The last holder may be frozen or cut off from the store, and may rely
-    # on its lease until the lease ends by its own clock, even where the
-    # store took the lease's keys away before. It stops itself by then, so a
-    # whole lease and the pause after it are enough.
-    return Instant(now + policy.lease + policy.handover_pause)
+    # on its last renewal for a whole order window, even where the store
+    # took the lease's keys away at once. It orders nothing after that, so
+    # the window and the pause after it are enough.
+    return Instant(now + policy.order_window + policy.handover_pause)
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -114,13 +114,14 @@
     def begin(self, run: ItemRun) -> None:
         self._begun.add(run.item.group)
 
-    def end(self, item_id: ItemId) -> None:
-        """Note that an item has its result."""
+    def end(self, item_id: ItemId) -> bool:
+        """Note that an item has its result; tell if its group is whole."""
         run = self.runs_by_id.get(item_id)
         if run is None or run.state is RunState.ENDED:
-            return
+            return False
         run.state = RunState.ENDED
         self._left_by_group[run.item.group] -= 1
+        return self._left_by_group[run.item.group] == 0
 
     @property
     def is_finished(self) -> bool:
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
@@ -7,13 +7,15 @@
 
 import msgspec
 
+from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WeightVersion
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from yuccarill.core.ids import ModelName
-    from yuccarill.core.ids import TargetId
-    from yuccarill.core.ids import WeightVersion
+    from yuccarill.core.ids import Instant
     from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
 
@@ -33,53 +35,80 @@
 
 
 def assignment(
-    engines: Sequence[TargetId], models: Sequence[ModelName]
-) -> dict[ModelName, tuple[TargetId, ...]]:
+    engines: Sequence[EngineState], models: Sequence[ModelName], now: Instant
+) -> dict[ModelName, tuple[EngineState, ...]]:
     """Return the engines that follow each model's versions.
 
     Each change of weights is paid for, and each engine holds every model:
     an engine that follows all models changes as often as all trainers
     together name versions.
     """
-    ordered = sorted(engines)
-    count = len(ordered)
-    if not count:
-        return {model: () for model in models}
+    count = len(engines)
     share = max(MIN_ENGINES, math.ceil(count / max(1, len(models))))
     share = min(share, count)
+    fair = math.ceil(share * len(models) / max(1, count))
+    models_by_engine: dict[TargetId, int] = {}
     found = {}
-    for place, model in enumerate(sorted(models)):
-        first = place * count // len(models)
-        found[model] = tuple(
-            ordered[(first + offset) % count] for offset in range(share)
+    for model in sorted(models):
+        ordered = sorted(
+            engines,
+            key=lambda engine: (
+                now < engine.ejected_until,
+                models_by_engine.get(engine.target.id, 0) >= fair,
+                # Those that follow the model stay, so that an engine that
+                # comes or goes changes little.
+                -(engine.version(model) or 0),
+                models_by_engine.get(engine.target.id, 0),
+                engine.target.id,
+            ),
         )
+        found[model] = tuple(ordered[:share])
+        for engine in found[model]:
+            known = models_by_engine.get(engine.target.id, 0)
+            models_by_engine[engine.target.id] = known + 1
     return found
 
 
 def next_switches(
     fleet: EngineFleet,
     versions_by_model: Mapping[ModelName, WeightVersion],
+    now: Instant,
 ) -> list[Switch]:
     """Return the changes that may begin now."""
-    ready = [e for e in fleet.engines_by_id.values() if _is_ready(e)]
-    models = sorted(versions_by_model)
-    assigned = assignment([e.target.id for e in ready], models)
+    ready = [
+        engine
+        for engine in fleet.engines_by_id.values()
+        if not engine.target.is_leaving
+    ]
+    assigned = assignment(ready, sorted(versions_by_model), now)
     busy = sum(1 for engine in ready if engine.switching)
     room = max(1, math.floor(LOADING_PART * len(ready))) - busy
     wanted: list[tuple[float, Switch]] = []
-    for model in models:
+    for model, engines in assigned.items():
         version = versions_by_model[model]
-        for engine_id in assigned[model]:
-            engine = fleet.engines_by_id[engine_id]
-            known = engine.version(model)
-            if engine.switching or (known is not None and known >= version):
+        serving = [e for e in engines if _serves(e, model, version)]
+        # The last engine that serves a model goes on until another does.
+        left = max(1, len(engines) - 1)
+        left -= sum(1 for e in engines if model in e.switching)
+        for engine in sorted(engines, key=lambda e: e.running):
+            known = engine.version(model) or 0
+            if engine.switching or known >= version:
+                continue
+            if engine in serving and left <= 0:
                 continue
-            switch = Switch(engine=engine_id, model=model, version=version)
+            left -= 1
+            switch = Switch(
+                engine=engine.target.id, model=model, version=version
+            )
             wanted.append((_urgency(engine, known, version), switch))
     wanted.sort(key=lambda pair: pair[0])
+    return _fitting([switch for _, switch in wanted], room)
+
+
+def _fitting(wanted: list[Switch], room: int) -> list[Switch]:
     found: list[Switch] = []
     taken: set[TargetId] = set()
-    for _, switch in wanted:
+    for switch in wanted:
         if len(found) >= room:
             break
         if switch.engine not in taken:
@@ -88,14 +117,16 @@
     return found
 
 
-def _is_ready(engine: EngineState) -> bool:
-    return not engine.target.is_leaving
+def _serves(
+    engine: EngineState, model: ModelName, version: WeightVersion
+) -> bool:
+    """Tell whether the step that asks for a version can run there."""
+    if model in engine.switching:
+        return False
+    return (engine.version(model) or 0) >= version - 1
 
 
-def _urgency(
-    engine: EngineState, known: WeightVersion | None, version: WeightVersion
-) -> float:
+def _urgency(engine: EngineState, known: int, version: WeightVersion) -> float:
     # The engine furthest behind serves nothing until it changes; among the
     # others the one with the least work loses the least.
-    behind = version - known if known is not None else version
-    return -1000.0 * behind + engine.running
+    return -1000.0 * (version - known) + engine.running
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -35,6 +35,9 @@
 # Seconds that each further instance in the order of candidates waits, so
 # that one write decides in most cases.
 RANK_SECONDS = 0.15
+# Seconds after a renewal in which orders are sent: one renewal and a slow
+# answer of the store fit.
+ORDER_WINDOW = 1.3
 # Seconds that stand for an order never sent.
 LONG_AGO = 1e9
 
@@ -64,6 +67,7 @@
         self._attempt: defer.Deferred[None] | None = None
         self._policy = leadership.HoldPolicy(
             lease=session_module.LEASE_SECONDS,
+            order_window=ORDER_WINDOW,
             handover_pause=state.settings.handover_pause
             + leadership.DRIFT_MARGIN,
         )
@@ -92,9 +96,25 @@
         holder = self._state.duties_by_service.get(self.service)
         if self.tenure is not None:
             self._check(holder)
-        elif holder is None and self._attempt is None:
+        elif self._attempt is None and self._is_free(holder):
             self._contend()
 
+    def _is_free(self, holder: state_module.DutyRecord | None) -> bool:
+        # A process that was killed finds the duty still under the lease of
+        # the one before it on the same instance: waiting for that lease to
+        # end would leave the engines without orders for seconds.
+        me = self._state.settings.instance
+        return holder is None or holder.instance == me
+
+    def may_order(self) -> bool:
+        """Tell whether an order may be sent."""
+        return self.tenure is not None and self.tenure.may_order(self._now())
+
+    def order(self) -> None:
+        """Note that an order is sent."""
+        if self.tenure is not None:
+            self.tenure.order(self._now())
+
     async def release(self) -> None:
         """Give the duty back, telling when the last order was sent."""
         tenure, self.tenure = self.tenure, None
@@ -141,10 +161,13 @@
         self._attempt.addBoth(self._ended)
 
     async def _take(self) -> None:
-        await task.deferLater(self._clock, RANK_SECONDS * self._rank())
+        if self.service not in self._state.duties_by_service:
+            await task.deferLater(self._clock, RANK_SECONDS * self._rank())
         lease = self._session.lease
-        is_free = self.service not in self._state.duties_by_service
-        if lease is None or not is_free or self._state.is_leaving:
+        holder = self._state.duties_by_service.get(self.service)
+        if lease is None or self._state.is_leaving:
+            return
+        if not self._is_free(holder):
             return
         me = self._state.settings.instance
         sent_at = self._now()
@@ -227,7 +250,7 @@
         self._attempt = None
 
     def _now(self) -> Instant:
-        return Instant(self._clock.seconds())
+        return session_module.boot_time()
 
 
 def _order(instance: str, service: str) -> int:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -19,9 +20,13 @@
 
 log = logs.for_part('listing')
 
-# Seconds that results are collected before they are written together. A
-# trainer reads twice a second, and each write is paid for.
-COLLECT_SECONDS = 0.25
+# Seconds that results are collected before they are written together, when
+# one of them makes a group whole and when none does. A trainer counts whole
+# groups and trains as soon as it has enough; each write is paid for.
+GROUP_SECONDS = 0.05
+COLLECT_SECONDS = 0.6
+# Seconds between two writes of one job at least.
+WRITE_SECONDS = 0.25
 # Bytes of text in one chunk; a value of the store holds a megabyte.
 CHUNK_BYTES = 400 * 1024
 
@@ -48,17 +53,26 @@
         self._readers: list[defer.Deferred[None]] = []
         self._ids = {result.id for result in known}
         self._pending: list[ItemResult] = []
-        self._writing: defer.Deferred[None] | None = None
+        self._timer: Any = None
+        self._write_at = math.inf
+        self._written_at = -math.inf
+        self._is_writing = False
         self._is_stopped = False
 
-    def add(self, result: ItemResult) -> None:
+    def add(self, result: ItemResult, makes_group_whole: bool) -> None:
         """List a result soon; an item is listed once."""
         if result.id in self._ids:
             return
         self._ids.add(result.id)
         self._pending.append(result)
-        if self._writing is None:
-            self._write_soon()
+        now = self._clock.seconds()
+        seconds = GROUP_SECONDS if makes_group_whole else COLLECT_SECONDS
+        self._write_at = min(self._write_at, now + seconds)
+        if self._is_writing:
+            return
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._write_later()
 
     async def wait(self, seconds: float) -> None:
         """Wait until something is listed, or for a time."""
@@ -89,20 +103,26 @@
         if not reader.called:
             reader.callback(None)
 
-    def _write_soon(self) -> None:
-        self._writing = defer.Deferred.fromCoroutine(self._write())
-        self._writing.addErrback(self._failed)
-        self._writing.addBoth(self._written)
+    def _write_later(self) -> None:
+        at = max(self._write_at, self._written_at + WRITE_SECONDS)
+        left = max(0.0, at - self._clock.seconds())
+        self._timer = self._clock.callLater(left, self._begin_write)
 
-    async def _write(self) -> None:
-        await task.deferLater(self._clock, COLLECT_SECONDS)
+    def _begin_write(self) -> None:
         if self._is_stopped:
             return
+        self._is_writing = True
+        self._write_at = math.inf
+        writing = defer.Deferred.fromCoroutine(self._write())
+        writing.addErrback(self._failed)
+        writing.addBoth(self._ended)
+
+    async def _write(self) -> None:
         chunk = self._next_chunk()
         while not await self._append(chunk):
             if self._is_stopped:
                 return
-            await task.deferLater(self._clock, COLLECT_SECONDS)
+            await task.deferLater(self._clock, WRITE_SECONDS)
         log.info(
             'Listed.',
             job=self._job,
@@ -144,11 +164,14 @@
         return tuple(taken)
 
     def _failed(self, failure: Any) -> None:
-        if failure.check(defer.CancelledError):
-            return
-        log.error('Listing failed.', cause=failure.getTraceback())
+        if not failure.check(defer.CancelledError):
+            log.error('Listing failed.', cause=failure.getTraceback())
 
-    def _written(self, _: object) -> None:
-        self._writing = None
+    def _ended(self, _: object) -> None:
+        self._is_writing = False
+        self._written_at = self._clock.seconds()
         if self._pending and not self._is_stopped:
-            self._write_soon()
+            self._write_at = min(
+                self._write_at, self._written_at + COLLECT_SECONDS
+            )
+            self._write_later()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -13,6 +13,7 @@
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import duties
 from yuccarill.daemon.gateway import forwarding
 from yuccarill.daemon.gateway import front
@@ -27,6 +28,7 @@
 from yuccarill.daemon.gateway import sender
 from yuccarill.daemon.gateway import session
 from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon.gateway import store_way
 from yuccarill.daemon.gateway import streams
 from yuccarill.daemon.gateway import trainers
 from yuccarill.daemon import logs
@@ -69,9 +71,8 @@
         self._duties_by_service: dict[ServiceName, duties.Duty] = {}
         self._runners_by_service: dict[ServiceName, runner.Runner] = {}
         links = connections.Connections(clock, _count_connection)
-        self._store = store_module.Store(
-            links, settings.store_address, self._now
-        )
+        self._way = store_way.StoreWay(self._state, links, clock)
+        self._store = store_module.Store(self._way, settings.store_address)
         self._calls = calls_module.Calls(links, self._now)
         self._engines = engines.Engines(links)
         self._observer = observer.Observer(self._state, self._store, clock)
@@ -98,7 +99,6 @@
         self._front = front.Front(self._state, forwarder, desk)
         self._clients = server.ClientFactory(self._front, clock, self._now)
         self._following: list[defer.Deferred[None]] = []
-        self._ports: list[Any] = []
         self._client_port: Any = None
 
     def start(self) -> None:
@@ -113,8 +113,8 @@
         self._client_port = self._listen(
             settings.client_address, self._clients
         )
-        checks = server.CheckFactory(
-            self._clock, server.page_of(self._front, meters.exposition)
+        checks = small_server.SmallServer(
+            self._clock, server.pages(self._front, meters.exposition)
         )
         host = settings.client_address.rpartition(':')[0]
         for address in {
@@ -122,7 +122,9 @@
             settings.directory_address,
             f'{host}:{METRICS_PORT}',
         } - {None}:
-            self._ports.append(self._listen(str(address), checks))
+            self._listen(str(address), checks)
+        passing_on = small_server.SmallServer(self._clock, self._way.pass_on)
+        self._listen(settings.peer_address, passing_on)
         self._observer.listen(self._update)
         self._session.listen(self._update)
         self._session.on_return = self._observer.refresh
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -412,7 +412,7 @@
         found = self._listings_by_job.get(run.job.id)
         if state is None or found is None:
             return
-        state.end(run.item.id)
+        is_group_whole = state.end(run.item.id)
         seconds = self._now() - state.submitted_at
         meters.ITEMS.labels(result.state.value).inc()
         meters.ITEM_SECONDS.observe(seconds)
@@ -427,7 +427,7 @@
             score_failures=run.score_failures,
             seconds=round(seconds, 2),
         )
-        found.add(result)
+        found.add(result, is_group_whole)
 
     def _track(self, job: JobId, work: Any) -> defer.Deferred[None]:
         running = defer.Deferred.fromCoroutine(work)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -22,14 +23,23 @@
 
 log = logs.for_part('session')
 
-# Seconds of the lease. Renewals cost a tenth of a read; a shorter lease
-# would end in a pause of the store of the length that is usual there.
-LEASE_SECONDS = 3.0
+# Seconds of the lease. Another instance takes a duty over when it ends; a
+# shorter one would end each time the store is slow for a moment.
+LEASE_SECONDS = 2.5
 # Seconds between renewals: two may fail before the lease ends.
-RENEWAL_SECONDS = 0.9
+RENEWAL_SECONDS = 0.6
 RETRY_SECONDS = 0.2
 
 
+def boot_time() -> Instant:
+    """Return seconds on a clock that counts while the machine stands still.
+
+    The monotonic clock does not: after a suspension, a lease that ended
+    long ago would look valid, and two holders would order one engine.
+    """
+    return Instant(time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class Session:
     """Hold one lease after the other."""
 
@@ -40,6 +50,7 @@
         self._state = state
         self._store = store
         self._clock = clock
+        self._now = boot_time
         self._listeners: list[Callable[[], None]] = []
         self._is_ended = False
         self._is_lost = False
@@ -82,7 +93,7 @@
             await self._store.end_lease(lease)
 
     async def _renew(self) -> None:
-        sent_at = Instant(self._clock.seconds())
+        sent_at = self._now()
         if self.lease is None:
             lease = await self._store.open_lease(LEASE_SECONDS)
             await self._register(lease)
@@ -102,6 +113,7 @@
             instance=settings.instance,
             data_centre=settings.data_centre,
             client_address=settings.client_address,
+            peer_address=settings.peer_address,
             is_leaving=self._state.is_leaving,
         )
         write = store_module.Write(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -23,6 +23,8 @@
     instance: str
     data_centre: str
     client_address: str
+    # Where the others' calls to the store are passed on.
+    peer_address: str
     # Set at the start of a graceful shutdown.
     is_leaving: bool = False
 
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -0,0 +1,186 @@
+"""Reach the store directly, or through an instance that still does."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon import logs
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from yuccarill.daemon.adapters.connections import Connections
+    from yuccarill.daemon.adapters.connections import OutgoingRequest
+    from yuccarill.daemon.adapters.connections import Reply
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.state import InstanceRecord
+
+log = logs.for_part('store way')
+
+# Seconds between tries of the direct way while it is out of order.
+PROBE_SECONDS = 1.0
+# Seconds that a probe may take.
+PROBE_TIMEOUT = 0.5
+# Seconds for which a peer that did not reach the store either is left out:
+# while the store is away, each try through a peer is a paid call more.
+PEER_OUT_SECONDS = 1.5
+# Seconds that a passed-on call may take longer than a direct one.
+HOP_SECONDS = 0.2
+# What a peer answers where the store did not get a call, and where it may
+# have carried it out; the store itself answers neither.
+STATUS_NOT_REACHED = 530
+STATUS_UNCLEAR = 531
+# Longest waiting time of a watch that a peer passes on.
+MAX_PASSED_ON = 20.0
+
+
+class StoreWay:
+    """Send calls to the store and remember which way works."""
+
+    def __init__(
+        self, state: GatewayState, links: Connections, clock: Any
+    ) -> None:
+        self._state = state
+        self._links = links
+        self._clock = clock
+        self._random = random.Random()
+        self._is_direct = True
+        self._probe_at = Instant(0.0)
+        self._out_until: dict[str, Instant] = {}
+
+    async def send(self, request: OutgoingRequest, seconds: float) -> Reply:
+        """Return the store's answer.
+
+        Raises NotConnected if the store did not get the call, else
+        ExchangeBroken.
+        """
+        if not self._is_direct:
+            self._probe(request, seconds)
+            peer = self._peer()
+            if peer is not None:
+                return await self._through(peer, request, seconds)
+        try:
+            reply = await self._directly(request, seconds)
+        except (
+            connections.NotConnected,
+            connections.ExchangeBroken,
+        ) as error:
+            self._lose(repr(error))
+            peer = self._peer()
+            if peer is None:
+                raise
+            return await self._through(peer, request, seconds)
+        if not store_module.is_turned_away(reply.head.status):
+            self._regain()
+            return reply
+        self._lose(f'status {reply.head.status}')
+        peer = self._peer()
+        if peer is None:
+            return reply
+        return await self._through(peer, request, seconds)
+
+    async def pass_on(self, request: SmallRequest) -> Page:
+        """Send a peer's call to the store, directly only."""
+        outgoing = connections.OutgoingRequest(
+            method=request.method,
+            target=request.target,
+            headers=(
+                ('Host', self._state.settings.store_address),
+                ('Content-Type', 'application/json'),
+            ),
+            body=request.body,
+        )
+        if not self._is_direct:
+            return Page(status=STATUS_NOT_REACHED)
+        try:
+            reply = await self._directly(outgoing, MAX_PASSED_ON)
+        except connections.NotConnected:
+            return Page(status=STATUS_NOT_REACHED)
+        except connections.ExchangeBroken:
+            return Page(status=STATUS_UNCLEAR)
+        return Page(status=reply.head.status, body=reply.body)
+
+    async def _directly(
+        self, request: OutgoingRequest, seconds: float
+    ) -> Reply:
+        deadline = Instant(self._clock.seconds() + seconds)
+        return await self._links.exchange(
+            self._state.settings.store_address, request, deadline
+        )
+
+    async def _through(
+        self, peer: InstanceRecord, request: OutgoingRequest, seconds: float
+    ) -> Reply:
+        deadline = Instant(self._clock.seconds() + seconds + HOP_SECONDS)
+        try:
+            reply = await self._links.exchange(
+                peer.peer_address, request, deadline
+            )
+        except (connections.NotConnected, connections.ExchangeBroken):
+            self._leave_out(peer)
+            raise
+        if reply.head.status == STATUS_NOT_REACHED:
+            self._leave_out(peer)
+            raise connections.NotConnected('a peer does not reach the store')
+        if reply.head.status == STATUS_UNCLEAR:
+            self._leave_out(peer)
+            raise connections.ExchangeBroken('a peer got no answer')
+        return reply
+
+    def _peer(self) -> InstanceRecord | None:
+        me = self._state.settings.instance
+        now = self._clock.seconds()
+        # One peer that is out of order may be an accident; two show that
+        # the store itself is away.
+        out = [until for until in self._out_until.values() if now < until]
+        if len(out) >= 2:
+            return None
+        found = [
+            record
+            for record in self._state.instances_by_id.values()
+            if record.instance != me
+            and not record.is_leaving
+            and now >= self._out_until.get(record.instance, 0.0)
+        ]
+        return self._random.choice(found) if found else None
+
+    def _probe(self, request: OutgoingRequest, seconds: float) -> None:
+        # Any read that is due anyway shows whether the direct way is back;
+        # a watch would wait too long for it.
+        now = self._clock.seconds()
+        is_short = seconds <= store_module.CALL_SECONDS
+        if request.method != 'GET' or not is_short or now < self._probe_at:
+            return
+        self._probe_at = Instant(now + PROBE_SECONDS)
+        probing = defer.Deferred.fromCoroutine(self._try(request))
+        probing.addErrback(lambda failure: failure.trap(Exception))
+
+    async def _try(self, request: OutgoingRequest) -> None:
+        try:
+            reply = await self._directly(request, PROBE_TIMEOUT)
+        except (connections.NotConnected, connections.ExchangeBroken):
+            return
+        if not store_module.is_turned_away(reply.head.status):
+            self._regain()
+
+    def _lose(self, cause: str) -> None:
+        if self._is_direct:
+            log.warning('Store not reached directly.', cause=cause)
+        self._is_direct = False
+
+    def _regain(self) -> None:
+        if not self._is_direct:
+            log.info('Store reached directly.')
+            self._out_until.clear()
+        self._is_direct = True
+
+    def _leave_out(self, peer: InstanceRecord) -> None:
+        until = self._clock.seconds() + PEER_OUT_SECONDS
+        self._out_until[peer.instance] = Instant(until)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -61,15 +61,16 @@
 
     def update(self) -> None:
         """Begin the switches that may begin now."""
-        tenure = self._duty.tenure
-        if tenure is None or not tenure.may_order(self._now()):
+        if not self._duty.may_order():
             return
         versions_by_model = {
             model: version
             for model, version in self._requests.versions_by_model.items()
             if self._is_served(model)
         }
-        for switch in weights.next_switches(self._fleet, versions_by_model):
+        for switch in weights.next_switches(
+            self._fleet, versions_by_model, self._now()
+        ):
             engine = self._fleet.engines_by_id[switch.engine]
             engine.switching.add(switch.model)
             running = defer.Deferred.fromCoroutine(
@@ -148,9 +149,9 @@
         now = self._now()
         # Checked right before the order: the question before it may have
         # taken longer than the lease.
-        if tenure is None or not tenure.may_order(now):
+        if tenure is None or not self._duty.may_order():
             return wire_engines.OrderOutcome.FENCED
-        tenure.order(now)
+        self._duty.order()
         order = wire_engines.VersionOrder(
             model=switch.model,
             version=switch.version,
