Let a restarted instance take its own duty back

Change: the write names the entries as they are known; two engines switch at a time at least; slow engines are not given a model to follow.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -145,6 +145,11 @@
         ]
         return statistics.median_low(paces) if paces else None
 
+    def is_slow(self, engine: EngineState, now: Instant) -> bool:
+        """Tell whether an engine is much slower than the others."""
+        usual = self.usual_pace(now) or 0.0
+        return _slowness(engine, usual, now) >= SLOW_FACTOR
+
     def should_move(
         self, engine: EngineState, job: Job, last_at: Instant, now: Instant
     ) -> bool:
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
@@ -19,9 +19,10 @@
     from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
 
-# Part of the engines that change weights at a time. The weight store slows
-# down beyond 2 of 5 or 9 of 23 loads.
+# Part of the engines that change weights at a time, and at least how many.
+# Loads take longer while more than 2 of 5 or 9 of 23 engines load.
 LOADING_PART = 0.4
+MIN_LOADING = 2
 # Engines that serve a model at least, where there are that many.
 MIN_ENGINES = 2
 
@@ -35,7 +36,10 @@
 
 
 def assignment(
-    engines: Sequence[EngineState], models: Sequence[ModelName], now: Instant
+    fleet: EngineFleet,
+    engines: Sequence[EngineState],
+    models: Sequence[ModelName],
+    now: Instant,
 ) -> dict[ModelName, tuple[EngineState, ...]]:
     """Return the engines that follow each model's versions.
 
@@ -53,7 +57,7 @@
         ordered = sorted(
             engines,
             key=lambda engine: (
-                now < engine.ejected_until,
+                now < engine.ejected_until or fleet.is_slow(engine, now),
                 models_by_engine.get(engine.target.id, 0) >= fair,
                 # Those that follow the model stay, so that an engine that
                 # comes or goes changes little.
@@ -80,9 +84,9 @@
         for engine in fleet.engines_by_id.values()
         if not engine.target.is_leaving
     ]
-    assigned = assignment(ready, sorted(versions_by_model), now)
+    assigned = assignment(fleet, ready, sorted(versions_by_model), now)
     busy = sum(1 for engine in ready if engine.switching)
-    room = max(1, math.floor(LOADING_PART * len(ready))) - busy
+    room = max(MIN_LOADING, math.floor(LOADING_PART * len(ready))) - busy
     wanted: list[tuple[float, Switch]] = []
     for model, engines in assigned.items():
         version = versions_by_model[model]
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -173,11 +173,24 @@
         sent_at = self._now()
         key = keys.duty(self.service)
         record = state_module.DutyRecord(instance=me)
-        # Read before it is overwritten by this write.
         last = self._state.last_holders_by_service.get(self.service)
         revision = await self._store.transact(
             expected=[
-                store_module.Expectation(key=key, revision=store_module.ABSENT)
+                store_module.Expectation(
+                    key=key,
+                    revision=store_module.ABSENT
+                    if holder is None
+                    else Revision(holder.revision),
+                ),
+                # What is known here of the last holder may be old: taken
+                # for itself, this instance would order at once what
+                # another one ordered a moment ago.
+                store_module.Expectation(
+                    key=keys.last_holder(self.service),
+                    revision=store_module.ABSENT
+                    if last is None
+                    else last.revision,
+                ),
             ],
             writes=[
                 store_module.Write(
@@ -242,6 +255,10 @@
                 'Duty not taken.',
                 service=self.service,
                 cause=repr(failure.value),
+                known_holder=self._state.duties_by_service.get(self.service),
+                known_last=self._state.last_holders_by_service.get(
+                    self.service
+                ),
             )
             return
         log.error('Duty failed.', cause=failure.getTraceback())
