Let runs end before their engine changes weights

Change: an engine about to switch gets nothing new and has 0.8 s for what runs; what is left then moves.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import statistics
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import WeightVersion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from yuccarill.core.gateway.targets import ListedTarget
-    from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import TargetId
-    from yuccarill.core.ids import WeightVersion
     from yuccarill.core.jobs.job import Job
 
 # Seconds after which a gap has lost two thirds of its weight in an engine's
@@ -43,16 +44,24 @@
     """Track one start of an engine."""
 
     target: ListedTarget
-    running: int = 0
+    runs_by_model: collections.Counter[ModelName | None] = msgspec.field(
+        default_factory=collections.Counter
+    )
     # Seconds between two events, averaged; none until two were seen.
     pace: float | None = None
     paced_at: Instant = Instant(0.0)
     versions_by_model: dict[ModelName, WeightVersion] = {}
     # Models whose weights are being changed here.
     switching: set[ModelName] = set()
+    # Those of them whose runs had time to end and have to go elsewhere.
+    emptying: set[ModelName] = set()
     failures: int = 0
     ejected_until: Instant = Instant(0.0)
 
+    @property
+    def running(self) -> int:
+        return self.runs_by_model.total()
+
     def version(self, model: ModelName) -> WeightVersion | None:
         """Return the newest version that the engine is known to have."""
         listed = self.target.versions_by_model.get(model)
@@ -105,9 +114,7 @@
         for target in listed_by_id.values():
             known = self.engines_by_id.get(target.id)
             if known is None:
-                self.engines_by_id[target.id] = EngineState(
-                    target=target, versions_by_model={}, switching=set()
-                )
+                self.engines_by_id[target.id] = EngineState(target=target)
             else:
                 known.target = target
 
@@ -159,7 +166,7 @@
         is_held_up = (
             now - last_at > silence
             or _slowness(engine, usual, now) >= SLOW_FACTOR
-            or job.model in engine.switching
+            or job.model in engine.emptying
         )
         if not is_held_up:
             return False
--- /dev/null
+++ b/packages/yuccarill-core/tests/gateway/test_leadership.py
@@ -0,0 +1,115 @@
+"""Test when the holder of a duty may order engines."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.gateway import leadership
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import Incarnation
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import Instant
+
+POLICY = leadership.HoldPolicy(lease=2.5, order_window=1.3, handover_pause=3.3)
+ME = InstanceId('a')
+
+
+def last(
+    instance: str, idle_seconds: float | None = None
+) -> leadership.LastHolder:
+    return leadership.LastHolder(
+        instance=InstanceId(instance),
+        incarnation=Incarnation('1'),
+        idle_seconds=idle_seconds,
+    )
+
+
+class OrdersFromTest(unittest.TestCase):
+    # An engine must not get orders of two instances within three seconds.
+    # The last holder may be cut off: it goes on until its order window
+    # ends, unless it told when it stopped.
+    @params(
+        (None, 100.0),
+        (last('a'), 100.0),
+        (last('b'), 104.6),
+        (last('b', 0.0), 103.3),
+        (last('b', 2.0), 101.3),
+        (last('b', 9.0), 100.0),
+    )
+    def test_new_holder_waits_for_the_last_one(
+        self, known: leadership.LastHolder | None, expected: float
+    ) -> None:
+        found = leadership.orders_from(ME, known, POLICY, Instant(100.0))
+        self.assertAlmostEqual(expected, found)
+
+
+class TenureTest(unittest.TestCase):
+    def tenure(self) -> leadership.Tenure:
+        return leadership.Tenure(
+            Epoch(7), POLICY, Instant(10.0), Instant(10.0)
+        )
+
+    @params(
+        (10.0, True, True),
+        (11.2, True, True),
+        (11.4, False, True),
+        (12.1, False, True),
+        (12.3, False, False),
+    )
+    def test_orders_end_before_the_lease(
+        self, now: float, may_order: bool, is_held: bool
+    ) -> None:
+        tenure = self.tenure()
+        self.assertEqual(may_order, tenure.may_order(Instant(now)))
+        self.assertEqual(is_held, tenure.is_held(Instant(now)))
+
+    def test_a_reply_that_took_long_does_not_stretch_the_lease(self) -> None:
+        """A holder that is slow to hear must not outlive its lease.
+
+        1. It sends a renewal at 11, and the store takes it at once.
+        2. The answer comes at 13.4; the lease counts from 11.
+        3. At 13.4 another instance may hold the duty already.
+        """
+        tenure = self.tenure()
+        tenure.renew(Instant(11.0))
+        self.assertFalse(tenure.is_held(Instant(13.4)))
+
+    def test_an_old_renewal_takes_nothing_back(self) -> None:
+        tenure = self.tenure()
+        tenure.renew(Instant(12.0))
+        tenure.renew(Instant(11.0))
+        self.assertTrue(tenure.is_held(Instant(14.0)))
+
+    def test_no_order_before_the_pause_is_over(self) -> None:
+        tenure = leadership.Tenure(
+            Epoch(7), POLICY, Instant(10.0), Instant(14.6)
+        )
+        tenure.renew(Instant(14.0))
+        self.assertFalse(tenure.may_order(Instant(14.5)))
+        self.assertTrue(tenure.may_order(Instant(14.7)))
+
+    def test_idle_seconds_count_from_the_last_order(self) -> None:
+        tenure = self.tenure()
+        self.assertEqual(math.inf, tenure.idle_seconds(Instant(11.0)))
+        tenure.order(Instant(11.0))
+        self.assertEqual(2.0, tenure.idle_seconds(Instant(13.0)))
+
+
+class TwoHoldersTest(unittest.TestCase):
+    # The store takes the keys of a holder away at once while the holder can
+    # not hear of it. The engine sees the old one's last order and the new
+    # one's first: they must lie three seconds apart, wherever in its
+    # renewals the old holder was cut off.
+    @params(0.0, 0.3, 0.6, 1.0, 1.29)
+    def test_orders_lie_apart(self, cut_after_renewal: float) -> None:
+        old = leadership.Tenure(Epoch(1), POLICY, Instant(0.0), Instant(0.0))
+        taken_at = Instant(cut_after_renewal)
+        first = leadership.orders_from(
+            InstanceId('b'), last('a'), POLICY, taken_at
+        )
+        steps = [Instant(step * 0.01) for step in range(2000)]
+        last_old = max(now for now in steps if old.may_order(now))
+        self.assertGreaterEqual(first - last_old, 3.0)
--- /dev/null
+++ b/packages/yuccarill-core/tests/jobs/test_engines.py
@@ -0,0 +1,169 @@
+"""Test which engine gets an item, and when a run goes on elsewhere."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.jobs import engines
+
+from . import items
+
+NOW = Instant(10.0)
+
+
+def pace(
+    fleet: engines.EngineFleet, until: float = 10.0, **gaps: float
+) -> None:
+    """Let engines make events at a steady pace for a second."""
+    for name, gap in gaps.items():
+        engine = fleet.engines_by_id[TargetId(name)]
+        now = until - 1.0
+        while now <= until:
+            engine.saw_gap(gap, Instant(now))
+            now += gap
+
+
+class ChooseTest(unittest.TestCase):
+    @params(
+        ({'m': 1}, 1, 'a'),
+        ({'m': 1}, 2, None),
+        ({'m': 2}, 2, 'a'),
+        ({'other': 5}, 1, None),
+    )
+    def test_weights_have_to_fit(
+        self, versions: dict[str, int], wanted: int, expected: str | None
+    ) -> None:
+        fleet = items.make_fleet(items.make_target('a', **versions))
+        found = fleet.choose(items.make_job(min_version=wanted), NOW)
+        self.assertEqual(expected, found and found.target.id)
+
+    def test_full_leaving_and_switching_engines_get_nothing(self) -> None:
+        fleet = items.make_fleet(
+            items.make_target('full', slots=1),
+            items.make_target('leaving', is_leaving=True),
+            items.make_target('switching'),
+            items.make_target('failed'),
+        )
+        by_id = fleet.engines_by_id
+        by_id[TargetId('full')].runs_by_model[items.MODEL] = 1
+        by_id[TargetId('switching')].switching.add(items.MODEL)
+        by_id[TargetId('failed')].fail(NOW)
+        self.assertIsNone(fleet.choose(items.make_job(), NOW))
+        later = Instant(NOW + engines.FIRST_EJECTION)
+        found = fleet.choose(items.make_job(), later)
+        assert found is not None
+        self.assertEqual('failed', found.target.id)
+
+    def test_least_loaded_engine_is_chosen(self) -> None:
+        fleet = items.make_fleet(
+            items.make_target('a'), items.make_target('b')
+        )
+        fleet.engines_by_id[TargetId('a')].runs_by_model[items.MODEL] = 1
+        found = fleet.choose(items.make_job(), NOW)
+        assert found is not None
+        self.assertEqual('b', found.target.id)
+
+    def test_slow_engine_comes_after_a_loaded_one(self) -> None:
+        fleet = items.make_fleet(
+            items.make_target('slow'),
+            items.make_target('loaded'),
+            items.make_target('c', slots=1),
+        )
+        pace(fleet, slow=0.15, loaded=0.04, c=0.04)
+        fleet.engines_by_id[TargetId('loaded')].runs_by_model[items.MODEL] = 3
+        fleet.engines_by_id[TargetId('c')].runs_by_model[items.MODEL] = 1
+        found = fleet.choose(items.make_job(), NOW)
+        assert found is not None
+        self.assertEqual('loaded', found.target.id)
+
+    def test_newest_known_version_counts(self) -> None:
+        fleet = items.make_fleet(items.make_target('a', m=1))
+        engine = fleet.engines_by_id[TargetId('a')]
+        engine.saw_version(items.MODEL, WeightVersion(3))
+        engine.saw_version(items.MODEL, WeightVersion(2))
+        fleet.update([items.make_target('a', m=2)])
+        self.assertEqual(3, engine.version(items.MODEL))
+
+
+class PaceTest(unittest.TestCase):
+    def test_one_pause_of_all_runs_is_not_slowness(self) -> None:
+        """A pause shared by twelve runs moved 45 of them elsewhere.
+
+        1. An engine makes events of twelve runs, 40 ms apart.
+        2. It pauses once for 0.13 s; each run sees the same gap.
+        3. It goes on as before, so no run has anything to gain.
+        """
+        fleet = items.make_fleet(
+            items.make_target('a'), items.make_target('b')
+        )
+        pace(fleet, a=0.04, b=0.04)
+        engine = fleet.engines_by_id[TargetId('a')]
+        for _ in range(12):
+            engine.saw_gap(0.13, Instant(10.13))
+        self.assertFalse(fleet.is_slow(engine, Instant(10.13)))
+
+    def test_a_slow_engine_is_known_within_half_a_second(self) -> None:
+        fleet = items.make_fleet(
+            items.make_target('a'), items.make_target('b')
+        )
+        pace(fleet, a=0.04, b=0.04)
+        engine = fleet.engines_by_id[TargetId('a')]
+        for step in range(1, 5):
+            engine.saw_gap(0.12, Instant(10.0 + step * 0.12))
+        self.assertTrue(fleet.is_slow(engine, Instant(10.48)))
+
+    def test_an_old_pace_is_forgotten(self) -> None:
+        # Nothing runs on an engine that was slow; unless it is tried again
+        # it would stay idle for good.
+        fleet = items.make_fleet(
+            items.make_target('a'), items.make_target('b')
+        )
+        pace(fleet, a=0.2, b=0.04)
+        engine = fleet.engines_by_id[TargetId('a')]
+        self.assertTrue(fleet.is_slow(engine, NOW))
+        later = Instant(NOW + engines.PACE_SECONDS + 0.1)
+        self.assertFalse(fleet.is_slow(engine, later))
+
+
+class MoveTest(unittest.TestCase):
+    # Silent for, pace of its engine, is the other engine free: moves.
+    @params(
+        (0.1, 0.04, True, False),
+        (0.3, 0.04, True, False),
+        (0.5, 0.04, True, True),
+        (0.5, 0.04, False, False),
+        (0.1, 0.15, True, True),
+        (0.1, 0.15, False, False),
+    )
+    def test_held_up_runs_move_if_they_gain(
+        self, silent: float, gap: float, is_free: bool, expected: bool
+    ) -> None:
+        fleet = items.make_fleet(
+            items.make_target('a'),
+            items.make_target('b', slots=1),
+            items.make_target('c', slots=1),
+        )
+        pace(fleet, a=gap, b=0.04, c=0.04)
+        fleet.engines_by_id[TargetId('b')].runs_by_model[items.MODEL] = (
+            0 if is_free else 1
+        )
+        fleet.engines_by_id[TargetId('c')].runs_by_model[items.MODEL] = 1
+        engine = fleet.engines_by_id[TargetId('a')]
+        found = fleet.should_move(
+            engine, items.make_job(), Instant(NOW - silent), NOW
+        )
+        self.assertEqual(expected, found)
+
+    def test_runs_leave_an_engine_before_it_switches(self) -> None:
+        fleet = items.make_fleet(
+            items.make_target('a'), items.make_target('b')
+        )
+        engine = fleet.engines_by_id[TargetId('a')]
+        engine.emptying.add(items.MODEL)
+        job = items.make_job()
+        self.assertTrue(fleet.should_move(engine, job, NOW, NOW))
--- /dev/null
+++ b/packages/yuccarill-core/tests/jobs/test_weights.py
@@ -0,0 +1,115 @@
+"""Test which engine changes to which weights."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.jobs import engines
+from yuccarill.core.jobs import weights
+
+from . import items
+
+NOW = Instant(0.0)
+
+
+def named(**versions: int) -> dict[ModelName, WeightVersion]:
+    return {ModelName(m): WeightVersion(v) for m, v in versions.items()}
+
+
+def fleet_of(count: int, **versions: int) -> engines.EngineFleet:
+    return items.make_fleet(
+        *(items.make_target(f'e{n}', **versions) for n in range(count))
+    )
+
+
+class AssignmentTest(unittest.TestCase):
+    @params((5, 3, 2), (6, 1, 6), (1, 3, 1), (9, 3, 3), (23, 3, 8))
+    def test_each_model_has_its_share(
+        self, engine_count: int, model_count: int, expected: int
+    ) -> None:
+        fleet = fleet_of(engine_count, m=1)
+        models = [ModelName(f'm{n}') for n in range(model_count)]
+        ready = list(fleet.engines_by_id.values())
+        found = weights.assignment(fleet, ready, models, NOW)
+        for model in models:
+            self.assertEqual(expected, len(found[model]))
+
+    def test_models_are_spread_over_the_engines(self) -> None:
+        fleet = fleet_of(6, a=1, b=1, c=1)
+        models = [ModelName(name) for name in 'abc']
+        ready = list(fleet.engines_by_id.values())
+        found = weights.assignment(fleet, ready, models, NOW)
+        used = [e.target.id for engines_ in found.values() for e in engines_]
+        self.assertEqual(6, len(set(used)))
+
+    def test_an_engine_that_leaves_changes_only_its_own_models(self) -> None:
+        fleet = fleet_of(6, a=1, b=1, c=1)
+        models = [ModelName(name) for name in 'abc']
+        ready = list(fleet.engines_by_id.values())
+        before = weights.assignment(fleet, ready, models, NOW)
+        for model, followers in before.items():
+            for engine in followers:
+                engine.saw_version(model, WeightVersion(4))
+        left = [e for e in ready if e is not before[ModelName('a')][0]]
+        after = weights.assignment(fleet, left, models, NOW)
+        for name in 'bc':
+            model = ModelName(name)
+            ids = {e.target.id for e in before[model]}
+            self.assertEqual(ids, {e.target.id for e in after[model]})
+
+
+class NextSwitchesTest(unittest.TestCase):
+    def test_nothing_to_do(self) -> None:
+        fleet = fleet_of(3, m=2)
+        self.assertEqual([], weights.next_switches(fleet, named(m=2), NOW))
+
+    @params((2, 1), (5, 2), (10, 4))
+    def test_only_some_change_at_a_time(
+        self, count: int, expected: int
+    ) -> None:
+        fleet = fleet_of(count, m=1)
+        found = weights.next_switches(fleet, named(m=2), NOW)
+        self.assertEqual(expected, len(found))
+
+    def test_one_engine_goes_on_serving(self) -> None:
+        """A step stood still while both engines of its model changed.
+
+        1. Version 2 is named, and a step that takes version 1 on begins.
+        2. Two engines follow the model, and two may change at a time.
+        3. If both do, the step has no engine for a second.
+        """
+        fleet = fleet_of(2, m=1)
+        (switch,) = weights.next_switches(fleet, named(m=2), NOW)
+        fleet.engines_by_id[switch.engine].switching.add(switch.model)
+        self.assertEqual([], weights.next_switches(fleet, named(m=2), NOW))
+
+    def test_engines_that_serve_nothing_change_at_once(self) -> None:
+        fleet = fleet_of(3, m=1)
+        found = weights.next_switches(fleet, named(m=5), NOW)
+        self.assertEqual(2, len(found))
+
+    def test_the_model_furthest_behind_goes_first(self) -> None:
+        fleet = fleet_of(4, a=1, b=5)
+        found = weights.next_switches(fleet, named(a=4, b=6), NOW)
+        self.assertEqual('a', found[0].model)
+
+    def test_failed_engines_are_replaced(self) -> None:
+        fleet = fleet_of(3, a=1, b=1)
+        for engine in fleet.engines_by_id.values():
+            if engine.target.id != TargetId('e0'):
+                engine.saw_version(ModelName('a'), WeightVersion(2))
+        failed = fleet.engines_by_id[TargetId('e1')]
+        failed.fail(NOW)
+        found = weights.assignment(
+            fleet,
+            list(fleet.engines_by_id.values()),
+            [ModelName('a')],
+            NOW,
+        )
+        self.assertEqual('e1', found[ModelName('a')][-1].target.id)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -332,7 +332,7 @@
     ) -> None:
         run.state = board_module.RunState.RUNNING
         self._board.jobs_by_id[run.job.id].begin(run)
-        engine.running += 1
+        engine.runs_by_model[run.job.model] += 1
         work = self._track(run.job.id, self._run(run, engine))
         work.addBoth(lambda _: self.pump())
 
@@ -373,7 +373,7 @@
             outcome = generation.Outcome.BROKEN
         finally:
             del self._generating_by_run[run]
-            engine.running -= 1
+            engine.runs_by_model[run.job.model] -= 1
             generating.work.cancel()
         match outcome:
             case generation.Outcome.WHOLE:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -26,6 +26,10 @@
 
 log = logs.for_part('weights')
 
+# Seconds that runs under way have to end before a switch, and between looks
+# at them.
+EMPTY_SECONDS = 0.8
+EMPTY_STEP = 0.05
 # Seconds to wait for an answer to an order or a question.
 ORDER_SECONDS = 1.0
 # Seconds between questions while weights load. A load takes 0.9 s and more;
@@ -99,6 +103,7 @@
     ) -> None:
         self._running.discard(running)
         engine.switching.discard(switch.model)
+        engine.emptying.discard(switch.model)
         if hasattr(result, 'check') and not result.check(defer.CancelledError):
             log.error('Switch failed.', cause=result.getTraceback())
         self._on_switched()
@@ -106,6 +111,7 @@
     async def _switch(
         self, engine: EngineState, switch: weights.Switch
     ) -> None:
+        await self._empty(engine, switch)
         give_up_at = self._now() + SWITCH_SECONDS
         report = await self._report(engine)
         if report is None:
@@ -139,6 +145,17 @@
                 if self._now() > give_up_at - SWITCH_SECONDS + 1.5:
                     return
 
+    async def _empty(
+        self, engine: EngineState, switch: weights.Switch
+    ) -> None:
+        # Half of the texts take 0.6 s: those that end by themselves need
+        # not go on elsewhere over a new connection.
+        until = self._now() + EMPTY_SECONDS
+        while engine.runs_by_model[switch.model] and self._now() < until:
+            await self._pause(EMPTY_STEP)
+        engine.emptying.add(switch.model)
+        self._on_switched()
+
     async def _order(
         self,
         engine: EngineState,
