--- a/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
@@ -47,6 +47,12 @@
     def is_server_error(self) -> bool:
         return self.status >= 500
 
+    @property
+    def is_failed_run(self) -> bool:
+        """Tell whether the target says that the work itself failed."""
+        # A 504 says only that time was up, and another try may succeed.
+        return self.status == 500
+
 
 class AddressList(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the instances that a client may connect to."""
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -69,12 +69,13 @@
             return self.given_up()
         return None
 
-    def fail_score(self) -> ItemResult | None:
-        """Count a failed scoring; return the result if it was the last."""
-        self.score_failures += 1
-        if self.score_failures >= self.job.max_attempts:
-            return self.given_up()
-        return None
+    def fail_scores(self, count: int, max_attempts: int) -> bool:
+        """Count answers of the scorer that it failed; tell if it may end.
+
+        The scorer's own route says how many are enough, not the job's.
+        """
+        self.score_failures += count
+        return self.score_failures >= max_attempts
 
     def given_up(self) -> ItemResult:
         return ItemResult(id=self.item.id, state=ResultState.FAILED)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scoring.py
@@ -52,23 +52,25 @@
         if request is None:
             return ''
         while True:
-            answer = await self._try(run, request)
-            if answer is not None and answer.stamp is not None:
-                if answer.is_success:
+            route = self._route(request)
+            if route is None:
+                log.warning('No route for a score.', item=run.item.id)
+            else:
+                answer = await self._try(run, request, route)
+                if answer is not None and answer.is_success:
                     return answer.stamp
-            if run.score_failures >= run.job.max_attempts:
-                return None
+                if run.fail_scores(0, route.max_attempts):
+                    return None
             await task.deferLater(self._clock, RETRY_SECONDS)
 
-    async def _try(
-        self, run: ItemRun, request: ScoreRequest
-    ) -> TargetAnswer | None:
+    def _route(self, request: ScoreRequest) -> Route | None:
         table = self._state.table
         path = request.path.partition('?')[0]
-        route = table.find(request.host, path) if table else None
-        if route is None:
-            log.warning('No route for a score.', item=run.item.id)
-            return None
+        return table.find(request.host, path) if table else None
+
+    async def _try(
+        self, run: ItemRun, request: ScoreRequest, route: Route
+    ) -> TargetAnswer | None:
         await self._enter(route)
         try:
             return await self._send(run, request, route)
@@ -107,8 +109,7 @@
                 item=run.item.id,
                 cause=error.message,
             )
-        for _ in range(record.server_errors):
-            run.fail_score()
+        run.fail_scores(record.failed_runs, route.max_attempts)
         return answer
 
     async def _enter(self, route: Route) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
@@ -65,7 +65,8 @@
     attempts: int = 0
     # Attempts that may have run.
     may_have_run: int = 0
-    server_errors: int = 0
+    # Answers of targets that the work itself failed.
+    failed_runs: int = 0
     last_cause: str = ''
     # A target's own failure, passed on if no other target does better.
     failure: TargetAnswer | None = None
@@ -236,7 +237,7 @@
             return
         self._record.may_have_run += 1
         if answer.is_server_error:
-            self._record.server_errors += 1
+            self._record.failed_runs += answer.is_failed_run
             self._record.last_cause = f'status {answer.status}'
             self._record.failure = answer
             return
