Let a few instances watch the store for the others

Change: two instances, or one in 16, watch; the others poll one of them over the peers' port, leave it out when it has not heard the store for 2.2 s, and go to the store themselves if none is left. The duty has a short lease of its own, an instance's entry a longer one; an entry that the store took away under its lease is written again, and a duty whose entry is gone is lost.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -16,7 +16,7 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
-from yuccarill.daemon.gateway import session as session_module
+from yuccarill.daemon.gateway import lease as lease_module
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
@@ -26,7 +26,6 @@
     from collections.abc import Callable
 
     from yuccarill.core.ids import ServiceName
-    from yuccarill.daemon.gateway.session import Session
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.store import Store
 
@@ -35,6 +34,11 @@
 # Seconds that each further instance in the order of candidates waits, so
 # that one write decides in most cases.
 RANK_SECONDS = 0.15
+# Seconds of the holder's lease. Another instance takes the duty over when
+# it ends; a shorter one would end each time the store is slow for a moment.
+LEASE_SECONDS = 2.5
+# Seconds between renewals: two may fail before the lease ends.
+RENEWAL_SECONDS = 0.6
 # Seconds after a renewal in which orders are sent: one renewal and a slow
 # answer of the store fit.
 ORDER_WINDOW = 1.3
@@ -49,7 +53,6 @@
         self,
         service: ServiceName,
         state: GatewayState,
-        session: Session,
         store: Store,
         on_change: Callable[[], None],
         clock: Any,
@@ -60,13 +63,18 @@
         self.is_continued = False
         self._incarnation = Incarnation(uuid.uuid4().hex)
         self._state = state
-        self._session = session
         self._store = store
         self._on_change = on_change
         self._clock = clock
         self._attempt: defer.Deferred[None] | None = None
+        self._keeping: defer.Deferred[None] | None = None
+        # The own entry was seen in the store since it was written.
+        self._is_seen = False
+        self._lease = lease_module.Lease(
+            store, LEASE_SECONDS, RENEWAL_SECONDS, self.update, clock
+        )
         self._policy = leadership.HoldPolicy(
-            lease=session_module.LEASE_SECONDS,
+            lease=LEASE_SECONDS,
             order_window=ORDER_WINDOW,
             handover_pause=state.settings.handover_pause
             + leadership.DRIFT_MARGIN,
@@ -120,6 +128,7 @@
         tenure, self.tenure = self.tenure, None
         if tenure is None:
             return
+        self._stop_keeping()
         self._on_change()
         idle = tenure.idle_seconds(self._now())
         expected = store_module.Expectation(
@@ -134,26 +143,47 @@
         )
         log.info('Duty given back.', service=self.service)
 
+    def give_up(self, revision: Revision) -> None:
+        """Take note that the store no longer knows this hold."""
+        if self.tenure is not None and self.revision == revision:
+            self._lose('the store does not know it')
+
     def _check(self, holder: state_module.DutyRecord | None) -> None:
         assert self.tenure is not None
         epoch = self.tenure.epoch
-        lost = holder is not None and holder.revision > epoch
-        if self._session.lease is None or lost:
-            log.warning('Duty lost.', service=self.service, epoch=epoch)
-            self.tenure = None
-            self._on_change()
-            return
-        # The keys of a lease go with it: a lease that was renewed shows
-        # that the duty was held when the renewal was sent.
-        self.tenure.renew(self._session.renewed_at)
+        if holder is not None and holder.revision > epoch:
+            self._lose('another instance has it')
+        elif self._lease.id is None:
+            self._lose('the lease ended')
+        elif holder is None and self._is_seen:
+            # The store may take a key away and go on with its lease.
+            self._lose('the entry is gone')
+        else:
+            self._is_seen = self._is_seen or holder is not None
+            self.tenure.renew(self._lease.renewed_at)
+
+    def _lose(self, cause: str) -> None:
+        assert self.tenure is not None
+        log.warning(
+            'Duty lost.',
+            service=self.service,
+            epoch=self.tenure.epoch,
+            cause=cause,
+        )
+        self.tenure = None
+        self._stop_keeping()
+        self._on_change()
+
+    def _stop_keeping(self) -> None:
+        keeping, self._keeping = self._keeping, None
+        if keeping is not None:
+            keeping.cancel()
 
     def _contend(self) -> None:
         # The record of the last holder has to be known: it says from when
         # on orders may be sent.
         if self._state.is_leaving or not self._state.is_current:
             return
-        if self._session.lease is None:
-            return
         if not self._state.targets.ready(self.service):
             return
         self._attempt = defer.Deferred.fromCoroutine(self._take())
@@ -163,18 +193,47 @@
     async def _take(self) -> None:
         if self.service not in self._state.duties_by_service:
             await task.deferLater(self._clock, RANK_SECONDS * self._rank())
-        lease = self._session.lease
         holder = self._state.duties_by_service.get(self.service)
-        if lease is None or self._state.is_leaving:
-            return
-        if not self._is_free(holder):
+        if self._state.is_leaving or not self._is_free(holder):
             return
-        me = self._state.settings.instance
-        sent_at = self._now()
-        key = keys.duty(self.service)
-        record = state_module.DutyRecord(instance=me)
+        lease = await self._lease.open()
         last = self._state.last_holders_by_service.get(self.service)
-        revision = await self._store.transact(
+        revision = await self._write(lease, holder, last)
+        orders_from = leadership.orders_from(
+            self._state.settings.instance, last, self._policy, self._now()
+        )
+        self.is_continued = (
+            last is not None and last.incarnation == self._incarnation
+        )
+        self.tenure = leadership.Tenure(
+            Epoch(revision),
+            self._policy,
+            self._lease.renewed_at,
+            orders_from,
+        )
+        self._is_seen = False
+        self._keeping = defer.Deferred.fromCoroutine(self._lease.keep())
+        self._keeping.addErrback(self._failed)
+        log.info(
+            'Duty taken.',
+            service=self.service,
+            epoch=revision,
+            last_holder=None if last is None else last.instance,
+            orders_in=round(orders_from - self._now(), 2),
+        )
+        self._on_change()
+
+    async def _write(
+        self,
+        lease: int,
+        holder: state_module.DutyRecord | None,
+        last: leadership.LastHolder | None,
+    ) -> Revision:
+        key = keys.duty(self.service)
+        record = state_module.DutyRecord(
+            instance=self._state.settings.instance
+        )
+        return await self._store.transact(
             expected=[
                 store_module.Expectation(
                     key=key,
@@ -201,23 +260,6 @@
                 self._last_holder(None),
             ],
         )
-        orders_from = leadership.orders_from(
-            me, last, self._policy, self._now()
-        )
-        self.is_continued = (
-            last is not None and last.incarnation == self._incarnation
-        )
-        self.tenure = leadership.Tenure(
-            Epoch(revision), self._policy, sent_at, orders_from
-        )
-        log.info(
-            'Duty taken.',
-            service=self.service,
-            epoch=revision,
-            last_holder=None if last is None else last.instance,
-            orders_in=round(orders_from - self._now(), 2),
-        )
-        self._on_change()
 
     def _last_holder(self, idle: float | None) -> store_module.Write:
         record = leadership.LastHolder(
@@ -267,7 +309,7 @@
         self._attempt = None
 
     def _now(self) -> Instant:
-        return session_module.boot_time()
+        return lease_module.boot_time()
 
 
 def _order(instance: str, service: str) -> int:
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
@@ -0,0 +1,199 @@
+"""Follow the store through an instance that watches it for others."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import msgspec
+
+from yuccarill.core.gateway import watchers
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import Revision
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters.small_server import Page as HttpPage
+from yuccarill.daemon import logs
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from yuccarill.daemon.adapters.connections import Connections
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.follower import PrefixFollower
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.state import InstanceRecord
+    from yuccarill.platform.store import Store
+
+log = logs.for_part('feed')
+
+PATH = '/feed'
+# Seconds that one poll of a watcher waits. A poll costs no call of the
+# store, and bounds how long a dead connection goes unnoticed.
+POLL_SECONDS = 1.5
+ANSWER_SECONDS = 0.6
+# Seconds since a watcher last heard the store, after which it is not
+# believed: a configuration has to be in force after two or three.
+MAX_AGE = 2.2
+# Seconds for which a watcher that failed is left out.
+OUT_SECONDS = 3.0
+
+
+class Feed(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what a watcher tells of one prefix."""
+
+    page: store_module.Page
+    # Seconds since the watcher last heard the store.
+    age: float
+
+
+class WatcherUnusable(Exception):
+    """Report a watcher whose answer is of no use."""
+
+
+class FeedServer:
+    """Tell other instances what this one's followers know."""
+
+    def __init__(
+        self, followers_by_prefix: Mapping[str, PrefixFollower]
+    ) -> None:
+        self._followers_by_prefix = followers_by_prefix
+
+    async def handle(self, request: SmallRequest) -> HttpPage:
+        """Answer one poll."""
+        query = urllib.parse.parse_qs(request.query)
+        follower = self._followers_by_prefix.get(query.get('prefix', [''])[0])
+        if follower is None or not follower.is_current:
+            return HttpPage(status=404)
+        after = query.get('after', [''])[0]
+        if after.isdecimal():
+            page = await follower.changes(Revision(int(after)), POLL_SECONDS)
+            if page is None:
+                return HttpPage(status=410)
+        else:
+            page = follower.copy()
+        feed = Feed(page=page, age=follower.age())
+        return HttpPage(
+            status=200,
+            content_type='application/msgpack',
+            body=msgspec.msgpack.encode(feed),
+        )
+
+
+class FeedSource:
+    """Read and watch a prefix at a watcher, or else at the store."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: Store,
+        links: Connections,
+        clock: Any,
+    ) -> None:
+        # The last answer came from the store itself.
+        self.is_direct = True
+        self._state = state
+        self._store = store
+        self._links = links
+        self._clock = clock
+        self._random = random.Random()
+        self._out_until: dict[str, Instant] = {}
+        self._chosen = ''
+
+    async def page(
+        self, prefix: str, after: str | None = None, is_stale: bool = False
+    ) -> store_module.Page:
+        """Return the keys under a prefix, as the store does."""
+        watcher = None if after or is_stale else self._watcher()
+        if watcher is not None:
+            found = await self._ask(watcher, prefix, None)
+            if found is not None:
+                return found
+        page = await self._store.page(prefix, after, is_stale)
+        self.is_direct = True
+        return page
+
+    async def watch(
+        self, prefix: str, after: Revision, seconds: float
+    ) -> store_module.Page:
+        """Wait for changes under a prefix, as the store does."""
+        watcher = self._watcher()
+        if watcher is not None:
+            found = await self._ask(watcher, prefix, after)
+            if found is not None:
+                return found
+        self.is_direct = True
+        return await self._store.watch(prefix, after, seconds)
+
+    def _watcher(self) -> InstanceRecord | None:
+        me = self._state.settings.instance
+        records_by_name = {
+            record.instance: record
+            for record in self._state.instances_by_id.values()
+            if not record.is_leaving
+        }
+        names = watchers.watchers({*records_by_name, me})
+        now = self._clock.seconds()
+        usable = [
+            name
+            for name in names
+            if name in records_by_name
+            and now >= self._out_until.get(name, 0.0)
+        ]
+        if me in names or not usable:
+            return None
+        if self._chosen not in usable:
+            self._chosen = self._random.choice(usable)
+        return records_by_name[self._chosen]
+
+    async def _ask(
+        self, watcher: InstanceRecord, prefix: str, after: Revision | None
+    ) -> store_module.Page | None:
+        fields = {'prefix': prefix}
+        if after is not None:
+            fields['after'] = str(after)
+        request = connections.OutgoingRequest(
+            method='GET',
+            target=f'{PATH}?{urllib.parse.urlencode(fields)}',
+            headers=(('Host', watcher.peer_address),),
+        )
+        wait = 0.0 if after is None else POLL_SECONDS
+        deadline = Instant(self._clock.seconds() + wait + ANSWER_SECONDS)
+        try:
+            reply = await self._links.exchange(
+                watcher.peer_address, request, deadline
+            )
+            feed = _feed(reply, after)
+        except (
+            connections.NotConnected,
+            connections.ExchangeBroken,
+            WatcherUnusable,
+        ) as error:
+            self._leave_out(watcher, str(error))
+            return None
+        self.is_direct = False
+        return feed.page
+
+    def _leave_out(self, watcher: InstanceRecord, cause: str) -> None:
+        log.info('Watcher left out.', watcher=watcher.instance, cause=cause)
+        until = Instant(self._clock.seconds() + OUT_SECONDS)
+        self._out_until[watcher.instance] = until
+        self._chosen = ''
+
+
+def _feed(reply: connections.Reply, after: Revision | None) -> Feed:
+    if reply.head.status == 410:
+        raise store_module.HistoryGone
+    if reply.head.status != 200:
+        raise WatcherUnusable(f'status {reply.head.status}')
+    try:
+        feed = msgspec.msgpack.decode(reply.body, type=Feed)
+    except msgspec.MsgspecError as error:
+        raise WatcherUnusable(str(error)) from error
+    if feed.age > MAX_AGE:
+        raise WatcherUnusable(f'it heard the store {feed.age:.1f} s ago')
+    if after is not None and feed.page.revision < after:
+        raise WatcherUnusable('it is behind what is known here')
+    return feed
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 from twisted.internet import task
 
 from yuccarill.core.ids import Revision
+from yuccarill.daemon.gateway import history
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
@@ -16,8 +18,8 @@
     from collections.abc import Callable
 
     from yuccarill.platform.store import Entry
+    from yuccarill.platform.store import Page
     from yuccarill.platform.store import Removal
-    from yuccarill.platform.store import Store
 
 log = logs.for_part('store')
 
@@ -32,12 +34,28 @@
 LAST_PAUSE = 0.5
 
 
+class Source(Protocol):
+    """Read and watch keys; both raise as the store does."""
+
+    # The last answer came from the store itself.
+    @property
+    def is_direct(self) -> bool: ...
+
+    async def page(
+        self, prefix: str, after: str | None = None, is_stale: bool = False
+    ) -> Page: ...
+
+    async def watch(
+        self, prefix: str, after: Revision, seconds: float
+    ) -> Page: ...
+
+
 class PrefixFollower:
     """Keep a copy of the keys under a prefix and tell of each change."""
 
     def __init__(
         self,
-        store: Store,
+        store: Source,
         prefix: str,
         on_change: Callable[[Entry | Removal], None],
         clock: Any,
@@ -45,14 +63,17 @@
         settle_seconds: float = 0.0,
     ) -> None:
         self.is_current = False
+        # Where the next watch begins; 0 asks for a read.
         self._revision = Revision(0)
+        self._known = Revision(0)
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
         self._on_read = on_read
         self._settle_seconds = settle_seconds
         self._clock = clock
-        self._revisions_by_key: dict[str, Revision] = {}
+        self._history = history.History(clock)
+        self._heard_at = 0.0
         # Keys that the last check did not find.
         self._missing: set[str] = set()
         self._watching: defer.Deferred[None] | None = None
@@ -76,6 +97,28 @@
         if watching is not None:
             watching.cancel()
 
+    def age(self) -> float:
+        """Return the seconds since the store was last heard."""
+        age: float = self._clock.seconds() - self._heard_at
+        return age
+
+    def copy(self) -> Page:
+        """Return every key, for one who follows this copy."""
+        return store_module.Page(
+            changes=tuple(self._history.entries_by_key.values()),
+            revision=self._known,
+        )
+
+    async def changes(self, after: Revision, seconds: float) -> Page | None:
+        """Wait for changes after a revision; none if some are not kept."""
+        found = self._history.since(after)
+        if found == []:
+            await self._history.wait(seconds)
+            found = self._history.since(after)
+        if found is None:
+            return None
+        return store_module.Page(changes=tuple(found), revision=self._known)
+
     async def _step(self) -> None:
         try:
             if not self._revision:
@@ -108,9 +151,11 @@
                 self._take(change)
             has_more = page.has_more
         assert first is not None
-        for key in self._revisions_by_key.keys() - seen:
+        for key in self._history.entries_by_key.keys() - seen:
             self._take(store_module.Removal(key=key, revision=first))
-        self._revision = first
+        self._history.start(first)
+        self._advance(first)
+        self._revision = self._known
         self.is_current = True
         self._on_read()
 
@@ -130,14 +175,20 @@
             watching.cancel()
         for change in page.changes:
             self._take(change)
-        self._revision = Revision(max(self._revision, page.revision))
+        self._advance(page.revision)
+        self._revision = self._known
         if page.changes and self._settle_seconds:
             await task.deferLater(self._clock, self._settle_seconds)
 
+    def _advance(self, revision: Revision) -> None:
+        self._known = Revision(max(self._known, revision))
+        self._heard_at = self._clock.seconds()
+        self._history.wake()
+
     async def _check_often(self) -> None:
         while True:
             await task.deferLater(self._clock, CHECK_SECONDS)
-            if not self._revision:
+            if not self._revision or not self._store.is_direct:
                 continue
             try:
                 await self._check()
@@ -152,12 +203,11 @@
         page = await self._store.page(self._prefix, is_stale=True)
         found = {change.key: change.revision for change in page.changes}
         is_newer = any(
-            revision > self._revisions_by_key.get(key, Revision(0))
-            for key, revision in found.items()
+            revision > self._standing(key) for key, revision in found.items()
         )
         missing: set[str] = set()
         if not page.has_more:
-            missing = self._revisions_by_key.keys() - found.keys()
+            missing = self._history.entries_by_key.keys() - found.keys()
         # An old page lacks a key that was just written; twice in a row a
         # missing key was removed.
         is_removed = bool(missing & self._missing)
@@ -170,19 +220,22 @@
             )
             self._missing = set()
             self.refresh()
+        else:
+            self._heard_at = self._clock.seconds()
 
     def _take(self, change: Entry | Removal) -> None:
-        known = self._revisions_by_key.get(change.key, Revision(0))
-        if change.revision <= known:
+        if change.revision <= self._standing(change.key):
             return
-        if isinstance(change, store_module.Removal):
-            if change.key not in self._revisions_by_key:
-                return
-            del self._revisions_by_key[change.key]
-        else:
-            self._revisions_by_key[change.key] = change.revision
+        is_known = change.key in self._history.entries_by_key
+        if isinstance(change, store_module.Removal) and not is_known:
+            return
+        self._history.take(change)
         self._on_change(change)
 
+    def _standing(self, key: str) -> Revision:
+        entry = self._history.entries_by_key.get(key)
+        return Revision(0) if entry is None else entry.revision
+
     async def _wait(self, error: Exception) -> None:
         if not self._is_lost:
             self._is_lost = True
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -150,6 +150,7 @@
             # tried again if this process gets the duty back; if another
             # one gets it, this listing is stopped.
             log.warning('Not listed: the duty is lost.', job=self._job)
+            self._duty.give_up(revision)
             return False
         return True
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
@@ -23,10 +23,10 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from yuccarill.daemon.gateway.follower import Source
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.store import Entry
     from yuccarill.platform.store import Removal
-    from yuccarill.platform.store import Store
 
 log = logs.for_part('observer')
 
@@ -42,27 +42,32 @@
 class Observer:
     """Keep the state's sections that come from the store."""
 
-    def __init__(self, state: GatewayState, store: Store, clock: Any) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        sources: Callable[[], Source],
+        clock: Any,
+    ) -> None:
         self._state = state
         self._listeners: list[Callable[[], None]] = []
-        self._followers = [
-            follower.PrefixFollower(
-                store, prefix, on_change, clock, self._read, settle
+        self.followers_by_prefix = {
+            prefix: follower.PrefixFollower(
+                sources(), prefix, on_change, clock, self._read, settle
             )
             for prefix, on_change, settle in (
                 (keys.CONFIGURATION, self._configuration, SETTLE_SECONDS),
                 (keys.TARGET_PREFIX, self._target, TARGET_SETTLE_SECONDS),
                 (keys.FLEET_PREFIX, self._fleet, SETTLE_SECONDS),
             )
-        ]
+        }
 
     def following(self) -> list[Awaitable[None]]:
         """Return what runs until the process ends."""
-        return [each.follow() for each in self._followers]
+        return [each.follow() for each in self.followers_by_prefix.values()]
 
     def refresh(self) -> None:
         """Read everything again, after the store was away."""
-        for each in self._followers:
+        for each in self.followers_by_prefix.values():
             each.refresh()
 
     def listen(self, on_change: Callable[[], None]) -> None:
@@ -161,7 +166,7 @@
     def _read(self) -> None:
         if not self._state.is_current:
             self._state.is_current = all(
-                each.is_current for each in self._followers
+                each.is_current for each in self.followers_by_prefix.values()
             )
         self._tell()
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -15,6 +15,7 @@
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import duties
+from yuccarill.daemon.gateway import feed
 from yuccarill.daemon.gateway import forwarding
 from yuccarill.daemon.gateway import front
 from yuccarill.daemon.gateway import generation
@@ -75,8 +76,15 @@
         self._store = store_module.Store(self._way, settings.store_address)
         self._calls = calls_module.Calls(links, self._now)
         self._engines = engines.Engines(links)
-        self._observer = observer.Observer(self._state, self._store, clock)
-        self._session = session.Session(self._state, self._store, clock)
+        self._observer = observer.Observer(
+            self._state,
+            lambda: feed.FeedSource(self._state, self._store, links, clock),
+            clock,
+        )
+        self._feeds = feed.FeedServer(self._observer.followers_by_prefix)
+        self._session = session.Session(
+            self._state, self._store, self._update, clock
+        )
         self._sender = sender.Sender(
             sender.Pools(self._state), self._calls, clock
         )
@@ -123,16 +131,22 @@
             f'{host}:{METRICS_PORT}',
         } - {None}:
             self._listen(str(address), checks)
-        passing_on = small_server.SmallServer(self._clock, self._way.pass_on)
-        self._listen(settings.peer_address, passing_on)
+        peers = small_server.SmallServer(self._clock, self._answer_peer)
+        self._listen(settings.peer_address, peers)
         self._observer.listen(self._update)
-        self._session.listen(self._update)
-        self._session.on_return = self._observer.refresh
+        self._session.lease.on_return = self._observer.refresh
         for work in (*self._observer.following(), self._session.follow()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
             self._following.append(following)
 
+    async def _answer_peer(
+        self, request: small_server.SmallRequest
+    ) -> small_server.Page:
+        if request.path == feed.PATH:
+            return await self._feeds.handle(request)
+        return await self._way.pass_on(request)
+
     def reload(self) -> None:
         """Read the settings file again."""
         try:
@@ -179,6 +193,8 @@
             log.warning('Lease not ended.', cause=str(error))
 
     def _update(self) -> None:
+        checking = defer.ensureDeferred(self._session.check())
+        checking.addErrback(self._store_failed)
         table = self._state.table
         if table is None:
             return
@@ -199,7 +215,6 @@
         self._duties_by_service[service] = duties.Duty(
             service,
             self._state,
-            self._session,
             self._store,
             functools.partial(self._duty_changed, service),
             self._clock,
@@ -245,6 +260,10 @@
     async def _pause(self) -> None:
         await task.deferLater(self._clock, STOP_STEP)
 
+    def _store_failed(self, failure: Any) -> None:
+        failure.trap(*_STORE_FAILURES)
+        log.warning('Not registered again.', cause=str(failure.value))
+
     def _crashed(self, failure: Any) -> None:
         if not failure.check(defer.CancelledError):
             log.error('Work ended.', cause=failure.getTraceback())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
@@ -1,15 +1,14 @@
-"""Keep this instance's lease at the store and the keys that live with it."""
+"""Keep this instance listed in the store while it lives."""
 
 from __future__ import annotations
 
-import time
 from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 from twisted.internet import task
 
-from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway import lease as lease_module
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
@@ -23,91 +22,77 @@
 
 log = logs.for_part('session')
 
-# Seconds of the lease. Another instance takes a duty over when it ends; a
-# shorter one would end each time the store is slow for a moment.
-LEASE_SECONDS = 2.5
-# Seconds between renewals: two may fail before the lease ends.
-RENEWAL_SECONDS = 0.6
-RETRY_SECONDS = 0.2
-
-
-def boot_time() -> Instant:
-    """Return seconds on a clock that counts while the machine stands still.
-
-    The monotonic clock does not: after a suspension, a lease that ended
-    long ago would look valid, and two holders would order one engine.
-    """
-    return Instant(time.clock_gettime(time.CLOCK_BOOTTIME))
+# Seconds for which an instance that died stays in the directory. Clients
+# leave an address out that failed them; renewals of all instances are paid.
+LEASE_SECONDS = 4.5
+RENEWAL_SECONDS = 1.4
+# Seconds after which an own entry that nobody sees is written again.
+UNSEEN_SECONDS = 2.0
 
 
 class Session:
-    """Hold one lease after the other."""
-
-    def __init__(self, state: GatewayState, store: Store, clock: Any) -> None:
-        self.lease: int | None = None
-        # When the last renewal that succeeded was sent.
-        self.renewed_at = Instant(0.0)
+    """Register this instance under one lease after the other."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: Store,
+        on_change: Callable[[], None],
+        clock: Any,
+    ) -> None:
         self._state = state
         self._store = store
         self._clock = clock
-        self._now = boot_time
-        self._listeners: list[Callable[[], None]] = []
+        self._written_at = 0.0
         self._is_ended = False
-        self._is_lost = False
-        # Called when the store is reached again after it was away.
-        self.on_return: Callable[[], None] = lambda: None
-
-    def listen(self, on_change: Callable[[], None]) -> None:
-        """Call a function after each renewal and each loss of the lease."""
-        self._listeners.append(on_change)
+        self.lease = lease_module.Lease(
+            store, LEASE_SECONDS, RENEWAL_SECONDS, on_change, clock
+        )
 
     async def follow(self) -> None:
-        """Open, renew and open again, until cancelled."""
-        pause = RENEWAL_SECONDS
+        """Register and renew, until cancelled."""
         while not self._is_ended:
             try:
-                await self._renew()
-                pause = RENEWAL_SECONDS
+                await self.lease.open()
+                await self._register()
+                await self.lease.keep()
             except store_module.LeaseEnded:
-                self._lose()
-                pause = 0.0
+                continue
             except (
                 store_module.StoreRefused,
                 store_module.StoreUnclear,
             ) as error:
-                log.warning('Lease not renewed.', cause=str(error))
-                self._is_lost = True
-                pause = RETRY_SECONDS
-            await task.deferLater(self._clock, pause)
+                log.warning('Not registered.', cause=str(error))
+                await task.deferLater(self._clock, lease_module.RETRY_SECONDS)
+
+    async def check(self) -> None:
+        """Register again if the entry was taken away under its lease."""
+        me = self._state.settings.instance
+        if self.lease.id is None or not self._state.is_current:
+            return
+        if me in self._state.instances_by_id:
+            return
+        now = self._clock.seconds()
+        if now >= self._written_at + UNSEEN_SECONDS:
+            self._written_at = now
+            log.warning('Own entry is gone; written again.')
+            await self._register()
 
     async def leave(self) -> None:
         """Tell the others that this instance takes no new work."""
-        if self.lease is not None:
-            await self._register(self.lease)
+        if self.lease.id is not None:
+            await self._register()
 
     async def end(self) -> None:
-        """End the lease, and with it this instance's keys."""
+        """End the lease, and with it this instance's entry."""
         self._is_ended = True
-        lease, self.lease = self.lease, None
-        if lease is not None:
-            await self._store.end_lease(lease)
-
-    async def _renew(self) -> None:
-        sent_at = self._now()
-        if self.lease is None:
-            lease = await self._store.open_lease(LEASE_SECONDS)
-            await self._register(lease)
-            self.lease = lease
-            log.info('Lease opened.', lease=lease)
-        else:
-            await self._store.keep_lease(self.lease)
-        self.renewed_at = sent_at
-        if self._is_lost:
-            self._is_lost = False
-            self.on_return()
-        self._tell()
-
-    async def _register(self, lease: int) -> None:
+        await self.lease.end()
+
+    async def _register(self) -> None:
+        lease = self.lease.id
+        if lease is None:
+            return
+        self._written_at = self._clock.seconds()
         settings = self._state.settings
         record = state_module.InstanceRecord(
             instance=settings.instance,
@@ -122,12 +107,4 @@
             lease=lease,
         )
         await self._store.transact(writes=[write])
-
-    def _lose(self) -> None:
-        log.warning('Lease ended.', lease=self.lease)
-        self.lease = None
-        self._tell()
-
-    def _tell(self) -> None:
-        for listener in self._listeners:
-            listener()
+        log.info('Registered.', lease=lease, is_leaving=record.is_leaving)
