Test duties, listing, intake, sending, the way to the store and the runner

Found by the tests and changed: a duty that was lost was contended for only at the next renewal of another lease; a dark engine got the next item at once, which waited as long there.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -95,6 +95,9 @@
 
     def fail(self, now: Instant) -> None:
         """Leave the engine out for a while."""
+        # Runs that fail together are one failure of their engine.
+        if now < self.ejected_until:
+            return
         seconds = min(FIRST_EJECTION * 2.0**self.failures, LAST_EJECTION)
         self.failures += 1
         self.ejected_until = Instant(now + seconds)
@@ -152,6 +155,11 @@
         ]
         return statistics.median_low(paces) if paces else None
 
+    def is_silent(self, last_at: Instant, now: Instant) -> bool:
+        """Tell whether a run has made no event for too long."""
+        usual = self.usual_pace(now) or 0.0
+        return now - last_at > max(MIN_SILENCE, SILENT_FACTOR * usual)
+
     def is_slow(self, engine: EngineState, now: Instant) -> bool:
         """Tell whether an engine is much slower than the others."""
         usual = self.usual_pace(now) or 0.0
@@ -162,9 +170,8 @@
     ) -> bool:
         """Tell whether a run had better go on at another engine."""
         usual = self.usual_pace(now) or 0.0
-        silence = max(MIN_SILENCE, SILENT_FACTOR * usual)
         is_held_up = (
-            now - last_at > silence
+            self.is_silent(last_at, now)
             or _slowness(engine, usual, now) >= SLOW_FACTOR
             or job.model in engine.emptying
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -42,6 +42,8 @@
 # Seconds after a renewal in which orders are sent: one renewal and a slow
 # answer of the store fit.
 ORDER_WINDOW = 1.3
+# Seconds before a duty that was not taken is looked at again.
+RETRY_SECONDS = 0.3
 # Seconds that stand for an order never sent.
 LONG_AGO = 1e9
 
@@ -173,6 +175,7 @@
         self.tenure = None
         self._stop_keeping()
         self._on_change()
+        self._clock.callLater(0, self.update)
 
     def _stop_keeping(self) -> None:
         keeping, self._keeping = self._keeping, None
@@ -307,6 +310,8 @@
 
     def _ended(self, _: object) -> None:
         self._attempt = None
+        if self.tenure is None:
+            self._clock.callLater(RETRY_SECONDS, self.update)
 
     def _now(self) -> Instant:
         return lease_module.boot_time()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -352,6 +352,9 @@
                 usual=self._fleet.usual_pace(now),
                 silent=round(now - generating.last_at, 3),
             )
+            if self._fleet.is_silent(generating.last_at, now):
+                # Otherwise the next item would wait there as long.
+                generating.engine.fail(now)
             generating.is_moved = True
             generating.work.cancel()
 
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/memory_store.py
@@ -0,0 +1,224 @@
+"""Stand in for the platform's store, in memory, with faults to order."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.ids import Revision
+from yuccarill.platform import store
+
+
+@dataclasses.dataclass
+class Keys:
+    """Hold the keys, leases and history that all instances share."""
+
+    clock: task.Clock
+    revision: int = 0
+    entries_by_key: dict[str, store.Entry] = dataclasses.field(
+        default_factory=dict
+    )
+    history: list[Any] = dataclasses.field(default_factory=list)
+    floor: int = 0
+    ends_by_lease: dict[int, float] = dataclasses.field(default_factory=dict)
+    seconds_by_lease: dict[int, float] = dataclasses.field(
+        default_factory=dict
+    )
+    watches: list[Any] = dataclasses.field(default_factory=list)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        self.revision += 1
+        self._put(store.Write(key=key, value=value, lease=lease))
+        self.tell()
+
+    def _put(self, write: store.Write) -> None:
+        known = self.entries_by_key.get(write.key)
+        entry = store.Entry(
+            key=write.key,
+            value=write.value,
+            revision=Revision(self.revision),
+            created=known.created if known else Revision(self.revision),
+            lease=write.lease,
+        )
+        self.entries_by_key[write.key] = entry
+        self.history.append(entry)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self._remove(key)
+        self.tell()
+
+    def _remove(self, key: str) -> None:
+        if self.entries_by_key.pop(key, None) is not None:
+            self.history.append(
+                store.Removal(key=key, revision=Revision(self.revision))
+            )
+
+    def commit(self, writes: Any, removals: Any) -> Revision:
+        self.revision += 1
+        for write in writes:
+            self._put(write)
+        for key in removals:
+            self._remove(key)
+        self.tell()
+        return Revision(self.revision)
+
+    def forget_history(self) -> None:
+        """Discard the history, as the store may at any time."""
+        self.floor = self.revision
+        self.history.clear()
+        for watch in list(self.watches):
+            watch()
+
+    def expire(self) -> None:
+        now = self.clock.seconds()
+        ended = [k for k, at in self.ends_by_lease.items() if now >= at]
+        for lease in ended:
+            del self.ends_by_lease[lease]
+            for entry in list(self.entries_by_key.values()):
+                if entry.lease == lease:
+                    self.remove(entry.key)
+
+    def tell(self) -> None:
+        for watch in list(self.watches):
+            watch()
+
+
+@dataclasses.dataclass
+class MemoryStore:
+    """Be one instance's client of the shared keys.
+
+    Faults: `refuses` does nothing and says so; `is_silent` never answers;
+    `loses_replies` carries a write out and never answers; `is_deaf` lets
+    watches hear nothing although other calls work.
+    """
+
+    keys: Keys
+    refuses: bool = False
+    is_silent: bool = False
+    loses_replies: bool = False
+    is_deaf: bool = False
+    calls: list[str] = dataclasses.field(default_factory=list)
+    is_direct: bool = True
+
+    async def get(self, key: str) -> store.Entry | None:
+        await self._enter('get')
+        return self.keys.entries_by_key.get(key)
+
+    async def page(
+        self, prefix: str, after: str | None = None, is_stale: bool = False
+    ) -> store.Page:
+        await self._enter('stale page' if is_stale else 'page')
+        found = sorted(
+            entry.key
+            for entry in self.keys.entries_by_key.values()
+            if entry.key.startswith(prefix) and entry.key > (after or '')
+        )
+        return store.Page(
+            changes=tuple(self.keys.entries_by_key[key] for key in found),
+            revision=Revision(self.keys.revision),
+        )
+
+    async def watch(
+        self, prefix: str, after: Revision, seconds: float
+    ) -> store.Page:
+        await self._enter('watch')
+        deadline = self.keys.clock.seconds() + seconds
+        if self.is_deaf:
+            await self._sleep(seconds + 1.5)
+            raise store.StoreUnclear('no answer')
+        while True:
+            if self.is_silent:
+                await self._sleep(seconds)
+                raise store.StoreUnclear('no answer')
+            if after < self.keys.floor:
+                raise store.HistoryGone
+            found = tuple(
+                change
+                for change in self.keys.history
+                if change.key.startswith(prefix) and change.revision > after
+            )
+            left = deadline - self.keys.clock.seconds()
+            if found or left <= 0.0:
+                return store.Page(
+                    changes=found, revision=Revision(self.keys.revision)
+                )
+            await self._wait(left)
+
+    async def transact(
+        self, expected: Any = (), writes: Any = (), removals: Any = ()
+    ) -> Revision:
+        await self._enter('transact')
+        writes = list(writes)
+        for write in writes:
+            if write.lease and write.lease not in self.keys.ends_by_lease:
+                raise store.LeaseEnded
+        entries = self.keys.entries_by_key
+        is_met = all(
+            each.revision
+            == (entries[each.key].revision if each.key in entries else 0)
+            for each in expected
+        )
+        if not is_met:
+            raise store.StoreConflict(
+                [entries[e.key] for e in expected if e.key in entries]
+            )
+        revision = self.keys.commit(writes, removals)
+        if self.loses_replies:
+            await self._sleep(store.CALL_SECONDS)
+            raise store.StoreUnclear('no answer')
+        return revision
+
+    async def open_lease(self, seconds: float) -> int:
+        await self._enter('lease')
+        lease = len(self.keys.seconds_by_lease) + 1
+        self.keys.seconds_by_lease[lease] = seconds
+        self.keys.ends_by_lease[lease] = self.keys.clock.seconds() + seconds
+        return lease
+
+    async def keep_lease(self, lease: int) -> None:
+        await self._enter('keep')
+        if lease not in self.keys.ends_by_lease:
+            raise store.LeaseEnded
+        seconds = self.keys.seconds_by_lease[lease]
+        self.keys.ends_by_lease[lease] = self.keys.clock.seconds() + seconds
+
+    async def end_lease(self, lease: int) -> None:
+        await self._enter('end')
+        self.keys.ends_by_lease[lease] = 0.0
+        self.keys.expire()
+
+    async def _enter(self, call: str) -> None:
+        self.calls.append(call)
+        await self._sleep(0.004)
+        self.keys.expire()
+        if self.is_silent:
+            await self._sleep(store.CALL_SECONDS)
+            raise store.StoreUnclear('no answer')
+        if self.refuses:
+            raise store.StoreRefused('turned away')
+
+    async def _sleep(self, seconds: float) -> None:
+        await task.deferLater(self.keys.clock, seconds)
+
+    async def _wait(self, seconds: float) -> None:
+        waiting: defer.Deferred[None] = defer.Deferred()
+
+        def wake() -> None:
+            if wake in self.keys.watches:
+                self.keys.watches.remove(wake)
+            if not waiting.called:
+                waiting.callback(None)
+
+        self.keys.watches.append(wake)
+        timer = self.keys.clock.callLater(seconds, wake)
+        try:
+            await waiting
+        finally:
+            if timer.active():
+                timer.cancel()
+            if wake in self.keys.watches:
+                self.keys.watches.remove(wake)
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -0,0 +1,263 @@
+"""Run batch jobs on engines in memory, over two or more instances."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+from typing import Any
+from unittest import mock
+
+from twisted.internet import task
+
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import Revision
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WallTime
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.jobs.job import GroupId
+from yuccarill.core.jobs.job import Item
+from yuccarill.core.jobs.job import ItemId
+from yuccarill.core.jobs.job import Job
+from yuccarill.core.jobs.job import JobId
+from yuccarill.core.jobs.text import StreamEvent
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.gateway import generation
+from yuccarill.daemon.gateway import job_store
+from yuccarill.daemon.gateway import runner as runner_module
+from yuccarill.platform import calls
+from yuccarill.platform import engines as wire_engines
+from yuccarill.platform import keys
+
+from . import memory_store
+from . import test_listing
+from . import world
+
+GAP = 0.04
+EVENTS = 10
+
+
+@dataclasses.dataclass
+class Engine:
+    """Hold one engine and the faults it has."""
+
+    target: ListedTarget
+    gap: float = GAP
+    is_dark: bool = False
+    # Events after which each run breaks off; 0 for never.
+    breaks_after: int = 0
+    status: int = 200
+    version: int = 1
+    orders: int = 0
+    order_epochs: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Engines:
+    """Generate texts and take orders, at a clock set by hand."""
+
+    clock: task.Clock
+    engines_by_id: dict[TargetId, Engine]
+    # Every run that began: the item and the event it began after.
+    runs: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    named_version: int = 99
+
+    async def generate(
+        self,
+        engine: ListedTarget,
+        call: calls.TargetCall,
+        answer_by: Instant,
+        progress_seconds: float,
+        sink: calls.GenerationSink,
+    ) -> TargetAnswer:
+        found = self.engines_by_id[engine.id]
+        first = call.after_event or 0
+        self.runs.append((call.id, first))
+        if found.is_dark:
+            await self._sleep(progress_seconds)
+            raise calls.CallFailed(calls.CallEnd.BROKEN, 'silent')
+        answer = TargetAnswer(
+            status=found.status, headers=(), body=b'', stamp='signed'
+        )
+        if found.status != 200:
+            await self._sleep(0.01)
+            return answer
+        try:
+            sink.begin(answer, found.version)
+            await self._events(found, first, sink)
+        except connections.SinkRefused as error:
+            raise calls.CallFailed(calls.CallEnd.BROKEN, str(error)) from error
+        return answer
+
+    async def _events(
+        self, engine: Engine, first: int, sink: calls.GenerationSink
+    ) -> None:
+        version = engine.version
+        made = 0
+        for number in range(first + 1, EVENTS + 1):
+            await self._sleep(engine.gap)
+            if engine.breaks_after and made >= engine.breaks_after:
+                raise connections.SinkRefused('broke off')
+            changed = engine.version != version
+            version = engine.version
+            sink.event(
+                StreamEvent(
+                    number=number,
+                    data=f'd{number}',
+                    version=WeightVersion(version) if changed else None,
+                )
+            )
+            made += 1
+
+    async def report(
+        self, engine: ListedTarget, deadline: Instant
+    ) -> wire_engines.EngineReport:
+        found = self.engines_by_id[engine.id]
+        await self._sleep(0.005)
+        return wire_engines.EngineReport(
+            versions_by_model={world.MODEL: WeightVersion(found.version)},
+            is_busy=False,
+            orders_accepted=found.orders,
+            running=0,
+            waiting=0,
+        )
+
+    async def order(
+        self,
+        engine: ListedTarget,
+        order: wire_engines.VersionOrder,
+        deadline: Instant,
+    ) -> wire_engines.OrderOutcome:
+        found = self.engines_by_id[engine.id]
+        await self._sleep(0.005)
+        if order.expected_orders != found.orders:
+            return wire_engines.OrderOutcome.BUSY
+        found.orders += 1
+        found.order_epochs.append(order.epoch)
+        self.clock.callLater(0.9, setattr, found, 'version', order.version)
+        return wire_engines.OrderOutcome.ACCEPTED
+
+    async def _sleep(self, seconds: float) -> None:
+        await task.deferLater(self.clock, seconds)
+
+
+class Scorer:
+    """Score each text at once."""
+
+    async def score(self, run: Any) -> str:
+        return f'score of {run.item.id}'
+
+
+class HeldDuty(test_listing.HeldDuty):
+    """Stand in for a duty that is held and may order."""
+
+    tenure: Any = None
+
+    def is_held(self) -> bool:
+        return self.revision is not None
+
+    def may_order(self) -> bool:
+        return self.revision is not None
+
+    def order(self) -> None:
+        pass
+
+
+class RunnerTest(world.WorldTest):
+    """Hold the engines, the store and the instances that run jobs."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # Submission times are on the wall clock.
+        patch = mock.patch.object(time, 'time', self.clock.seconds)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.engines = Engines(self.clock, {})
+        for name in ('e1', 'e2'):
+            target = world.engine(name)
+            self.engines.engines_by_id[target.id] = Engine(target)
+        self.holds = 0
+
+    def engine(self, name: str) -> Engine:
+        return self.engines.engines_by_id[TargetId(name)]
+
+    def hold(self, name: str) -> runner_module.Runner:
+        """Give the duty to an instance, which begins to run jobs."""
+        self.holds += 1
+        self.keys.put(keys.duty(world.SERVICE), b'%d' % self.holds)
+        duty = HeldDuty(Revision(self.keys.revision))
+        duty.tenure = mock.Mock(epoch=self.keys.revision)
+        state = self.state(name)
+        for engine in self.engines.engines_by_id.values():
+            state.targets.put(engine.target)
+        memory = self.store()
+        found = runner_module.Runner(
+            state,
+            duty,
+            memory,
+            job_store.JobStore(memory, self.clock),
+            generation.Generator(self.engines, self.clock),
+            Scorer(),
+            self.engines,
+            self.clock,
+        )
+        self.memory: memory_store.MemoryStore = memory
+        found.start()
+        self.addCleanup(found.stop)
+        return found
+
+    def submit(
+        self, name: str = 'j', groups: int = 2, min_version: int = 1
+    ) -> Job:
+        now = self.clock.seconds()
+        job = Job(
+            id=JobId(name),
+            service=world.SERVICE,
+            host='t.example',
+            route='train',
+            model=world.MODEL,
+            min_version=WeightVersion(min_version),
+            max_attempts=3,
+            submitted_at=WallTime(now),
+            due_at=WallTime(now + 7.5),
+            retained_until=WallTime(now + 40.0),
+            items=tuple(
+                Item(
+                    id=ItemId(f'{name}-{group}-{place}'),
+                    path='/p',
+                    headers=(),
+                    body=b'prompt',
+                    tokens=10,
+                    group=GroupId(f'{name}-{group}'),
+                )
+                for group in range(groups)
+                for place in range(2)
+            ),
+        )
+        jobs = job_store.JobStore(self.store(), self.clock)
+        self.finish(jobs.accept(job))
+        return job
+
+    def results(self, name: str = 'j') -> list[Any]:
+        jobs = job_store.JobStore(self.store(), self.clock)
+        found = self.finish(jobs.read_results(JobId(name)))
+        listed: list[Any] = []
+        for position, chunk in sorted(found.chunks_by_position.items()):
+            self.assertEqual(len(listed), position)
+            listed += chunk.results
+        ids = [result.id for result in listed]
+        self.assertEqual(len(set(ids)), len(ids), 'an item stands twice')
+        return listed
+
+    def runs_of(self, item: str) -> list[int]:
+        """Return the events after which an item's runs began."""
+        return [first for name, first in self.engines.runs if name == item]
+
+    def busiest(self) -> collections.Counter[str]:
+        return collections.Counter(name for name, _ in self.engines.runs)
+
+
+def whole_text() -> str:
+    return '\n'.join(f'd{number}' for number in range(1, EVENTS + 1))
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_duties.py
@@ -0,0 +1,181 @@
+"""Test who holds a duty, and when its holder may order engines."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from twisted.internet import defer
+
+from yuccarill.daemon.gateway import duties
+from yuccarill.daemon.gateway import observer
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.platform import keys
+
+from . import memory_store
+from . import world
+
+PAUSE = 3.3 + duties.ORDER_WINDOW
+
+
+@dataclasses.dataclass
+class Instance:
+    """Hold one instance's parts."""
+
+    state: state_module.GatewayState
+    store: memory_store.MemoryStore
+    duty: duties.Duty
+    following: list[defer.Deferred]
+
+    def kill(self) -> None:
+        """End the process: nothing of it goes on."""
+        for each in self.following:
+            each.cancel()
+        self.store.is_silent = True
+
+
+class DutyTest(world.WorldTest):
+    def start(self, name: str) -> Instance:
+        store = self.store()
+        state = self.state(name)
+        state.is_current = False
+        watching = observer.Observer(state, lambda: store, self.clock)
+        duty = duties.Duty(
+            world.SERVICE, state, store, lambda: None, self.clock
+        )
+        watching.listen(duty.update)
+        following = [
+            defer.ensureDeferred(work) for work in watching.following()
+        ]
+        for each in following:
+            each.addErrback(lambda failure: failure.trap(Exception))
+            self.addCleanup(each.cancel)
+        # The list of targets is empty in the store.
+        state.targets.put(world.engine('e1'))
+        return Instance(state, store, duty, following)
+
+    def holders(self, *instances: Instance) -> list[str]:
+        return [
+            str(each.state.settings.instance)
+            for each in instances
+            if each.duty.is_held()
+        ]
+
+    def test_one_of_two_holds_it(self) -> None:
+        a, b = self.start('a'), self.start('b')
+        self.run_for(1.0)
+        self.assertEqual(1, len(self.holders(a, b)))
+
+    def test_first_holder_orders_at_once(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        self.assertTrue(a.duty.may_order())
+
+    def test_the_next_holder_waits_before_it_orders(self) -> None:
+        """Two holders that take turns at an engine break its weights.
+
+        1. The holder dies; its lease ends 2.5 s later.
+        2. Another one takes the duty, and can't know how long the first
+           one went on.
+        3. It orders only once the first one's last order is long past.
+        """
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(1.0)
+        a.kill()
+        self.run_for(duties.LEASE_SECONDS + 1.0)
+        self.assertEqual(['b'], self.holders(a, b))
+        self.assertFalse(b.duty.may_order())
+        self.run_for(PAUSE)
+        self.assertTrue(b.duty.may_order())
+
+    def test_a_released_duty_passes_on_soon(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(1.0)
+        a.state.is_leaving = True
+        self.finish(a.duty.release())
+        self.run_for(0.5)
+        self.assertEqual(['b'], self.holders(a, b))
+        # The first one never ordered anything.
+        self.assertTrue(b.duty.may_order())
+
+    def test_a_restarted_holder_takes_its_own_back(self) -> None:
+        # A killed process comes back on its machine before the lease of
+        # the one before it ends. To an engine it is the same holder.
+        a = self.start('a')
+        self.run_for(1.0)
+        a.kill()
+        again = self.start('a')
+        self.run_for(0.5)
+        self.assertTrue(again.duty.may_order())
+        self.assertFalse(again.duty.is_continued)
+
+    def test_a_holder_that_stood_still_does_not_order(self) -> None:
+        """A suspended holder wakes with a lease that looks fresh.
+
+        1. The machine is suspended right after a renewal, for 10 s.
+        2. The monotonic clock stood still with it.
+        3. Meanwhile another instance has taken the duty.
+        """
+        a = self.start('a')
+        self.run_for(1.0)
+        self.suspended = 10.0
+        self.assertFalse(a.duty.may_order())
+        self.assertFalse(a.duty.is_held())
+
+    def test_a_key_that_was_taken_away_is_noticed(self) -> None:
+        # The store removes the holder's key and goes on with its lease; no
+        # call of the holder shows it.
+        a = self.start('a')
+        self.run_for(1.0)
+        epoch = a.duty.revision
+        self.keys.remove(keys.duty(world.SERVICE))
+        self.run_for(1.0)
+        self.assertTrue(a.duty.is_held())
+        self.assertNotEqual(epoch, a.duty.revision)
+        self.assertTrue(a.duty.is_continued)
+
+    def test_cut_off_holder_stops_ordering_before_the_next_one(self) -> None:
+        """Both would order at a time if the cut were noticed late.
+
+        1. The store takes the holder's key away and answers it no more.
+        2. The other instance takes the duty at once.
+        3. Wherever they are, their orders lie three seconds apart.
+        """
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(1.0)
+        a.store.is_silent = True
+        self.keys.remove(keys.duty(world.SERVICE))
+        orders_by_name: dict[str, list[float]] = {'a': [], 'b': []}
+        for _ in range(1000):
+            self.run_for(0.01)
+            for name, each in (('a', a), ('b', b)):
+                if each.duty.may_order():
+                    orders_by_name[name].append(self.clock.seconds())
+        gap = orders_by_name['b'][0] - orders_by_name['a'][-1]
+        self.assertGreaterEqual(gap, 3.0)
+
+    def test_a_lost_reply_does_not_leave_the_duty_unheld(self) -> None:
+        # The write took effect, its reply never came: the instance finds
+        # its own entry and takes the duty back under a new epoch.
+        store_faults = self.start('a')
+        store_faults.store.loses_replies = True
+        self.run_for(0.5)
+        store_faults.store.loses_replies = False
+        self.run_for(3.0)
+        self.assertTrue(store_faults.duty.may_order())
+
+    def test_the_store_away_for_long_returns_the_duty(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        a.store.refuses = True
+        self.run_for(10.0)
+        self.assertFalse(a.duty.is_held())
+        a.store.refuses = False
+        self.run_for(1.5)
+        self.assertTrue(a.duty.is_held())
+        self.assertTrue(a.duty.is_continued)
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -0,0 +1,243 @@
+"""Test how batch jobs are accepted once, and read."""
+
+from __future__ import annotations
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.core import errors
+from yuccarill.core.gateway.requests import ClientRequest
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import Revision
+from yuccarill.core.jobs.job import JobId
+from yuccarill.daemon.gateway import intake
+from yuccarill.daemon.gateway import job_store
+from yuccarill.platform import keys
+from yuccarill.platform import server
+
+from . import memory_store
+from . import test_listing
+from . import world
+
+BODY = msgspec.json.encode(
+    {
+        'step': 1,
+        'model': 'm',
+        'minVersion': 1,
+        'targetGroups': 1,
+        'items': [
+            {'id': 'i1', 'path': '/p', 'body': 'YWI=', 'group': 'g'},
+            {'id': 'i2', 'path': '/p', 'body': 'YWI=', 'group': 'g'},
+        ],
+    }
+)
+
+
+class NoPeers:
+    """Stand in for the way to other instances, of which there are none."""
+
+    answer: TargetAnswer | None = None
+
+    def holder(self, host: str) -> None:
+        return None
+
+    def peer(self) -> object | None:
+        return 'peer' if self.answer else None
+
+    async def send(self, peer: object, request: object, seconds: float):
+        return self.answer
+
+
+class IntakeTest(world.WorldTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.memory = self.store()
+        self.peers = NoPeers()
+        self.intake = self.intake_of(self.memory)
+
+    def intake_of(self, memory: memory_store.MemoryStore) -> intake.Intake:
+        jobs = job_store.JobStore(memory, self.clock)
+        return intake.Intake(jobs, self.peers, {}, self.clock)
+
+    def request(self, body: bytes = BODY) -> ClientRequest:
+        now = self.clock.seconds()
+        return ClientRequest(
+            id=RequestId('j'),
+            method='POST',
+            host='t.example',
+            path='/train/1',
+            target='/train/1',
+            headers=(),
+            body=body,
+            arrived_at=Instant(now),
+            deadline=Instant(now + 8.0),
+        )
+
+    def submit(self, body: bytes = BODY) -> TargetAnswer:
+        request = self.request(body)
+        return self.finish(self.intake.submit(world.batch_route(), request))
+
+    def test_a_job_is_stored_before_it_is_accepted(self) -> None:
+        self.assertEqual(202, self.submit().status)
+        key = keys.job_spec(JobId('j'))
+        job = job_store.decode_job(self.keys.entries_by_key[key].value)
+        self.assertEqual(2, len(job.items))
+        self.assertIn(
+            keys.work(world.SERVICE, JobId('j')), self.keys.entries_by_key
+        )
+
+    def test_a_job_that_comes_again_is_accepted_once(self) -> None:
+        self.submit()
+        before = self.keys.revision
+        self.assertEqual(202, self.submit().status)
+        self.assertEqual(before, self.keys.revision)
+
+    def test_a_store_that_did_nothing_is_a_refusal(self) -> None:
+        self.memory.refuses = True
+        with self.assertRaises(errors.NotRun) as caught:
+            self.submit()
+        self.assertIsNotNone(caught.exception.retry_after)
+
+    def test_a_write_without_an_answer_is_never_refused(self) -> None:
+        """A trainer that is told "not run" would see its job run.
+
+        1. The write of the job takes effect, and no answer comes.
+        2. From then on the store turns this instance away.
+        3. The trainer has to be told that the outcome is not known.
+        """
+        self.memory.is_silent = True
+        submitting = defer.Deferred.fromCoroutine(
+            self.intake.submit(world.batch_route(), self.request())
+        )
+        results: list = []
+        submitting.addBoth(results.append)
+        self.run_for(2.0)
+        self.memory.is_silent = False
+        self.memory.refuses = True
+        self.run_for(10.0)
+        self.assertTrue(results[0].check(errors.OutcomeUnknown))
+
+    def test_a_lost_reply_is_settled_by_writing_again(self) -> None:
+        self.memory.loses_replies = True
+        submitting = defer.Deferred.fromCoroutine(
+            self.intake.submit(world.batch_route(), self.request())
+        )
+        self.run_for(0.5)
+        self.memory.loses_replies = False
+        self.run_for(2.0)
+        self.assertEqual(202, submitting.result.status)
+
+    def test_a_store_that_comes_back_in_time_is_waited_for(self) -> None:
+        self.memory.refuses = True
+        submitting = defer.Deferred.fromCoroutine(
+            self.intake.submit(world.batch_route(), self.request())
+        )
+        self.run_for(3.0)
+        self.memory.refuses = False
+        self.run_for(1.0)
+        self.assertEqual(202, submitting.result.status)
+
+    def test_a_peer_accepts_where_this_instance_is_turned_away(self) -> None:
+        self.memory.refuses = True
+        self.peers.answer = TargetAnswer(
+            status=202, headers=(), body=b'', stamp=None
+        )
+        self.assertEqual(202, self.submit().status)
+
+    def test_bad_jobs_are_refused_before_anything_is_stored(self) -> None:
+        for body in (
+            b'',
+            b'[]',
+            b'{"items":[]}',
+            b'{"items":[{"id":"a","path":"/","body":"%%"}]}',
+            b'{"items":[{"id":"a","path":"/"},{"id":"a","path":"/"}]}',
+            BODY[:-5],
+        ):
+            with self.subTest(body), self.assertRaises(errors.RequestError):
+                self.submit(body)
+        self.assertEqual({}, self.keys.entries_by_key)
+
+
+class ReadTest(IntakeTest):
+    def query(self, first: int = 0, wait: float = 0.0) -> server.ResultsQuery:
+        return server.ResultsQuery(job=JobId('j'), first=first, wait=wait)
+
+    def read(self, first: int = 0, wait: float = 0.0) -> dict:
+        body = self.finish(self.intake.read_results(self.query(first, wait)))
+        return msgspec.json.decode(body)
+
+    def list(self, *names: str) -> None:
+        jobs = job_store.JobStore(self.store(), self.clock)
+        self.keys.put(keys.duty(world.SERVICE), b'holder')
+        first = self.listed
+        self.listed += len(names)
+        results = tuple(test_listing.result(name) for name in names)
+        self.finish(
+            jobs.append(
+                JobId('j'),
+                first,
+                results,
+                world.SERVICE,
+                Revision(self.keys.revision),
+            )
+        )
+
+    listed = 0
+
+    def test_results_are_read_from_a_position(self) -> None:
+        self.submit()
+        self.list('a', 'b')
+        found = self.read(1)
+        self.assertEqual((2, 2), (found['total'], found['next']))
+        self.assertEqual(['b'], [r['id'] for r in found['results']])
+
+    def test_another_instance_gives_the_same_results(self) -> None:
+        self.submit()
+        self.list('a')
+        before = self.read()
+        self.list('b')
+        other = self.intake_of(self.store())
+        body = self.finish(other.read_results(self.query()))
+        after = msgspec.json.decode(body)
+        self.assertEqual(before['results'], after['results'][:1])
+
+    def test_a_reader_waits_for_the_next_result(self) -> None:
+        self.submit()
+        reading = defer.Deferred.fromCoroutine(
+            self.intake.read_results(self.query(0, 1.0))
+        )
+        self.run_for(0.3)
+        self.list('a')
+        self.run_for(0.1)
+        found = msgspec.json.decode(reading.result)
+        self.assertEqual(['a'], [r['id'] for r in found['results']])
+
+    def test_a_reader_that_waits_in_vain_gets_nothing(self) -> None:
+        self.submit()
+        self.assertEqual([], self.read(0, 1.0)['results'])
+
+    def test_unknown_jobs_and_items(self) -> None:
+        with self.assertRaises(errors.UnknownStep):
+            self.read()
+        self.submit()
+        body = self.finish(self.intake.read_item(JobId('j'), 'i1'))
+        self.assertEqual(b'ab', body)
+        with self.assertRaises(errors.UnknownStep):
+            self.finish(self.intake.read_item(JobId('j'), 'i9'))
+
+    def test_a_store_that_is_away_is_no_missing_job(self) -> None:
+        # A trainer that is told 404 drops a job that stands.
+        self.submit()
+        self.memory.refuses = True
+        with self.assertRaises(errors.StoreUnavailable):
+            self.read()
+
+    def test_an_end_may_come_twice(self) -> None:
+        self.submit()
+        for _ in range(2):
+            self.finish(self.intake.end_job(JobId('j'), None))
+        key = keys.work(world.SERVICE, JobId('j'))
+        value = self.keys.entries_by_key[key].value
+        self.assertTrue(job_store.decode_work(value).is_ended)
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -0,0 +1,278 @@
+"""Test how batch jobs are run while engines and instances fail."""
+
+from __future__ import annotations
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.core.jobs.job import Job
+from yuccarill.core.jobs.job import JobId
+from yuccarill.core.jobs.job import ResultState
+from yuccarill.daemon.gateway import job_store
+from yuccarill.platform import keys
+from yuccarill.platform import server
+
+from . import runner_world
+from . import world
+
+
+class RunTest(runner_world.RunnerTest):
+    def assert_whole(self, count: int = 4) -> None:
+        found = self.results()
+        self.assertEqual(count, len(found))
+        for result in found:
+            self.assertIs(ResultState.COMPLETED, result.state)
+            self.assertEqual(runner_world.whole_text(), result.text)
+            self.assertEqual(f'score of {result.id}', result.score)
+
+    def test_each_item_is_generated_scored_and_listed(self) -> None:
+        self.hold('a')
+        self.submit()
+        self.run_for(2.0)
+        self.assert_whole()
+        self.assertEqual({1}, set(self.busiest().values()))
+
+    def test_a_job_that_stood_before_is_run(self) -> None:
+        self.submit()
+        self.hold('a')
+        self.run_for(2.0)
+        self.assert_whole()
+
+    def test_a_run_that_breaks_off_goes_on(self) -> None:
+        """No event may be missing from a sample or stand in it twice.
+
+        1. An engine breaks off each run after three events.
+        2. The item goes on after the last whole event, at any engine.
+        """
+        self.engine('e1').breaks_after = 3
+        self.engine('e2').breaks_after = 3
+        self.hold('a')
+        self.submit(groups=1)
+        self.run_for(8.0)
+        self.assert_whole(2)
+        self.assertEqual([0, 3, 6, 9], self.runs_of('j-0-0'))
+
+    def test_runs_leave_a_slow_engine(self) -> None:
+        """One slow engine of two held each group's last item up.
+
+        1. An engine becomes four times as slow in the middle of its runs.
+        2. Its runs go on at the other one, from where they are.
+        """
+        self.hold('a')
+        self.submit()
+        self.run_for(0.15)
+        self.engine('e1').gap = 4 * runner_world.GAP
+        self.run_for(1.1)
+        self.assert_whole()
+
+    def test_runs_leave_a_dark_engine(self) -> None:
+        self.engine('e1').is_dark = True
+        self.hold('a')
+        self.submit()
+        self.run_for(2.0)
+        self.assert_whole()
+
+    def test_an_item_fails_after_its_last_attempt(self) -> None:
+        self.engine('e1').status = 500
+        self.engine('e2').status = 500
+        self.hold('a')
+        self.submit(groups=1)
+        self.run_for(3.0)
+        found = self.results()
+        self.assertEqual(
+            [ResultState.FAILED] * 2, [result.state for result in found]
+        )
+        self.assertEqual({3}, set(self.busiest().values()))
+
+    def test_an_impossible_item_is_not_tried_again(self) -> None:
+        self.engine('e1').status = 422
+        self.engine('e2').status = 422
+        self.hold('a')
+        self.submit(groups=1)
+        self.run_for(3.0)
+        self.assertEqual({1}, set(self.busiest().values()))
+
+    def test_nothing_runs_on_weights_that_are_too_old(self) -> None:
+        self.hold('a')
+        self.submit(min_version=2)
+        self.run_for(2.0)
+        self.assertEqual([], self.engines.runs)
+
+    def test_an_ended_job_runs_no_further(self) -> None:
+        self.hold('a')
+        self.submit()
+        self.run_for(0.1)
+        jobs = job_store.JobStore(self.store(), self.clock)
+        self.finish(jobs.end(world.SERVICE, JobId('j')))
+        self.run_for(0.5)
+        before = len(self.engines.runs)
+        self.run_for(3.0)
+        self.assertEqual(before, len(self.engines.runs))
+        self.assertEqual([], self.results())
+
+    def test_a_group_that_comes_again_is_not_made_again(self) -> None:
+        """Half of each step was made a second time.
+
+        1. A trainer ends a step before its last group is whole.
+        2. It asks for the same items in its next step.
+        3. What their texts are is taken over, with the versions.
+        """
+        self.engine('e1').gap = self.engine('e2').gap = 0.2
+        runner = self.hold('a')
+        job = self.submit()
+        self.run_for(1.1)
+        jobs = job_store.JobStore(self.store(), self.clock)
+        self.finish(jobs.end(world.SERVICE, job.id))
+        self.run_for(0.5)
+        self.engines.runs.clear()
+        runner.offer(replace(job, JobId('k')))
+        self.run_for(3.0)
+        self.assertEqual({'j-0-0', 'j-0-1', 'j-1-0', 'j-1-1'}, set(ids(self)))
+        self.assertTrue(all(first > 0 for _, first in self.engines.runs))
+
+    def test_items_are_given_up_when_their_time_is_over(self) -> None:
+        self.hold('a')
+        self.submit(min_version=9)
+        self.run_for(41.0, step=0.05)
+        states = [result.state for result in self.results()]
+        self.assertEqual([ResultState.FAILED] * 4, states)
+
+
+def ids(test: runner_world.RunnerTest) -> list[str]:
+    return [name for name, _ in test.engines.runs]
+
+
+def replace(job: Job, name: JobId) -> Job:
+    return msgspec.structs.replace(job, id=name)
+
+
+class HandoverTest(runner_world.RunnerTest):
+    """The instance that runs a job dies, or is cut off from the store."""
+
+    # After these many seconds the first instance's process is gone: before
+    # it reads the job, in the middle of the texts, when some results are
+    # listed, and when all are.
+    moments = (0.0, 0.05, 0.2, 0.45, 0.6, 1.0, 2.0)
+
+    def test_another_instance_finishes_the_job(self) -> None:
+        """An accepted job must be whole, and each sample listed once.
+
+        1. The holder is killed at some moment of the job.
+        2. Another instance takes the duty and reads what stands.
+        3. It runs what is not listed, and lists it behind the rest.
+        """
+        for number, moment in enumerate(self.moments):
+            with self.subTest(moment):
+                name = f'j{number}'
+                first = self.hold('a')
+                self.submit(name)
+                self.run_for(moment)
+                before = self.results(name)
+                first.stop()
+                second = self.hold('b')
+                self.run_for(3.0)
+                found = self.results(name)
+                self.assertEqual(4, len(found))
+                self.assertEqual(before, found[: len(before)])
+                second.stop()
+
+    def test_a_holder_that_was_replaced_lists_nothing(self) -> None:
+        """A sample would stand at two positions, with two texts.
+
+        1. The holder loses the duty without knowing.
+        2. Both instances run the job's items and list their results.
+        3. The store takes only those written under the newest hold.
+        """
+        self.hold('a')
+        self.submit()
+        self.run_for(0.2)
+        self.hold('b')
+        self.run_for(4.0)
+        self.assertEqual(4, len(self.results()))
+
+    def test_results_wait_for_the_store(self) -> None:
+        """What a trainer has read must stand in the store.
+
+        1. The store goes away before any result is listed.
+        2. The texts are made meanwhile; readers see nothing.
+        3. All is listed soon after its return.
+        """
+        runner = self.hold('a')
+        self.submit()
+        self.run_for(0.1)
+        self.memory.refuses = True
+        self.run_for(3.0)
+        self.assertEqual([], self.results())
+        self.memory.refuses = False
+        self.run_for(1.0)
+        self.assertEqual(4, len(self.results()))
+        runner.stop()
+
+
+class WeightsTest(runner_world.RunnerTest):
+    def name_version(self, version: int) -> None:
+        value = b'{"model": "%s", "version": %d}' % (
+            world.MODEL.encode(),
+            version,
+        )
+        self.keys.put(keys.VERSION_PREFIX + world.MODEL, value)
+
+    def test_engines_change_to_the_named_version(self) -> None:
+        self.hold('a')
+        self.name_version(2)
+        self.run_for(6.0)
+        self.assertEqual(2, self.engine('e1').version)
+        self.assertEqual(2, self.engine('e2').version)
+        self.assertEqual(1, self.engine('e1').orders)
+
+    def test_results_name_the_versions_that_made_them(self) -> None:
+        """A sample that names the wrong weights spoils its training step.
+
+        1. The weights change in the middle of a text.
+        2. The result names both versions.
+        """
+        self.engine('e1').gap = self.engine('e2').gap = 0.1
+        self.hold('a')
+        self.submit(groups=1)
+        self.run_for(0.5)
+        self.engine('e1').version = self.engine('e2').version = 2
+        self.run_for(2.0)
+        versions = {result.versions for result in self.results()}
+        self.assertEqual({(1, 2)}, versions)
+
+    def test_a_step_runs_while_its_engines_change(self) -> None:
+        self.hold('a')
+        self.submit()
+        self.run_for(0.05)
+        self.name_version(2)
+        self.run_for(1.6)
+        self.assertEqual(4, len(self.results()))
+
+    def test_no_order_without_the_duty(self) -> None:
+        runner = self.hold('a')
+        runner._duty.revision = None
+        self.name_version(2)
+        self.run_for(4.0)
+        self.assertEqual(0, self.engine('e1').orders)
+
+    def test_readers_are_answered_from_memory(self) -> None:
+        runner = self.hold('a')
+        job = self.submit()
+        self.run_for(2.0)
+        body = runner.read_item(job.id, job.items[0].id)
+        self.assertEqual(b'prompt', body)
+        self.assertTrue(runner.knows(job.id))
+
+    def test_a_reader_of_a_holder_without_the_duty_asks_the_store(
+        self,
+    ) -> None:
+        # Another instance may have listed more, which the reader has seen.
+        runner = self.hold('a')
+        job = self.submit()
+        self.run_for(2.0)
+        query = server.ResultsQuery(job=job.id, first=0, wait=0.0)
+        reading = defer.Deferred.fromCoroutine(runner.read_results(query))
+        self.assertIsNotNone(reading.result)
+        runner._duty.revision = None
+        reading = defer.Deferred.fromCoroutine(runner.read_results(query))
+        self.assertIsNone(reading.result)
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -0,0 +1,154 @@
+"""Test how an idempotent request finds a target that answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from nose2.tools import params
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import TargetId
+from yuccarill.daemon.gateway import sender
+from yuccarill.platform import calls
+
+from . import world
+
+CALL = calls.TargetCall(id=RequestId('r'), method='POST', target='/p')
+
+
+def answer(status: int = 200, not_run: bool = False) -> TargetAnswer:
+    return TargetAnswer(
+        status=status,
+        headers=(),
+        body=b'',
+        stamp='signed',
+        not_run=not_run,
+    )
+
+
+@dataclasses.dataclass
+class Targets:
+    """Answer calls as each target is told to."""
+
+    clock: task.Clock
+    # Seconds, and what comes then.
+    replies_by_id: dict
+    called: list[str] = dataclasses.field(default_factory=list)
+    cancelled: list[str] = dataclasses.field(default_factory=list)
+
+    async def send(
+        self, target: ListedTarget, call: object, answer_by: Instant
+    ) -> TargetAnswer:
+        self.called.append(target.id)
+        seconds, reply = self.replies_by_id[target.id]
+        left = answer_by - self.clock.seconds()
+        try:
+            await task.deferLater(self.clock, min(seconds, left))
+        except defer.CancelledError:
+            self.cancelled.append(target.id)
+            raise
+        if seconds > left:
+            raise calls.CallFailed(calls.CallEnd.BROKEN, 'too late')
+        if isinstance(reply, calls.CallEnd):
+            raise calls.CallFailed(reply, reply.value)
+        return reply
+
+
+class SenderTest(world.WorldTest):
+    def send(self, max_attempts: int = 2, **replies: object) -> TargetAnswer:
+        state = self.state('a')
+        state.targets.targets_by_id.clear()
+        for name in replies:
+            state.targets.put(world.engine(name))
+        self.targets = Targets(
+            self.clock, {TargetId(n): r for n, r in replies.items()}
+        )
+        self.record = sender.SendRecord()
+        sending = sender.Sender(sender.Pools(state), self.targets, self.clock)
+        plan = attempts.AttemptPlan(
+            deadline=Instant(self.clock.seconds() + 1.0),
+            max_attempts=max_attempts,
+            hedge_delay=0.06,
+        )
+        self.started_at = self.clock.seconds()
+        return self.finish(
+            sending.send(world.SERVICE, CALL, plan, self.record)
+        )
+
+    def took(self) -> float:
+        return self.clock.seconds() - self.started_at
+
+    def test_the_first_answer_is_enough(self) -> None:
+        self.send(x=(0.02, answer()), y=(0.02, answer()))
+        self.assertEqual(1, len(self.targets.called))
+
+    @params(
+        (9.0, answer()),
+        (0.01, calls.CallEnd.NOT_SENT),
+        (0.01, calls.CallEnd.BROKEN),
+        (0.01, answer(503, not_run=True)),
+        (0.01, answer(500)),
+    )
+    def test_a_failed_or_dark_target_costs_a_second_attempt(
+        self, seconds: float, reply: object
+    ) -> None:
+        """A rider waits at a locked gate while one target is in trouble.
+
+        1. The first target does not answer, refuses, breaks off or fails.
+        2. A second one is asked, at once or after the hedge's delay.
+        """
+        for _ in range(10):
+            found = self.send(bad=(seconds, reply), good=(0.02, answer()))
+            self.assertEqual(200, found.status)
+            self.assertLess(self.took(), 0.15)
+
+    def test_the_slower_attempt_is_cancelled(self) -> None:
+        self.send(x=(0.09, answer()), y=(0.09, answer()))
+        self.assertEqual(2, len(self.targets.called))
+        self.assertEqual(1, len(self.targets.cancelled))
+
+    def test_no_more_attempts_than_the_route_allows(self) -> None:
+        refused = answer(503, not_run=True)
+        with self.assertRaises(errors.NotRun):
+            self.send(2, x=(0.0, refused), y=(0.0, refused), z=(0.0, refused))
+        self.assertEqual(2, len(self.targets.called))
+
+    def test_refused_everywhere_is_not_run_and_told_at_once(self) -> None:
+        refused = answer(503, not_run=True)
+        with self.assertRaises(errors.NotRun) as caught:
+            self.send(2, x=(0.01, refused), y=(0.01, refused))
+        self.assertLess(self.took(), 0.1)
+        self.assertIsNotNone(caught.exception.retry_after)
+
+    def test_what_may_have_run_is_never_called_not_run(self) -> None:
+        broken = calls.CallEnd.BROKEN
+        refused = answer(503, not_run=True)
+        with self.assertRaises(errors.OutcomeUnknown):
+            self.send(2, x=(0.01, broken), y=(0.01, refused))
+
+    def test_no_answer_in_time(self) -> None:
+        with self.assertRaises(errors.DeadlinePassed):
+            self.send(2, x=(9.0, answer()), y=(9.0, answer()))
+        self.assertAlmostEqual(1.0, self.took(), delta=0.05)
+
+    def test_a_targets_own_failure_is_passed_on(self) -> None:
+        found = self.send(2, x=(0.0, answer(500)), y=(0.0, answer(500)))
+        self.assertEqual(500, found.status)
+        self.assertEqual(2, self.record.failed_runs)
+
+    def test_running_out_of_time_is_no_failed_run(self) -> None:
+        # A scorer that answers 504 three times has not failed the item.
+        self.send(2, x=(0.0, answer(504)), y=(0.0, answer(504)))
+        self.assertEqual(0, self.record.failed_runs)
+
+    def test_without_targets_nothing_waits(self) -> None:
+        with self.assertRaises(errors.NotRun):
+            self.send(2)
+        self.assertLess(self.took(), 0.05)
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -0,0 +1,128 @@
+"""Test how the store is reached while this instance is cut off from it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from twisted.internet import task
+
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon.gateway import store_way
+
+from . import world
+
+GET = connections.OutgoingRequest(method='GET', target='/x')
+POST = connections.OutgoingRequest(method='POST', target='/x')
+
+
+@dataclasses.dataclass
+class Links:
+    """Answer at the addresses that are reached."""
+
+    clock: task.Clock
+    statuses_by_address: dict[str, int | Exception]
+    sent: list[str] = dataclasses.field(default_factory=list)
+
+    async def exchange(
+        self, address: str, request: object, deadline: Instant
+    ) -> connections.Reply:
+        self.sent.append(address)
+        await task.deferLater(self.clock, 0.004)
+        status = self.statuses_by_address[address]
+        if isinstance(status, Exception):
+            raise status
+        head = connections.ReplyHead(status=status, headers=())
+        return connections.Reply(head=head, body=b'')
+
+
+class StoreWayTest(world.WorldTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.links = Links(
+            self.clock, {'store:3': 200, 'b:2': 200, 'c:2': 200}
+        )
+        state = self.state('a')
+        for name in 'abc':
+            record = state_module.InstanceRecord(
+                instance=name,
+                data_centre='d',
+                client_address=f'{name}:1',
+                peer_address=f'{name}:2',
+            )
+            state.instances_by_id[name] = record
+        self.way = store_way.StoreWay(state, self.links, self.clock)
+
+    def send(self, request: object = POST) -> int:
+        return self.finish(self.way.send(request, 0.8)).head.status
+
+    def test_the_direct_way_is_taken(self) -> None:
+        self.assertEqual(200, self.send())
+        self.assertEqual(['store:3'], self.links.sent)
+
+    def test_a_peer_carries_calls_while_the_direct_way_is_cut(self) -> None:
+        """The holder of a duty loses it for a cut that only it sees.
+
+        1. The link from this instance to the store is cut; others reach it.
+        2. The call goes through another instance and is answered.
+        3. Further calls go there at once, without waiting for the store.
+        """
+        lost = connections.ExchangeBroken('silent')
+        self.links.statuses_by_address['store:3'] = lost
+        self.assertEqual(200, self.send())
+        self.links.sent.clear()
+        self.assertEqual(200, self.send())
+        self.assertNotIn('store:3', self.links.sent)
+
+    def test_an_instance_that_is_turned_away_asks_a_peer(self) -> None:
+        for status in (429, 503):
+            self.links.statuses_by_address['store:3'] = status
+            self.assertEqual(200, self.send())
+
+    def test_the_direct_way_is_found_again(self) -> None:
+        self.links.statuses_by_address['store:3'] = 503
+        self.send()
+        self.links.statuses_by_address['store:3'] = 200
+        self.send(GET)
+        self.run_for(0.1)
+        self.links.sent.clear()
+        self.send()
+        self.assertEqual(['store:3'], self.links.sent)
+
+    def test_a_store_that_is_away_is_not_asked_through_everybody(
+        self,
+    ) -> None:
+        # Each call is paid for, refused ones too.
+        lost = connections.NotConnected('away')
+        self.links.statuses_by_address['store:3'] = lost
+        for peer in ('b:2', 'c:2'):
+            self.links.statuses_by_address[peer] = store_way.STATUS_NOT_REACHED
+        for _ in range(10):
+            with self.assertRaises(connections.NotConnected):
+                self.send()
+        peers = [
+            address for address in self.links.sent if address != 'store:3'
+        ]
+        self.assertLessEqual(len(peers), 2)
+
+    def test_an_unclear_outcome_stays_unclear(self) -> None:
+        # A write that a peer may have passed on must not count as refused.
+        lost = connections.NotConnected('cut')
+        self.links.statuses_by_address['store:3'] = lost
+        for peer in ('b:2', 'c:2'):
+            self.links.statuses_by_address[peer] = store_way.STATUS_UNCLEAR
+        with self.assertRaises(connections.ExchangeBroken):
+            self.send()
+
+    def test_a_call_is_passed_on_once(self) -> None:
+        # Two instances that are both cut off must not ask each other.
+        self.links.statuses_by_address['store:3'] = 503
+        self.send()
+        page = self.finish(
+            self.way.pass_on(
+                small_server.SmallRequest(method='GET', target='/x')
+            )
+        )
+        self.assertEqual(store_way.STATUS_NOT_REACHED, page.status)
