Probe the store's direct way in the background; say more in logs

Log lines carry the cause of an attempt's end, the age of what is known of the store, and the scorer's request of an item.

--- a/packages/yuccarill-cli/src/yuccarill/cli/exit_codes.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of the command line, as docs/operations.md lists them."""
+"""Exit codes of the command line, as docs/OPERATIONS.md lists them."""
 
 from __future__ import annotations
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
@@ -10,6 +10,8 @@
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import DataCentreId
@@ -36,10 +38,12 @@
         state: GatewayState,
         forwarder: Forwarder,
         trainers: TrainerDesk,
+        store_age: Callable[[], float],
     ) -> None:
         self._state = state
         self._forwarder = forwarder
         self._trainers = trainers
+        self._store_age = store_age
 
     def is_ready(self) -> bool:
         """Tell whether this instance should get new connections."""
@@ -98,5 +102,7 @@
             status=error.http_status,
             retry_after=error.retry_after,
             configuration=None if table is None else table.version,
+            # Seconds since the store was last heard.
+            store_age=round(self._store_age(), 1),
             cause=error.message,
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
@@ -65,6 +65,10 @@
         """Return what runs until the process ends."""
         return [each.follow() for each in self.followers_by_prefix.values()]
 
+    def age(self) -> float:
+        """Return the seconds since the store was last heard."""
+        return max(each.age() for each in self.followers_by_prefix.values())
+
     def refresh(self) -> None:
         """Read everything again, after the store was away."""
         for each in self.followers_by_prefix.values():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -104,7 +104,9 @@
             taking,
             clock,
         )
-        self._front = front.Front(self._state, forwarder, desk)
+        self._front = front.Front(
+            self._state, forwarder, desk, self._observer.age
+        )
         self._clients = server.ClientFactory(self._front, clock, self._now)
         self._following: list[defer.Deferred[None]] = []
         self._client_port: Any = None
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scoring.py
@@ -103,13 +103,18 @@
             answer = await self._sender.send(service, call, plan, record)
         except errors.YuccarillError as error:
             answer = None
+            record.last_cause = error.message
+        run.fail_scores(record.failed_runs, route.max_attempts)
+        if answer is None or not answer.is_success:
             log.info(
                 'Not scored.',
                 request=request.id,
                 item=run.item.id,
-                cause=error.message,
+                attempts=record.attempts,
+                failed=run.score_failures,
+                allowed=route.max_attempts,
+                cause=record.last_cause,
             )
-        run.fail_scores(record.failed_runs, route.max_attempts)
         return answer
 
     async def _enter(self, route: Route) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/sender.py
@@ -116,13 +116,13 @@
         pool = self._pools.pool(target.service, self.now())
         pool.send(target.id)
         started_at = self.now()
-        end = 'cancelled'
+        end, cause = 'cancelled', ''
         try:
             answer = await self._calls.send(target, call, deadline)
             end = self._learn(pool, target, answer, started_at)
             return answer
         except calls_module.CallFailed as error:
-            end = error.end.value
+            end, cause = error.end.value, str(error)
             pool.fail(target.id, _failure(error), self.now())
             raise
         except defer.CancelledError:
@@ -137,6 +137,7 @@
                 request=call.id,
                 target=target.id,
                 end=end,
+                cause=cause,
                 ms=round(seconds * 1000.0),
             )
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import connections
@@ -24,8 +25,9 @@
 
 log = logs.for_part('store way')
 
-# Seconds between tries of the direct way while it is out of order.
-PROBE_SECONDS = 1.0
+# Seconds between tries of the direct way while it is out of order; each
+# costs a tenth of a read.
+PROBE_SECONDS = 0.6
 # Seconds that a probe may take.
 PROBE_TIMEOUT = 0.5
 # Seconds for which a peer that did not reach the store either is left out:
@@ -52,7 +54,8 @@
         self._clock = clock
         self._random = random.Random()
         self._is_direct = True
-        self._probe_at = Instant(0.0)
+        self._probing = task.LoopingCall(self._probe_soon)
+        self._probing.clock = clock
         self._out_until: dict[str, Instant] = {}
 
     async def send(self, request: OutgoingRequest, seconds: float) -> Reply:
@@ -62,7 +65,6 @@
         ExchangeBroken.
         """
         if not self._is_direct:
-            self._probe(request, seconds)
             peer = self._peer()
             if peer is not None:
                 return await self._through(peer, request, seconds)
@@ -151,20 +153,12 @@
         ]
         return self._random.choice(found) if found else None
 
-    def _probe(self, request: OutgoingRequest, seconds: float) -> None:
-        # Any read that is due anyway shows whether the direct way is back;
-        # a watch would wait too long for it.
-        now = self._clock.seconds()
-        is_short = seconds <= store_module.CALL_SECONDS
-        if request.method != 'GET' or not is_short or now < self._probe_at:
-            return
-        self._probe_at = Instant(now + PROBE_SECONDS)
-        probing = defer.Deferred.fromCoroutine(self._try(request))
-        probing.addErrback(lambda failure: failure.trap(Exception))
-
-    async def _try(self, request: OutgoingRequest) -> None:
+    async def _probe(self) -> None:
+        host = self._state.settings.store_address
         try:
-            reply = await self._directly(request, PROBE_TIMEOUT)
+            reply = await self._directly(
+                store_module.probe(host), PROBE_TIMEOUT
+            )
         except (connections.NotConnected, connections.ExchangeBroken):
             return
         if not store_module.is_turned_away(reply.head.status):
@@ -174,12 +168,26 @@
         if self._is_direct:
             log.warning('Store not reached directly.', cause=cause)
         self._is_direct = False
+        # An instance that makes few calls of its own would not notice that
+        # the direct way is back, and would turn its peers' calls away.
+        if not self._probing.running:
+            self._probing.start(PROBE_SECONDS, now=False)
 
     def _regain(self) -> None:
         if not self._is_direct:
             log.info('Store reached directly.')
             self._out_until.clear()
         self._is_direct = True
+        if self._probing.running:
+            self._probing.stop()
+
+    def _probe_soon(self) -> None:
+        probing = defer.Deferred.fromCoroutine(self._probe())
+        probing.addErrback(
+            lambda failure: log.error(
+                'Probe failed.', cause=failure.getTraceback()
+            )
+        )
 
     def _leave_out(self, peer: InstanceRecord) -> None:
         until = self._clock.seconds() + PEER_OUT_SECONDS
