Move a run only for a place that is free, by a pace measured with it there

Change: runs move only for places that no waiting item takes, and stay 0.25 s before a pace moves them.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -31,6 +31,8 @@
 # a run goes on elsewhere: to go on costs some ms of reading the text again.
 SILENT_FACTOR = 10.0
 MIN_SILENCE = 0.4
+# Seconds that a run stays at an engine before its pace moves it on.
+MIN_STAY = 0.25
 # Times the median pace above which an engine counts as slow. Engines of one
 # fleet differ by up to 1.3, a fault by 2.5 and more.
 SLOW_FACTOR = 2.0
@@ -165,22 +167,30 @@
         usual = self.usual_pace(now) or 0.0
         return _slowness(engine, usual, now) >= SLOW_FACTOR
 
-    def should_move(
-        self, engine: EngineState, job: Job, last_at: Instant, now: Instant
+    def is_held_up(
+        self,
+        engine: EngineState,
+        job: Job,
+        started_at: Instant,
+        last_at: Instant,
+        now: Instant,
     ) -> bool:
-        """Tell whether a run had better go on at another engine."""
-        usual = self.usual_pace(now) or 0.0
-        is_held_up = (
-            self.is_silent(last_at, now)
-            or _slowness(engine, usual, now) >= SLOW_FACTOR
-            or job.model in engine.emptying
+        """Tell whether a run is better off at another engine."""
+        if self.is_silent(last_at, now) or job.model in engine.emptying:
+            return True
+        # A pace from before the run came says little of the engine now.
+        has_stayed = now - started_at >= MIN_STAY
+        return has_stayed and self.is_slow(engine, now)
+
+    def free_places(self, job: Job, now: Instant, without: EngineState) -> int:
+        """Count the places for a job at engines that are not slow."""
+        return sum(
+            engine.target.slots - engine.running
+            for engine in self.engines_by_id.values()
+            if engine is not without
+            and self.can_run(engine, job, now)
+            and not self.is_slow(engine, now)
         )
-        if not is_held_up:
-            return False
-        other = self.choose(job, now, without=engine)
-        if other is None:
-            return False
-        return _slowness(other, usual, now) < SLOW_FACTOR
 
 
 def _slowness(engine: EngineState, usual: float, now: Instant) -> float:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -41,14 +41,14 @@
 )
 STORE_CALLS = prometheus_client.Counter(
     'yuccarill_store_calls',
-    'Calls of the store by method and end',
-    ('method', 'end'),
+    'Calls of the store by way and end',
+    ('way', 'end'),
     registry=REGISTRY,
 )
 STORE_SECONDS = prometheus_client.Histogram(
     'yuccarill_store_seconds',
     'From a call of the store to its end, watches aside',
-    ('method',),
+    ('way',),
     buckets=_SECONDS,
     registry=REGISTRY,
 )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -12,6 +12,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
@@ -112,18 +113,31 @@
     async def _directly(
         self, request: OutgoingRequest, seconds: float
     ) -> Reply:
-        deadline = Instant(self._clock.seconds() + seconds)
-        return await self._links.exchange(
-            self._state.settings.store_address, request, deadline
-        )
+        address = self._state.settings.store_address
+        return await self._exchange('direct', address, request, seconds)
+
+    async def _exchange(
+        self, way: str, address: str, request: OutgoingRequest, seconds: float
+    ) -> Reply:
+        started_at = self._clock.seconds()
+        deadline = Instant(started_at + seconds)
+        end = 'no answer'
+        try:
+            reply = await self._links.exchange(address, request, deadline)
+            end = f'status {reply.head.status}'
+            return reply
+        finally:
+            meters.STORE_CALLS.labels(way, end).inc()
+            if seconds <= store_module.CALL_SECONDS + HOP_SECONDS:
+                took = self._clock.seconds() - started_at
+                meters.STORE_SECONDS.labels(way).observe(took)
 
     async def _through(
         self, peer: InstanceRecord, request: OutgoingRequest, seconds: float
     ) -> Reply:
-        deadline = Instant(self._clock.seconds() + seconds + HOP_SECONDS)
         try:
-            reply = await self._links.exchange(
-                peer.peer_address, request, deadline
+            reply = await self._exchange(
+                'peer', peer.peer_address, request, seconds + HOP_SECONDS
             )
         except (connections.NotConnected, connections.ExchangeBroken):
             self._leave_out(peer)
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -65,6 +65,20 @@
         self.run_for(1.1)
         self.assert_whole()
 
+    def test_runs_are_not_moved_to_and_fro(self) -> None:
+        """Runs were moved 85 times in a second, and each began anew.
+
+        1. One of two engines is slow, and all places of the other are used.
+        2. Whenever one comes free, an item that waits gets it, or one run
+           of the slow engine, and the others stay.
+        """
+        self.engine('e1').gap = 4 * runner_world.GAP
+        self.hold('a')
+        self.submit(groups=10)
+        self.run_for(6.0)
+        self.assertEqual(20, len(self.results()))
+        self.assertLess(len(self.engines.runs), 2 * 20)
+
     def test_runs_leave_a_dark_engine(self) -> None:
         self.engine('e1').is_dark = True
         self.hold('a')
