--- /dev/null
+++ b/packages/yuccarill-core/tests/jobs/load_model.py
@@ -0,0 +1,180 @@
+"""Play a trainer's steps on engines, with a clock and no network.
+
+Figures are those of the deployments: an event each 38 ms, 15 events a text
+on the average, one text in twelve five times as long, 8 to 12 places an
+engine, groups of 4 to 8 items, of which a trainer waits for nine tenths.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import board as board_module
+from yuccarill.core.jobs import engines as engines_module
+
+from . import items
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from yuccarill.core.ids import TargetId
+
+STEP = 0.01
+GAP = 0.038
+MEAN_EVENTS = 11
+LONG_PART = 0.08
+LONG_TIMES = 5
+WANTED_PART = 0.9
+
+
+@dataclasses.dataclass
+class Running:
+    """Hold one text that an engine makes."""
+
+    run: board_module.ItemRun
+    engine: engines_module.EngineState
+    started_at: Instant
+    last_at: Instant
+    next_at: float
+
+
+class Model:
+    """Run steps under the product's decisions, or under naive ones."""
+
+    def __init__(
+        self,
+        engine_count: int,
+        slots: int,
+        slowness: Callable[[TargetId, float], float],
+        is_naive: bool,
+        seed: int = 1,
+    ) -> None:
+        self._fleet = items.make_fleet(
+            *(
+                items.make_target(f'e{n}', slots=slots)
+                for n in range(engine_count)
+            )
+        )
+        self._slowness = slowness
+        self._is_naive = is_naive
+        self._random = random.Random(seed)
+        self._board = board_module.JobBoard()
+        self._events_by_item: dict[str, int] = {}
+        self._made_by_item: dict[str, int] = {}
+        self._running: list[Running] = []
+        self._finished_by_group: dict[str, float] = {}
+        self.runs = 0
+
+    def play(self, jobs: Mapping[float, int], size: int) -> list[float]:
+        """Submit jobs of so many groups at some times.
+
+        Returns for each the seconds until nine tenths of its groups stand.
+        """
+        arrivals = sorted(jobs.items())
+        now = 0.0
+        while arrivals or self._board.jobs_by_id:
+            while arrivals and arrivals[0][0] <= now:
+                at, groups = arrivals.pop(0)
+                self._submit(f'j{at}', groups, size, at)
+            self._tick(Instant(now))
+            now += STEP
+            if now > 120.0:
+                break
+        return [self._seconds(at, groups) for at, groups in jobs.items()]
+
+    def _submit(self, name: str, groups: int, size: int, at: float) -> None:
+        job = items.make_job(name, groups=groups, size=size)
+        self._board.add(items.make_state(job, at))
+        for item in job.items:
+            events = 1 + int(self._random.expovariate(1.0 / MEAN_EVENTS))
+            if self._random.random() < LONG_PART:
+                events *= LONG_TIMES
+            self._events_by_item[item.id] = events
+            self._made_by_item[item.id] = 0
+
+    def _tick(self, now: Instant) -> None:
+        for running in list(self._running):
+            self._advance(running, now)
+        if not self._is_naive:
+            self._move(now)
+        for run in list(self._board.waiting()):
+            engine = self._choose(run, now)
+            if engine is not None:
+                self._start(run, engine, now)
+
+    def _choose(
+        self, run: board_module.ItemRun, now: Instant
+    ) -> engines_module.EngineState | None:
+        if not self._is_naive:
+            return self._fleet.choose(run.job, now)
+        free = [
+            engine
+            for engine in self._fleet.engines_by_id.values()
+            if engine.running < engine.target.slots
+        ]
+        return min(free, key=lambda e: e.running, default=None)
+
+    def _start(
+        self,
+        run: board_module.ItemRun,
+        engine: engines_module.EngineState,
+        now: Instant,
+    ) -> None:
+        self.runs += 1
+        run.state = board_module.RunState.RUNNING
+        self._board.jobs_by_id[run.job.id].begin(run)
+        engine.runs_by_model[run.job.model] += 1
+        slowness = self._slowness(engine.target.id, now)
+        self._running.append(
+            Running(run, engine, now, now, now + GAP * slowness)
+        )
+
+    def _advance(self, running: Running, now: Instant) -> None:
+        if now < running.next_at:
+            return
+        item = running.run.item
+        self._made_by_item[item.id] += 1
+        if running.last_at > running.started_at:
+            running.engine.saw_gap(now - running.last_at, now)
+        running.last_at = now
+        slowness = self._slowness(running.engine.target.id, now)
+        running.next_at = now + GAP * slowness
+        if self._made_by_item[item.id] >= self._events_by_item[item.id]:
+            self._end(running)
+            state = self._board.jobs_by_id[running.run.job.id]
+            if state.end(item.id):
+                self._finished_by_group[item.group] = now
+            if state.is_finished:
+                self._board.remove(state.job.id)
+
+    def _end(self, running: Running) -> None:
+        self._running.remove(running)
+        running.engine.runs_by_model[running.run.job.model] -= 1
+
+    def _move(self, now: Instant) -> None:
+        waiting = sum(1 for _ in self._board.waiting())
+        for running in list(self._running):
+            engine, job = running.engine, running.run.job
+            if not self._fleet.is_held_up(
+                engine, job, running.started_at, running.last_at, now
+            ):
+                continue
+            if self._fleet.free_places(job, now, engine) <= waiting:
+                continue
+            waiting += 1
+            if self._fleet.is_silent(running.last_at, now):
+                engine.fail(now)
+            self._end(running)
+            running.run.state = board_module.RunState.WAITING
+
+    def _seconds(self, at: float, groups: int) -> float:
+        finished = sorted(
+            self._finished_by_group.get(f'j{at}-{group}', 999.0)
+            for group in range(groups)
+        )
+        wanted = max(1, int(WANTED_PART * groups))
+        return finished[wanted - 1] - at
