Pass a holder's wait on; stop items of routes that are gone; remove old jobs

A holder that gave the duty back without an order let its successor order at once too.

Change: the record of the last holder says how long it still had to wait; once it has waited, a further write says so.

Also: an item whose route was taken away or leads elsewhere is not run; ended jobs are removed when nobody may read them any more.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
@@ -27,6 +27,9 @@
     # Set by a holder that gave the duty back: seconds since its last order
     # at that time; infinity if it never sent one.
     idle_seconds: float | None = None
+    # Seconds that it still had to wait for the holder before it when this
+    # was written; 0 once it might order.
+    waits: float = 0.0
     # The change that wrote this record.
     revision: Revision = Revision(0)
 
@@ -98,11 +101,13 @@
         # Nobody has held the duty: the record is written with each hold.
         return now
     if last.instance == me:
-        # The same machine is the same holder to an engine.
-        return now
+        # The same machine is the same holder to an engine. But it may have
+        # been waiting for the one before it when it was killed; ordering at
+        # once, it would do so seconds after that one.
+        return Instant(now + last.waits)
     if last.idle_seconds is not None:
         left = policy.handover_pause - last.idle_seconds
-        return Instant(now + max(0.0, left))
+        return Instant(now + max(0.0, left, last.waits))
     # The last holder may be frozen or cut off from the store, and may rely
     # on its last renewal for a whole order window, even where the store
     # took the lease's keys away at once. It orders nothing after that, so
--- a/packages/yuccarill-core/tests/gateway/test_leadership.py
+++ b/packages/yuccarill-core/tests/gateway/test_leadership.py
@@ -18,12 +18,13 @@
 
 
 def last(
-    instance: str, idle_seconds: float | None = None
+    instance: str, idle_seconds: float | None = None, waits: float = 0.0
 ) -> leadership.LastHolder:
     return leadership.LastHolder(
         instance=InstanceId(instance),
         incarnation=Incarnation('1'),
         idle_seconds=idle_seconds,
+        waits=waits,
     )
 
 
@@ -38,6 +39,9 @@
         (last('b', 0.0), 103.3),
         (last('b', 2.0), 101.3),
         (last('b', 9.0), 100.0),
+        (last('a', waits=2.0), 102.0),
+        (last('b', 9.0, waits=2.0), 102.0),
+        (last('b', 0.0, waits=2.0), 103.3),
     )
     def test_new_holder_waits_for_the_last_one(
         self, known: leadership.LastHolder | None, expected: float
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -132,15 +132,15 @@
             return
         self._stop_keeping()
         self._on_change()
-        idle = tenure.idle_seconds(self._now())
+        now = self._now()
+        idle = min(tenure.idle_seconds(now), LONG_AGO)
+        waits = max(0.0, tenure.orders_from - now)
         expected = store_module.Expectation(
             key=keys.duty(self.service), revision=Revision(tenure.epoch)
         )
         await self._store.transact(
             expected=[expected],
-            writes=[
-                self._last_holder(min(idle, LONG_AGO)),
-            ],
+            writes=[self._last_holder(idle, waits)],
             removals=[keys.duty(self.service)],
         )
         log.info('Duty given back.', service=self.service)
@@ -201,10 +201,12 @@
             return
         lease = await self._lease.open()
         last = self._state.last_holders_by_service.get(self.service)
-        revision = await self._write(lease, holder, last)
         orders_from = leadership.orders_from(
             self._state.settings.instance, last, self._policy, self._now()
         )
+        waits = orders_from - self._now()
+        revision = await self._write(lease, holder, last, waits)
+        orders_from = Instant(self._now() + waits)
         self.is_continued = (
             last is not None and last.incarnation == self._incarnation
         )
@@ -217,20 +219,40 @@
         self._is_seen = False
         self._keeping = defer.Deferred.fromCoroutine(self._lease.keep())
         self._keeping.addErrback(self._failed)
+        if waits > 0.0:
+            self._clock.callLater(waits, self._waited, revision)
         log.info(
             'Duty taken.',
             service=self.service,
             epoch=revision,
             last_holder=None if last is None else last.instance,
-            orders_in=round(orders_from - self._now(), 2),
+            orders_in=round(waits, 2),
         )
         self._on_change()
 
+    def _waited(self, revision: Revision) -> None:
+        # From now on a restart of this instance need not wait again.
+        if self.revision != revision:
+            return
+        writing = defer.Deferred.fromCoroutine(self._write_waited(revision))
+        writing.addErrback(self._failed)
+
+    async def _write_waited(self, revision: Revision) -> None:
+        await self._store.transact(
+            expected=[
+                store_module.Expectation(
+                    key=keys.duty(self.service), revision=revision
+                )
+            ],
+            writes=[self._last_holder(None, 0.0)],
+        )
+
     async def _write(
         self,
         lease: int,
         holder: state_module.DutyRecord | None,
         last: leadership.LastHolder | None,
+        waits: float,
     ) -> Revision:
         key = keys.duty(self.service)
         record = state_module.DutyRecord(
@@ -260,15 +282,18 @@
                     value=msgspec.msgpack.encode(record),
                     lease=lease,
                 ),
-                self._last_holder(None),
+                self._last_holder(None, waits),
             ],
         )
 
-    def _last_holder(self, idle: float | None) -> store_module.Write:
+    def _last_holder(
+        self, idle: float | None, waits: float
+    ) -> store_module.Write:
         record = leadership.LastHolder(
             instance=self._state.settings.instance,
             incarnation=self._incarnation,
             idle_seconds=idle,
+            waits=waits,
         )
         return store_module.Write(
             key=keys.last_holder(self.service),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/job_store.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/job_store.py
@@ -16,6 +16,7 @@
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from typing import Any
 
     from yuccarill.core.jobs.job import JobId
@@ -23,6 +24,8 @@
 
 # Seconds between tries of a write whose outcome is not known.
 RETRY_SECONDS = 0.25
+# Keys that one transaction may remove.
+MAX_REMOVALS = 32
 
 
 class Summary(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,17 +174,15 @@
         await self._store.transact(writes=[_work(service, job, record)])
 
     async def remove(
-        self, service: ServiceName, job: JobId, positions: list[int]
+        self, service: ServiceName, job: JobId, positions: Iterable[int]
     ) -> None:
-        """Remove a job that nobody may read any more."""
-        await self._store.transact(
-            removals=[
-                keys.job_spec(job),
-                keys.work(service, job),
-                keys.summary(job),
-                *(keys.chunk(job, position) for position in positions),
-            ][:32]
-        )
+        """Remove a job that nobody may read any more, its index last."""
+        content = [keys.job_spec(job), keys.summary(job)]
+        content += [keys.chunk(job, position) for position in positions]
+        for first in range(0, len(content), MAX_REMOVALS):
+            some = content[first : first + MAX_REMOVALS]
+            await self._store.transact(removals=some)
+        await self._store.transact(removals=[keys.work(service, job)])
 
 
 def _collect(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import time
 from typing import Any
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
+from yuccarill.daemon.gateway import cleaner
 from yuccarill.daemon.gateway import engine_requests
 from yuccarill.daemon.gateway import follower
 from yuccarill.daemon.gateway import generation
@@ -55,6 +57,16 @@
 MAX_KEPT = 30
 
 
+class _Permission(enum.Enum):
+    """Say whether the configuration allows an item here."""
+
+    GRANTED = 'granted'
+    # No route leads to it any more.
+    REVOKED = 'revoked'
+    # Its route leads to another service.
+    ELSEWHERE = 'elsewhere'
+
+
 class _Generating:
     """Track one run of an item at an engine."""
 
@@ -125,6 +137,9 @@
             clock,
             settle_seconds=WORK_SETTLE_SECONDS,
         )
+        self._cleaner = cleaner.Cleaner(
+            duty.service, jobs, state.settings.job_retention, clock
+        )
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = clock
         self._following: list[defer.Deferred[None]] = []
@@ -222,14 +237,33 @@
         self._move_runs()
         now = self._now()
         for run in list(self._board.waiting()):
-            engine = self._fleet.choose(run.job, now)
-            if engine is not None:
-                self._start(run, engine)
+            match self._permission(run):
+                case _Permission.GRANTED:
+                    engine = self._fleet.choose(run.job, now)
+                    if engine is not None:
+                        self._start(run, engine)
+                case _Permission.REVOKED:
+                    self._finish(run, run.given_up(), 'its route is gone')
+                case _Permission.ELSEWHERE:
+                    continue
+
+    def _permission(self, run: board_module.ItemRun) -> _Permission:
+        # Items are bound by the configuration in force as requests are: an
+        # item must not reach a service that its route no longer names.
+        table = self._state.table
+        path = run.item.path.partition('?')[0]
+        route = table.find(run.job.host, path) if table else None
+        if route is None:
+            return _Permission.REVOKED
+        if self._duty.service in route.services:
+            return _Permission.GRANTED
+        return _Permission.ELSEWHERE
 
     def _tick(self) -> None:
         self.pump()
         for run in self._board.expired(self._now()):
             self._finish(run, run.given_up(), 'time is over')
+        self._cleaner.update()
 
     def _work_change(self, change: Entry | Removal) -> None:
         if isinstance(change, store_module.Removal):
@@ -241,6 +275,7 @@
             log.error('Entry left out.', key=change.key, cause=str(error))
             return
         if record.is_ended:
+            self._cleaner.ended(job)
             self._end(job)
         elif job not in self._works_by_job and job not in self._kept_by_id:
             self._works_by_job[job] = set()
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway import routes
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
@@ -179,6 +180,9 @@
             target = world.engine(name)
             self.engines.engines_by_id[target.id] = Engine(target)
         self.holds = 0
+        self.table = routes.RouteTable(
+            1, [world.batch_route()], [], routes.ClientLimits()
+        )
 
     def engine(self, name: str) -> Engine:
         return self.engines.engines_by_id[TargetId(name)]
@@ -190,6 +194,7 @@
         duty = HeldDuty(Revision(self.keys.revision))
         duty.tenure = mock.Mock(epoch=self.keys.revision)
         state = self.state(name)
+        state.table = self.table
         for engine in self.engines.engines_by_id.values():
             state.targets.put(engine.target)
         memory = self.store()
@@ -226,7 +231,7 @@
             items=tuple(
                 Item(
                     id=ItemId(f'{name}-{group}-{place}'),
-                    path='/p',
+                    path='/train/p',
                     headers=(),
                     body=b'prompt',
                     tokens=10,
--- a/packages/yuccarill-daemon/tests/gateway/test_duties.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_duties.py
@@ -112,6 +112,69 @@
         self.assertTrue(again.duty.may_order())
         self.assertFalse(again.duty.is_continued)
 
+    def test_a_holder_that_restarts_while_it_waits_waits_again(self) -> None:
+        """Two instances ordered one engine within 2.6 s.
+
+        1. The first holder orders, and gives the duty back.
+        2. The next one takes it, and has to wait for three seconds.
+        3. It is killed, comes back, and finds itself the last holder: that
+           says nothing of when the first one ordered.
+        """
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(0.5)
+        a.duty.order()
+        ordered_at = self.clock.seconds()
+        a.state.is_leaving = True
+        self.finish(a.duty.release())
+        self.run_for(0.5)
+        self.assertEqual(['b'], self.holders(a, b))
+        b.kill()
+        again = self.start('b')
+        while not again.duty.may_order():
+            self.run_for(0.01)
+        gap = self.clock.seconds() - ordered_at
+        self.assertGreaterEqual(gap, 3.0)
+        self.assertLess(gap, 8.0)
+
+    def test_one_that_gives_back_what_it_never_used_passes_the_wait_on(
+        self,
+    ) -> None:
+        # a orders and leaves; b takes the duty and leaves at once; c must
+        # still wait for a's order.
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(0.5)
+        a.duty.order()
+        ordered_at = self.clock.seconds()
+        a.state.is_leaving = True
+        self.finish(a.duty.release())
+        self.run_for(0.5)
+        c = self.start('c')
+        self.run_for(0.2)
+        b.state.is_leaving = True
+        self.finish(b.duty.release())
+        while not c.duty.may_order():
+            self.run_for(0.01)
+        gap = self.clock.seconds() - ordered_at
+        self.assertGreaterEqual(gap, 3.0)
+        self.assertLess(gap, 5.0)
+
+    def test_a_holder_that_has_waited_restarts_at_once(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(0.5)
+        a.kill()
+        self.run_for(9.0)
+        self.assertTrue(b.duty.may_order())
+        b.kill()
+        again = self.start('b')
+        self.run_for(0.5)
+        self.assertTrue(again.duty.may_order())
+
     def test_a_holder_that_stood_still_does_not_order(self) -> None:
         """A suspended holder wakes with a lease that looks fresh.
 
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.internet import defer
 
+from yuccarill.core.gateway import routes
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.job import ResultState
@@ -144,6 +145,31 @@
         self.assertEqual({'j-0-0', 'j-0-1', 'j-1-0', 'j-1-1'}, set(ids(self)))
         self.assertTrue(all(first > 0 for _, first in self.engines.runs))
 
+    def test_items_of_a_route_that_is_gone_are_given_up(self) -> None:
+        # An item must not reach a service after its route was taken away.
+        self.engine('e1').gap = self.engine('e2').gap = 0.5
+        runner = self.hold('a')
+        self.submit(groups=8)
+        self.run_for(0.3)
+        before = len(self.engines.runs)
+        runner._state.table = routes.RouteTable(
+            2, [], [], routes.ClientLimits()
+        )
+        self.run_for(8.0)
+        self.assertEqual(before, len(self.engines.runs))
+        self.assertEqual(16, len(self.results()))
+
+    def test_ended_jobs_are_removed_when_nobody_may_read_them(self) -> None:
+        self.hold('a')
+        job = self.submit()
+        self.run_for(2.0)
+        jobs = job_store.JobStore(self.store(), self.clock)
+        self.finish(jobs.end(world.SERVICE, job.id))
+        self.run_for(100.0, step=0.1)
+        self.assertEqual(4, len(self.results()))
+        self.run_for(70.0, step=0.1)
+        self.assertFalse([k for k in self.keys.entries_by_key if 'j' in k])
+
     def test_items_are_given_up_when_their_time_is_over(self) -> None:
         self.hold('a')
         self.submit(min_version=9)
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -0,0 +1,169 @@
+"""Test how a stream reaches its client while targets fail."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from yuccarill.core import errors
+from yuccarill.core.gateway.requests import ClientRequest
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway import routes
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.jobs.text import StreamEvent
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.gateway import sender
+from yuccarill.daemon.gateway import streams
+from yuccarill.platform import calls
+
+from . import world
+
+EVENTS = 5
+
+
+@dataclasses.dataclass
+class Client:
+    """Note what the client gets."""
+
+    data: bytes = b''
+    has_begun: bool = False
+    is_finished: bool = False
+    is_aborted: bool = False
+    answer_status: int | None = None
+
+    def begin(self, answer: TargetAnswer) -> None:
+        self.has_begun = True
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def finish(self) -> None:
+        self.is_finished = True
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def answer(self, answer: TargetAnswer) -> None:
+        self.answer_status = answer.status
+
+
+@dataclasses.dataclass
+class Targets:
+    """Break each run off after some events, as the list says."""
+
+    # Events of each run, the runs in order; none refuses it.
+    plan: list[int | None]
+    begun_after: list[int | None] = dataclasses.field(default_factory=list)
+
+    async def generate(
+        self,
+        target: object,
+        call: calls.TargetCall,
+        answer_by: Instant,
+        progress: float,
+        sink: calls.GenerationSink,
+    ) -> TargetAnswer:
+        self.begun_after.append(call.after_event)
+        count = self.plan[len(self.begun_after) - 1]
+        if count is None:
+            return TargetAnswer(
+                status=503, headers=(), body=b'', stamp=None, not_run=True
+            )
+        answer = TargetAnswer(status=200, headers=(), body=b'', stamp='s')
+        try:
+            sink.begin(answer, 1)
+            first = (call.after_event or 0) + 1
+            for number in range(first, min(first + count, EVENTS + 1)):
+                sink.event(
+                    StreamEvent(
+                        number=number,
+                        data='',
+                        version=WeightVersion(1),
+                        raw=b'%d;' % number,
+                    )
+                )
+        except connections.SinkRefused as error:
+            raise calls.CallFailed(calls.CallEnd.BROKEN, str(error)) from error
+        if first + count <= EVENTS:
+            raise calls.CallFailed(calls.CallEnd.BROKEN, 'broke off')
+        return answer
+
+
+class StreamTest(world.WorldTest):
+    def serve(
+        self, *plan: int | None, is_resumable: bool = True
+    ) -> tuple[Client, Targets, str]:
+        state = self.state('a')
+        for name in ('e2', 'e3'):
+            state.targets.put(world.engine(name))
+        targets = Targets(list(plan))
+        forwarder = streams.StreamForwarder(
+            sender.Sender(sender.Pools(state), targets, self.clock),
+            targets,
+            self.clock,
+        )
+        route = msgspec.structs.replace(
+            world.batch_route(),
+            kind=routes.RouteKind.STREAM,
+            is_resumable=is_resumable,
+        )
+        request = ClientRequest(
+            id=RequestId('r'),
+            method='POST',
+            host='t.example',
+            path='/train/',
+            target='/train/',
+            headers=(),
+            body=b'',
+            arrived_at=Instant(0.0),
+        )
+        client = Client()
+        end = self.finish(forwarder.serve(route, request, client))
+        return client, targets, end
+
+    def test_a_stream_that_breaks_off_goes_on_elsewhere(self) -> None:
+        """The client must get each event once, in one answer.
+
+        1. The first target breaks off after two events.
+        2. Another one goes on after the second event.
+        """
+        client, targets, _ = self.serve(2, 9)
+        self.assertEqual(b'1;2;3;4;5;', client.data)
+        self.assertEqual([None, 2], targets.begun_after)
+        self.assertTrue(client.is_finished)
+
+    def test_one_that_may_not_be_resumed_is_cut(self) -> None:
+        client, targets, end = self.serve(2, 9, is_resumable=False)
+        self.assertEqual(1, len(targets.begun_after))
+        self.assertTrue(client.is_aborted)
+        self.assertFalse(client.is_finished)
+        self.assertEqual('cut', end)
+
+    def test_a_refused_one_is_tried_elsewhere(self) -> None:
+        client, targets, _ = self.serve(None, 9, is_resumable=False)
+        self.assertTrue(client.is_finished)
+
+    def test_refused_everywhere_is_not_run(self) -> None:
+        with self.assertRaises(errors.NotRun):
+            self.serve(None, None, None)
+
+    def test_broken_before_its_head_is_unknown(self) -> None:
+        # It may have run; calling it not run would let it run twice.
+        with self.assertRaises(errors.OutcomeUnknown):
+            self.serve_headless()
+
+    def serve_headless(self) -> None:
+        broken = calls.CallFailed(calls.CallEnd.BROKEN, 'reset')
+
+        async def generate(*_: object) -> TargetAnswer:
+            raise broken
+
+        original = Targets.generate
+        Targets.generate = generate  # type: ignore[method-assign]
+        try:
+            self.serve(0, is_resumable=False)
+        finally:
+            Targets.generate = original  # type: ignore[method-assign]
