Confirm a hold at the store before readers are answered and orders sent

Change: a hold is read at the store, or shown by a write under its condition, within 0.6 s before a reader is answered from memory and 0.5 s before an order; several readers share one read.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
@@ -44,6 +45,8 @@
 ORDER_WINDOW = 1.3
 # Seconds before a duty that was not taken is looked at again.
 RETRY_SECONDS = 0.3
+# Seconds that the read for a confirmation may take beyond the age wanted.
+CONFIRM_SLACK = 0.3
 # Seconds that stand for an order never sent.
 LONG_AGO = 1e9
 
@@ -70,6 +73,9 @@
         self._clock = clock
         self._attempt: defer.Deferred[None] | None = None
         self._keeping: defer.Deferred[None] | None = None
+        # When the last call was sent that showed the store knew this hold.
+        self._confirmed_at = Instant(-math.inf)
+        self._confirming: defer.Deferred[None] | None = None
         # The own entry was seen in the store since it was written.
         self._is_seen = False
         self._lease = lease_module.Lease(
@@ -116,6 +122,43 @@
         me = self._state.settings.instance
         return holder is None or holder.instance == me
 
+    def confirm_from(self, sent_at: Instant) -> None:
+        """Note that the store knew this hold when a call was sent."""
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+
+    async def confirm(self, max_age: float) -> bool:
+        """Tell whether the store knew this hold within some seconds.
+
+        The store may take the key away and go on with the lease, and let
+        another instance take the duty: renewals do not show it.
+        """
+        if self.tenure is None:
+            return False
+        if self._now() - self._confirmed_at <= max_age:
+            return True
+        if self._confirming is None:
+            self._confirming = defer.Deferred.fromCoroutine(self._read_key())
+            self._confirming.addErrback(self._failed)
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self._confirming.addBoth(_pass_on, waiting)
+        await waiting
+        age = self._now() - self._confirmed_at
+        return self.tenure is not None and age <= max_age + CONFIRM_SLACK
+
+    async def _read_key(self) -> None:
+        sent_at = self._now()
+        revision = self.revision
+        try:
+            entry = await self._store.get(keys.duty(self.service))
+        finally:
+            self._confirming = None
+        if revision is None or revision != self.revision:
+            return
+        if entry is not None and entry.revision == revision:
+            self.confirm_from(sent_at)
+        else:
+            self._lose('the store does not know it')
+
     def may_order(self) -> bool:
         """Tell whether an order may be sent."""
         return self.tenure is not None and self.tenure.may_order(self._now())
@@ -217,6 +260,7 @@
             orders_from,
         )
         self._is_seen = False
+        self._confirmed_at = self._lease.renewed_at
         self._keeping = defer.Deferred.fromCoroutine(self._lease.keep())
         self._keeping.addErrback(self._failed)
         if waits > 0.0:
@@ -342,5 +386,10 @@
         return lease_module.boot_time()
 
 
+def _pass_on(result: object, waiting: defer.Deferred[None]) -> object:
+    waiting.callback(None)
+    return result
+
+
 def _order(instance: str, service: str) -> int:
     return zlib.crc32(f'{instance} {service}'.encode())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -10,6 +10,7 @@
 from twisted.internet import task
 
 from yuccarill.daemon.gateway import job_store as job_store_module
+from yuccarill.daemon.gateway import lease
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -137,6 +138,7 @@
         revision = self._duty.revision
         if revision is None:
             return False
+        sent_at = lease.boot_time()
         try:
             await self._jobs.append(
                 self._job,
@@ -152,6 +154,8 @@
             log.warning('Not listed: the duty is lost.', job=self._job)
             self._duty.give_up(revision)
             return False
+        # Its condition was that the store knows the duty.
+        self._duty.confirm_from(sent_at)
         return True
 
     def _next_chunk(self) -> tuple[ItemResult, ...]:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -53,6 +53,10 @@
 # Seconds before the watch for jobs is sent again after a change. Most jobs
 # and ends come here first; the watch tells of the others.
 WORK_SETTLE_SECONDS = 0.2
+# Seconds within which the store has to have known the duty for readers to
+# be answered from memory. What was read once may not be missing elsewhere a
+# second later; a read of the key for several readers is one call.
+READ_AGE = 0.6
 # Jobs kept for readers: about 0.6 MB each.
 MAX_KEPT = 30
 
@@ -186,7 +190,7 @@
             await found.wait(left)
         # Without the duty, another instance may have listed more, which a
         # reader may have seen there.
-        if not self._duty.is_held():
+        if not await self._duty.confirm(READ_AGE):
             return None
         return intake.page(found.total, found.results, query.first)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -35,6 +35,9 @@
 # Seconds between questions while weights load. A load takes 0.9 s and more;
 # a question is cheap, and an engine that waits idle is not.
 REPORT_SECONDS = 0.2
+# Seconds within which the store has to have known the duty for an order to
+# be sent, less than a successor waits.
+ORDER_AGE = 0.5
 # Seconds after which a switch that is not seen is ordered again.
 SWITCH_SECONDS = 6.0
 # Seconds before an engine that refused is asked again.
@@ -162,11 +165,12 @@
         switch: weights.Switch,
         report: wire_engines.EngineReport,
     ) -> wire_engines.OrderOutcome:
+        is_known = await self._duty.confirm(ORDER_AGE)
         tenure = self._duty.tenure
         now = self._now()
         # Checked right before the order: the question before it may have
         # taken longer than the lease.
-        if tenure is None or not self._duty.may_order():
+        if not is_known or tenure is None or not self._duty.may_order():
             return wire_engines.OrderOutcome.FENCED
         self._duty.order()
         order = wire_engines.VersionOrder(
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -165,6 +165,9 @@
     def order(self) -> None:
         pass
 
+    async def confirm(self, max_age: float) -> bool:
+        return self.revision is not None
+
 
 class RunnerTest(world.WorldTest):
     """Hold the engines, the store and the instances that run jobs."""
--- a/packages/yuccarill-daemon/tests/gateway/test_duties.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_duties.py
@@ -222,6 +222,44 @@
         gap = orders_by_name['b'][0] - orders_by_name['a'][-1]
         self.assertGreaterEqual(gap, 3.0)
 
+    def test_a_hold_that_the_store_forgot_is_not_confirmed(self) -> None:
+        """A reader got fewer results than it had read before.
+
+        1. The store takes the holder's key away; its lease goes on, and
+           its watch hears nothing of it.
+        2. Another instance takes the duty and lists more results.
+        3. The first one may neither answer readers nor order engines.
+        """
+        a = self.start('a')
+        self.run_for(1.0)
+        self.assertTrue(self.finish(a.duty.confirm(0.5)))
+        a.kill()
+        a.store.is_silent = False
+        self.keys.remove(keys.duty(world.SERVICE))
+        self.run_for(0.6)
+        self.assertTrue(a.duty.is_held())
+        self.assertFalse(self.finish(a.duty.confirm(0.5)))
+        self.assertFalse(a.duty.may_order())
+
+    def test_a_hold_can_not_be_confirmed_without_the_store(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        a.store.refuses = True
+        self.run_for(0.6)
+        self.assertFalse(self.finish(a.duty.confirm(0.5)))
+
+    def test_many_readers_cost_one_confirmation(self) -> None:
+        a = self.start('a')
+        self.run_for(2.0)
+        a.store.calls.clear()
+        asking = [
+            defer.Deferred.fromCoroutine(a.duty.confirm(0.5))
+            for _ in range(10)
+        ]
+        self.run_for(0.1)
+        self.assertTrue(all(each.result for each in asking))
+        self.assertEqual(1, a.store.calls.count('get'))
+
     def test_a_lost_reply_does_not_leave_the_duty_unheld(self) -> None:
         # The write took effect, its reply never came: the instance finds
         # its own entry and takes the duty back under a new epoch.
--- a/packages/yuccarill-daemon/tests/gateway/test_listing.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_listing.py
@@ -28,6 +28,9 @@
     service: str = world.SERVICE
     given_up: list[Revision] = dataclasses.field(default_factory=list)
 
+    def confirm_from(self, sent_at: float) -> None:
+        pass
+
     def give_up(self, revision: Revision) -> None:
         self.given_up.append(revision)
         self.revision = None
