Let stronger instances take on common work first

Change: holders and watchers are taken by processor first, in powers of two, and spread among equals.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/watchers.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/watchers.py
@@ -4,26 +4,22 @@
 
 import math
 from typing import TYPE_CHECKING
-import zlib
+
+from yuccarill.core.gateway import candidates
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
 # The store takes some thousand reads a second, and each watch that returns
 # is one. One watcher for 16 instances answers 30 polls a second, 4% of a
 # core at 1.3 ms each; two at least, so that one may fail.
 MIN_WATCHERS = 2
 INSTANCES_PER_WATCHER = 16
+_PURPOSE = 'watch'
 
 
-def watchers(instances: Iterable[str]) -> tuple[str, ...]:
+def watchers(cores_by_instance: Mapping[str, float]) -> tuple[str, ...]:
     """Return the instances that watch, the same ones to everybody."""
-    known = sorted(set(instances), key=lambda name: (_spread(name), name))
+    known = candidates.ordered(cores_by_instance, _PURPOSE)
     count = max(MIN_WATCHERS, math.ceil(len(known) / INSTANCES_PER_WATCHER))
     return tuple(known[:count])
-
-
-def _spread(name: str) -> int:
-    # Names begin with their data centre; in their own order all watchers
-    # would stand in the first one.
-    return zlib.crc32(name.encode())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -6,12 +6,12 @@
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
-import zlib
 
 import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.gateway import candidates
 from yuccarill.core.gateway import leadership
 from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import Incarnation
@@ -346,15 +346,14 @@
 
     def _rank(self) -> int:
         """Return this instance's place among the candidates."""
-        candidates = {
-            record.instance
+        me = str(self._state.settings.instance)
+        cores_by_name = {
+            record.instance: record.cores
             for record in self._state.instances_by_id.values()
             if not record.is_leaving
         }
-        me = str(self._state.settings.instance)
-        ordered = sorted(
-            candidates | {me}, key=lambda name: _order(name, self.service)
-        )
+        cores_by_name[me] = self._state.settings.cores
+        ordered = candidates.ordered(cores_by_name, self.service)
         return ordered.index(me)
 
     def _failed(self, failure: Any) -> None:
@@ -389,7 +388,3 @@
 def _pass_on(result: object, waiting: defer.Deferred[None]) -> object:
     waiting.callback(None)
     return result
-
-
-def _order(instance: str, service: str) -> int:
-    return zlib.crc32(f'{instance} {service}'.encode())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
@@ -134,7 +134,11 @@
             for record in self._state.instances_by_id.values()
             if not record.is_leaving
         }
-        names = watchers.watchers({*records_by_name, me})
+        cores_by_name = {
+            name: record.cores for name, record in records_by_name.items()
+        }
+        cores_by_name[me] = self._state.settings.cores
+        names = watchers.watchers(cores_by_name)
         now = self._clock.seconds()
         usable = [
             name
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
@@ -99,6 +99,7 @@
             data_centre=settings.data_centre,
             client_address=settings.client_address,
             peer_address=settings.peer_address,
+            cores=settings.cores,
             is_leaving=self._state.is_leaving,
         )
         write = store_module.Write(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -25,6 +25,8 @@
     client_address: str
     # Where the others' calls to the store are passed on.
     peer_address: str
+    # Processor cores that it may use.
+    cores: float = 1.0
     # Set at the start of a graceful shutdown.
     is_leaving: bool = False
 
--- a/packages/yuccarill-daemon/tests/gateway/world.py
+++ b/packages/yuccarill-daemon/tests/gateway/world.py
@@ -35,6 +35,7 @@
         readiness_address=None,
         directory_address=None,
         peer_address=f'{name}:2',
+        cores=1.0,
         store_address='store:3',
         min_lease=1.0,
         handover_pause=3.0,
