Ask the store beside a write that hangs

A view of a job that missed a chunk never read it afterwards.

The new test fails without the check.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
@@ -20,6 +20,7 @@
 from yuccarill.daemon.gateway import relay as relay_module
 from yuccarill.daemon import logs
 from yuccarill.platform import jobs as wire_jobs
+from yuccarill.platform import keys
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
@@ -68,8 +69,10 @@
 class JobView:
     """Hold what this instance has read of one job."""
 
+    job: JobId
     summary: Summary
     results: list[ItemResult]
+    # The last chunk that was taken; reading goes on after it.
     last_key: str
     revision: Revision
 
@@ -83,8 +86,7 @@
         for position, chunk in sorted(found.chunks_by_position.items()):
             if position == len(self.results):
                 self.results += chunk.results
-        if found.last_key is not None:
-            self.last_key = max(self.last_key, found.last_key)
+                self.last_key = keys.chunk(self.job, position)
         self.revision = max(self.revision, found.revision)
 
 
@@ -276,12 +278,13 @@
 
     async def _load(self, job_id: JobId) -> JobView:
         found = await self._store.read_results(job_id)
-        if found.summary is None or found.last_key is None:
+        if found.summary is None:
             raise errors.UnknownStep('There is no such batch job.')
         view = JobView(
+            job=job_id,
             summary=found.summary,
             results=[],
-            last_key=found.last_key,
+            last_key=keys.summary(job_id),
             revision=found.revision,
         )
         view.take(found)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -58,6 +58,7 @@
         self._write_at = math.inf
         self._written_at = -math.inf
         self._is_writing = False
+        self._began_at = 0.0
         self._is_stopped = False
 
     def add(self, result: ItemResult, makes_group_whole: bool) -> None:
@@ -86,6 +87,13 @@
             if timer.active():
                 timer.cancel()
 
+    def write_age(self) -> float:
+        """Return the seconds that a write has been under way, or 0."""
+        if not self._is_writing:
+            return 0.0
+        age: float = self._clock.seconds() - self._began_at
+        return age
+
     def stop(self) -> None:
         """Write nothing more.
 
@@ -113,6 +121,7 @@
         if self._is_stopped:
             return
         self._is_writing = True
+        self._began_at = self._clock.seconds()
         self._write_at = math.inf
         writing = defer.Deferred.fromCoroutine(self._write())
         writing.addErrback(self._failed)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -192,6 +192,10 @@
         # reader may have seen there.
         if not await self._duty.confirm(READ_AGE):
             return None
+        # A chunk whose write is under way may stand already, and a reader
+        # may have had it elsewhere.
+        if found.write_age() > READ_AGE:
+            return None
         return intake.page(found.total, found.results, query.first)
 
     def read_item(self, job_id: JobId, item_id: ItemId) -> bytes | None:
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -303,6 +303,26 @@
         self.assertEqual(b'prompt', body)
         self.assertTrue(runner.knows(job.id))
 
+    def test_a_reader_is_not_answered_beside_a_write_that_hangs(
+        self,
+    ) -> None:
+        """A reader got 41 results after another one had read 69.
+
+        1. The holder writes a chunk; the store has it, and a reader gets
+           it from there, but the holder does not hear of it.
+        2. A second later another reader asks the holder.
+        3. Its memory lacks the chunk: the store has to be asked.
+        """
+        runner = self.hold('a')
+        job = self.submit()
+        self.run_for(0.3)
+        self.memory.loses_replies = True
+        self.run_for(0.9)
+        self.assertEqual(4, len(self.results()))
+        query = server.ResultsQuery(job=job.id, first=0, wait=0.0)
+        reading = defer.Deferred.fromCoroutine(runner.read_results(query))
+        self.assertIsNone(reading.result)
+
     def test_a_reader_of_a_holder_without_the_duty_asks_the_store(
         self,
     ) -> None:
