Survey engines and runs at each tick only

Change: moves, switches and the list of targets are looked at each 0.1 s; an item's end only starts what waits; items that need the same engines are not asked for one by one. Behaviour by the tests of the runner is as before.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -110,6 +110,8 @@
 
     def __init__(self) -> None:
         self.engines_by_id: dict[TargetId, EngineState] = {}
+        self._usual: float | None = None
+        self._usual_at = Instant(-1.0)
 
     def update(self, targets: Iterable[ListedTarget]) -> None:
         """Take the listed engines; those that left are forgotten."""
@@ -150,6 +152,14 @@
 
     def usual_pace(self, now: Instant) -> float | None:
         """Return the median pace, none if no engine was seen at work."""
+        # Asked for each of some hundred runs at the same instant.
+        if now == self._usual_at:
+            return self._usual
+        self._usual_at = now
+        self._usual = self._median_pace(now)
+        return self._usual
+
+    def _median_pace(self, now: Instant) -> float | None:
         paces = [
             pace
             for engine in self.engines_by_id.values()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -211,7 +211,7 @@
             if self._duties_by_service[name].is_elsewhere:
                 self._stop_runner(name)
             else:
-                running.pump()
+                running.survey()
 
     def _add_duty(self, service: ServiceName) -> None:
         self._duties_by_service[service] = duties.Duty(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -29,7 +29,9 @@
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
+    from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import WeightVersion
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import Job
@@ -118,7 +120,7 @@
         self._board = board_module.JobBoard()
         self._fleet = engines_module.EngineFleet()
         self._requests = engine_requests.EngineRequests(
-            store, self.pump, clock
+            store, self.survey, clock
         )
         self._switcher = weight_switcher.WeightSwitcher(
             state,
@@ -126,7 +128,7 @@
             self._fleet,
             engines,
             self._requests,
-            self.pump,
+            self.survey,
             clock,
         )
         self._listings_by_job: dict[JobId, listing.Listing] = {}
@@ -174,7 +176,7 @@
         """Go on after the duty was lost and came back unused."""
         self._follower.refresh()
         self._requests.refresh()
-        self.pump()
+        self.survey()
 
     async def read_results(self, query: ResultsQuery) -> bytes | None:
         """Return a job's results, none if the store has to be asked."""
@@ -222,10 +224,25 @@
             self._works_by_job[job.id] = set()
             self._track(job.id, self._begin(job, []))
 
+    def survey(self) -> None:
+        """Look at engines, weights and runs anew, and start what can be.
+
+        Costs some ms with hundreds of runs: done at each tick, not at each
+        run's end, which took all of a half core's time.
+        """
+        if self._is_stopped:
+            return
+        self._fleet.update(
+            self._state.targets.ready(self._duty.service).values()
+        )
+        self._switcher.update()
+        self._move_runs()
+        self.pump()
+
     def pump(self) -> None:
-        """Start what can be started now."""
+        """Start the items that have a place now."""
         if self._is_stopped or self._is_pumping:
-            # A run that ends while others are moved asks for a pump too.
+            # A run that ends while others are started asks for a pump too.
             self._is_asked = True
             return
         self._is_pumping = True
@@ -238,17 +255,19 @@
             self._is_pumping = False
 
     def _pump(self) -> None:
-        self._fleet.update(
-            self._state.targets.ready(self._duty.service).values()
-        )
-        self._switcher.update()
-        self._move_runs()
         now = self._now()
+        # Items of one model and age of weights find the same engines.
+        full: set[tuple[ModelName | None, WeightVersion]] = set()
         for run in list(self._board.waiting()):
+            needs = (run.job.model, run.job.min_version)
+            if needs in full:
+                continue
             match self._permission(run):
                 case _Permission.GRANTED:
                     engine = self._fleet.choose(run.job, now)
-                    if engine is not None:
+                    if engine is None:
+                        full.add(needs)
+                    else:
                         self._start(run, engine)
                 case _Permission.REVOKED:
                     self._finish(run, run.given_up(), 'its route is gone')
@@ -268,7 +287,7 @@
         return _Permission.ELSEWHERE
 
     def _tick(self) -> None:
-        self.pump()
+        self.survey()
         for run in self._board.expired(self._now()):
             self._finish(run, run.given_up(), 'time is over')
         self._cleaner.update()
