Let readers of a copy count its changes, not the store's revisions

A store without any change kept a follower reading without pause.

Change: readers poll with a cursor into the copy's own changes, and copy everything when they change watchers. The test failed before.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
@@ -45,6 +45,8 @@
     """Hold what a watcher tells of one prefix."""
 
     page: store_module.Page
+    # Where the next poll goes on.
+    cursor: str
     # Seconds since the watcher last heard the store.
     age: float
 
@@ -67,14 +69,13 @@
         follower = self._followers_by_prefix.get(query.get('prefix', [''])[0])
         if follower is None or not follower.is_current:
             return HttpPage(status=404)
-        after = query.get('after', [''])[0]
-        if after.isdecimal():
-            page = await follower.changes(Revision(int(after)), POLL_SECONDS)
-            if page is None:
-                return HttpPage(status=410)
-        else:
-            page = follower.copy()
-        feed = Feed(page=page, age=follower.age())
+        cursor = query.get('after', [''])[0]
+        page: store_module.Page | None = follower.copy()
+        if cursor:
+            page = await follower.changes(cursor, POLL_SECONDS)
+        if page is None:
+            return HttpPage(status=410)
+        feed = Feed(page=page, cursor=follower.cursor, age=follower.age())
         return HttpPage(
             status=200,
             content_type='application/msgpack',
@@ -101,6 +102,9 @@
         self._random = random.Random()
         self._out_until: dict[str, Instant] = {}
         self._chosen = ''
+        # Where to go on, and in whose copy.
+        self._cursor = ''
+        self._cursor_of = ''
 
     async def page(
         self, prefix: str, after: str | None = None, is_stale: bool = False
@@ -108,7 +112,8 @@
         """Return the keys under a prefix, as the store does."""
         watcher = None if after or is_stale else self._watcher()
         if watcher is not None:
-            found = await self._ask(watcher, prefix, None)
+            self._cursor = ''
+            found = await self._ask(watcher, prefix)
             if found is not None:
                 return found
         page = await self._store.page(prefix, after, is_stale)
@@ -121,10 +126,14 @@
         """Wait for changes under a prefix, as the store does."""
         watcher = self._watcher()
         if watcher is not None:
-            found = await self._ask(watcher, prefix, after)
+            if watcher.instance != self._cursor_of:
+                # Another one's copy: what differs has to be found out.
+                raise store_module.HistoryGone
+            found = await self._ask(watcher, prefix)
             if found is not None:
                 return found
         self.is_direct = True
+        self._cursor_of = ''
         return await self._store.watch(prefix, after, seconds)
 
     def _watcher(self) -> InstanceRecord | None:
@@ -153,23 +162,23 @@
         return records_by_name[self._chosen]
 
     async def _ask(
-        self, watcher: InstanceRecord, prefix: str, after: Revision | None
+        self, watcher: InstanceRecord, prefix: str
     ) -> store_module.Page | None:
         fields = {'prefix': prefix}
-        if after is not None:
-            fields['after'] = str(after)
+        if self._cursor:
+            fields['after'] = self._cursor
         request = connections.OutgoingRequest(
             method='GET',
             target=f'{PATH}?{urllib.parse.urlencode(fields)}',
             headers=(('Host', watcher.peer_address),),
         )
-        wait = 0.0 if after is None else POLL_SECONDS
+        wait = POLL_SECONDS if self._cursor else 0.0
         deadline = Instant(self._clock.seconds() + wait + ANSWER_SECONDS)
         try:
             reply = await self._links.exchange(
                 watcher.peer_address, request, deadline
             )
-            feed = _feed(reply, after)
+            feed = _feed(reply)
         except (
             connections.NotConnected,
             connections.ExchangeBroken,
@@ -178,16 +187,18 @@
             self._leave_out(watcher, str(error))
             return None
         self.is_direct = False
+        self._cursor = feed.cursor
+        self._cursor_of = watcher.instance
         return feed.page
 
     def _leave_out(self, watcher: InstanceRecord, cause: str) -> None:
         log.info('Watcher left out.', watcher=watcher.instance, cause=cause)
         until = Instant(self._clock.seconds() + OUT_SECONDS)
         self._out_until[watcher.instance] = until
-        self._chosen = ''
+        self._chosen = self._cursor_of = ''
 
 
-def _feed(reply: connections.Reply, after: Revision | None) -> Feed:
+def _feed(reply: connections.Reply) -> Feed:
     if reply.head.status == 410:
         raise store_module.HistoryGone
     if reply.head.status != 200:
@@ -198,6 +209,4 @@
         raise WatcherUnusable(str(error)) from error
     if feed.age > MAX_AGE:
         raise WatcherUnusable(f'it heard the store {feed.age:.1f} s ago')
-    if after is not None and feed.page.revision < after:
-        raise WatcherUnusable('it is behind what is known here')
     return feed
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
@@ -63,7 +63,9 @@
         settle_seconds: float = 0.0,
     ) -> None:
         self.is_current = False
-        # Where the next watch begins; 0 asks for a read.
+        # The next step reads everything, instead of watching.
+        self._must_read = True
+        # Where the next watch begins.
         self._revision = Revision(0)
         self._known = Revision(0)
         self._store = store
@@ -92,7 +94,7 @@
 
     def refresh(self) -> None:
         """Read again, after a time in which a watch may have gone deaf."""
-        self._revision = Revision(0)
+        self._must_read = True
         watching, self._watching = self._watching, None
         if watching is not None:
             watching.cancel()
@@ -109,26 +111,31 @@
             revision=self._known,
         )
 
-    async def changes(self, after: Revision, seconds: float) -> Page | None:
-        """Wait for changes after a revision; none if some are not kept."""
-        found = self._history.since(after)
+    @property
+    def cursor(self) -> str:
+        """Return where one who follows this copy goes on after `copy`."""
+        return self._history.cursor
+
+    async def changes(self, cursor: str, seconds: float) -> Page | None:
+        """Wait for changes after a cursor; none if some are not kept."""
+        found = self._history.since(cursor)
         if found == []:
             await self._history.wait(seconds)
-            found = self._history.since(after)
+            found = self._history.since(cursor)
         if found is None:
             return None
         return store_module.Page(changes=tuple(found), revision=self._known)
 
     async def _step(self) -> None:
         try:
-            if not self._revision:
+            if self._must_read:
                 await self._read()
             else:
                 await self._watch()
             self._is_reached()
         except store_module.HistoryGone:
-            log.info('History gone; read again.', prefix=self._prefix)
-            self._revision = Revision(0)
+            log.info('Changes not kept; read again.', prefix=self._prefix)
+            self._must_read = True
         except (
             store_module.StoreRefused,
             store_module.StoreUnclear,
@@ -136,6 +143,15 @@
             await self._wait(error)
 
     async def _read(self) -> None:
+        # Cleared first: a refresh may come while pages are read.
+        self._must_read = False
+        try:
+            await self._read_pages()
+        except BaseException:
+            self._must_read = True
+            raise
+
+    async def _read_pages(self) -> None:
         first: Revision | None = None
         after: str | None = None
         seen: set[str] = set()
@@ -153,7 +169,6 @@
         assert first is not None
         for key in self._history.entries_by_key.keys() - seen:
             self._take(store_module.Removal(key=key, revision=first))
-        self._history.start(first)
         self._advance(first)
         self._revision = self._known
         self.is_current = True
@@ -188,7 +203,7 @@
     async def _check_often(self) -> None:
         while True:
             await task.deferLater(self._clock, CHECK_SECONDS)
-            if not self._revision or not self._store.is_direct:
+            if self._must_read or not self._store.is_direct:
                 continue
             try:
                 await self._check()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/history.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/history.py
@@ -5,10 +5,10 @@
 import collections
 from typing import Any
 from typing import TYPE_CHECKING
+import uuid
 
 from twisted.internet import defer
 
-from yuccarill.core.ids import Revision
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
@@ -26,14 +26,17 @@
         self._clock = clock
         self.entries_by_key: dict[str, Entry] = {}
         self._changes: collections.deque[Entry | Removal] = collections.deque()
-        # Every change after this one is kept.
-        self._floor = Revision(0)
+        # Readers count changes in the order in which this copy took them. By
+        # the store's revisions they would miss a change that this copy
+        # learnt late, from a read after a watch that heard nothing.
+        self._name = uuid.uuid4().hex
+        self._dropped = 0
         self._waiting: list[defer.Deferred[None]] = []
 
-    def start(self, revision: Revision) -> None:
-        """Note the first state that was read."""
-        if not self._floor:
-            self._floor = revision
+    @property
+    def cursor(self) -> str:
+        """Return where a reader that knows everything goes on."""
+        return f'{self._name}.{self._dropped + len(self._changes)}'
 
     def take(self, change: Entry | Removal) -> None:
         """Add a change that is newer than what stands."""
@@ -43,14 +46,18 @@
             self.entries_by_key[change.key] = change
         self._changes.append(change)
         if len(self._changes) > MAX_CHANGES:
-            dropped = self._changes.popleft()
-            self._floor = Revision(max(self._floor, dropped.revision))
+            self._changes.popleft()
+            self._dropped += 1
 
-    def since(self, after: Revision) -> list[Entry | Removal] | None:
-        """Return the changes after a revision, none if some are gone."""
-        if after < self._floor:
+    def since(self, cursor: str) -> list[Entry | Removal] | None:
+        """Return the changes after a cursor, none if some are not kept."""
+        name, _, count = cursor.partition('.')
+        if name != self._name or not count.isdecimal():
             return None
-        return [c for c in self._changes if c.revision > after]
+        first = int(count) - self._dropped
+        if not 0 <= first <= len(self._changes):
+            return None
+        return list(self._changes)[first:]
 
     async def wait(self, seconds: float) -> None:
         """Wait until `wake` is called, or for a time."""
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -0,0 +1,145 @@
+"""Test how the store is followed through other instances."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from twisted.internet import defer
+
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway import feed
+from yuccarill.daemon.gateway import follower
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.platform import store as store_module
+
+from . import world
+
+PREFIX = 'p/'
+
+
+@dataclasses.dataclass
+class Links:
+    """Carry polls to watchers in memory."""
+
+    servers_by_address: dict[str, feed.FeedServer]
+    polls: int = 0
+
+    async def exchange(
+        self, address: str, request: object, deadline: Instant
+    ) -> connections.Reply:
+        self.polls += 1
+        server = self.servers_by_address.get(address)
+        if server is None:
+            raise connections.NotConnected('nobody is there')
+        page = await server.handle(
+            small_server.SmallRequest(method='GET', target=request.target)
+        )
+        head = connections.ReplyHead(status=page.status, headers=())
+        return connections.Reply(head=head, body=page.body)
+
+
+class FeedTest(world.WorldTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.links = Links({})
+        self.watching = self.store()
+        self.watcher = self.follow(self.watching, lambda _: None)
+        for name in ('w', 'x'):
+            server = feed.FeedServer({PREFIX: self.watcher})
+            self.links.servers_by_address[f'{name}:2'] = server
+        self.own = self.store()
+        self.state_of_reader = self.state('r')
+        for name in ('w', 'x', 'r'):
+            # The two strongest instances watch.
+            record = state_module.InstanceRecord(
+                instance=name,
+                data_centre='d',
+                client_address=f'{name}:1',
+                peer_address=f'{name}:2',
+                cores=0.1 if name == 'r' else 4.0,
+            )
+            self.state_of_reader.instances_by_id[name] = record
+        self.heard: list[str] = []
+        self.source = feed.FeedSource(
+            self.state_of_reader, self.own, self.links, self.clock
+        )
+
+    def follow(
+        self, source: object, on_change: object
+    ) -> follower.PrefixFollower:
+        found = follower.PrefixFollower(source, PREFIX, on_change, self.clock)
+        following = defer.Deferred.fromCoroutine(found.follow())
+        following.addErrback(lambda failure: failure.trap(Exception))
+        self.addCleanup(following.cancel)
+        return found
+
+    def read(self) -> follower.PrefixFollower:
+        return self.follow(self.source, self._note)
+
+    def _note(self, change: object) -> None:
+        sign = '-' if isinstance(change, store_module.Removal) else '+'
+        self.heard.append(sign + change.key)
+
+    def test_changes_come_without_a_call_of_the_store(self) -> None:
+        self.keys.put('p/a', b'')
+        self.run_for(0.1)
+        self.read()
+        self.run_for(0.1)
+        self.keys.put('p/b', b'')
+        self.keys.remove('p/a')
+        self.run_for(0.2)
+        self.assertEqual(['+p/a', '+p/b', '-p/a'], self.heard)
+        self.assertEqual([], self.own.calls)
+
+    def test_a_change_that_the_watcher_learnt_late_is_told(self) -> None:
+        """Instances refused a new route for seconds after its change.
+
+        1. The watcher's watch hears nothing of a change, while the store's
+           revision goes on with others.
+        2. The history is dropped; the watcher reads the change.
+        3. By the store's revision, the reader is beyond it already.
+        """
+        self.run_for(0.1)
+        self.read()
+        self.run_for(0.1)
+        # The change is withheld from watches, later ones are told.
+        self.keys.revision += 1
+        self.keys._put(store_module.Write(key='p/a', value=b''))
+        change = self.keys.history.pop()
+        self.keys.put('p/b', b'')
+        self.run_for(0.3)
+        self.assertEqual(['+p/b'], self.heard)
+        self.assertLess(change.revision, self.keys.revision)
+        self.keys.forget_history()
+        self.run_for(0.5)
+        self.assertEqual({'+p/a', '+p/b'}, set(self.heard))
+
+    def test_a_watcher_that_lost_the_store_is_left(self) -> None:
+        self.run_for(0.1)
+        self.read()
+        self.run_for(0.5)
+        self.watching.is_silent = True
+        self.run_for(feed.MAX_AGE + 4.0)
+        self.keys.put('p/a', b'')
+        self.run_for(1.0)
+        self.assertEqual(['+p/a'], self.heard)
+        self.assertIn('watch', self.own.calls)
+
+    def test_a_removal_is_found_when_the_watcher_changes(self) -> None:
+        self.keys.put('p/a', b'')
+        self.run_for(0.1)
+        self.read()
+        self.run_for(0.1)
+        self.links.servers_by_address.clear()
+        self.keys.remove('p/a')
+        self.run_for(4.0)
+        self.assertEqual(['+p/a', '-p/a'], self.heard)
+
+    def test_watchers_ask_the_store(self) -> None:
+        self.state_of_reader.instances_by_id.clear()
+        self.read()
+        self.run_for(0.1)
+        self.assertEqual(0, self.links.polls)
+        self.assertIn('page', self.own.calls)
--- a/packages/yuccarill-daemon/tests/gateway/test_follower.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_follower.py
@@ -111,10 +111,9 @@
         found = self.follow(self.store())
         self.run_for(0.1)
         copied = found.copy()
+        cursor = found.cursor
         self.assertEqual(['p/a'], [c.key for c in copied.changes])
-        waiting = defer.Deferred.fromCoroutine(
-            found.changes(copied.revision, 1.5)
-        )
+        waiting = defer.Deferred.fromCoroutine(found.changes(cursor, 1.5))
         self.run_for(0.1)
         self.keys.put('p/b', b'1')
         self.run_for(0.1)
@@ -125,11 +124,11 @@
     def test_one_far_behind_has_to_copy_again(self) -> None:
         found = self.follow(self.store())
         self.run_for(0.1)
-        revision = found.copy().revision
+        cursor = found.cursor
         for _ in range(500):
             self.keys.put('p/a', b'1')
             self.run_for(0.01)
-        page = self.finish(found.changes(revision, 1.5))
+        page = self.finish(found.changes(cursor, 1.5))
         self.assertIsNone(page)
 
     def test_age_grows_while_the_store_is_away(self) -> None:
