--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
@@ -71,14 +71,15 @@
         return answer
 
     async def _results(self, query: server.ResultsQuery) -> TargetAnswer:
-        for runner in self._runners():
+        # A duty may change hands while a reader waits.
+        for runner in list(self._runners()):
             body = await runner.read_results(query)
             if body is not None:
                 return _answer(_JSON, body)
         return _answer(_JSON, await self._intake.read_results(query))
 
     async def _item(self, query: server.ItemQuery) -> TargetAnswer:
-        for runner in self._runners():
+        for runner in list(self._runners()):
             body = runner.read_item(query.job, query.item)
             if body is not None:
                 return _answer((), body)
@@ -88,7 +89,7 @@
         self, call: server.JobEnd, request: ClientRequest
     ) -> TargetAnswer:
         service = None
-        for runner in self._runners():
+        for runner in list(self._runners()):
             if runner.knows(call.job):
                 service = runner.service
         try:
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_trainers.py
@@ -0,0 +1,102 @@
+"""Test who answers trainers' calls."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from twisted.internet import defer
+
+from yuccarill.core.gateway.requests import ClientRequest
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.jobs.job import JobId
+from yuccarill.daemon.gateway import relay
+from yuccarill.daemon.gateway import trainers
+from yuccarill.platform import server
+
+from . import world
+
+QUERY = server.ResultsQuery(job=JobId('j'), first=0, wait=0.0)
+
+
+def request(*headers: tuple[str, str]) -> ClientRequest:
+    return ClientRequest(
+        id=RequestId('j'),
+        method='GET',
+        host='t.example',
+        path='/x',
+        target='/x',
+        headers=headers,
+        body=b'',
+        arrived_at=Instant(0.0),
+    )
+
+
+class Runner:
+    """Answer once it is told to."""
+
+    def __init__(self, body: bytes | None) -> None:
+        self.body = body
+        self.waiting: defer.Deferred = defer.Deferred()
+
+    async def read_results(self, query: object) -> bytes | None:
+        await self.waiting
+        return self.body
+
+
+@dataclasses.dataclass
+class Peers:
+    """Stand in for the way to the holder."""
+
+    answer: TargetAnswer | None = None
+    asked: int = 0
+
+    def holder(self, host: str) -> object:
+        return 'holder' if self.answer else None
+
+    async def send(self, *_: object) -> TargetAnswer | None:
+        self.asked += 1
+        return self.answer
+
+
+class Intake:
+    """Stand in for the store's answers."""
+
+    async def read_results(self, query: object) -> bytes:
+        return b'store'
+
+
+class TrainerDeskTest(world.WorldTest):
+    def test_duties_may_change_while_a_reader_waits(self) -> None:
+        """A trainer got 500 for a read while a duty changed hands.
+
+        1. A reader waits at a runner for the next result.
+        2. Another service's duty is taken by this instance meanwhile.
+        """
+        first = Runner(None)
+        runners = {'a': first}
+        desk = trainers.TrainerDesk(Intake(), Peers(), runners.values)
+        reading = defer.Deferred.fromCoroutine(desk.serve(QUERY, request()))
+        runners['b'] = Runner(b'other')
+        first.waiting.callback(None)
+        self.assertEqual(b'store', reading.result.body)
+
+    def test_the_holder_is_asked_first(self) -> None:
+        told = TargetAnswer(status=200, headers=(), body=b'h', stamp=None)
+        desk = trainers.TrainerDesk(Intake(), Peers(told), dict().values)
+        found = self.finish(desk.serve(QUERY, request()))
+        self.assertEqual(b'h', found.body)
+
+    def test_a_relayed_call_is_not_passed_on_again(self) -> None:
+        told = TargetAnswer(status=200, headers=(), body=b'h', stamp=None)
+        peers = Peers(told)
+        desk = trainers.TrainerDesk(Intake(), peers, dict().values)
+        found = self.finish(desk.serve(QUERY, request((relay.HEADER, '1'))))
+        self.assertEqual((b'store', 0), (found.body, peers.asked))
+
+    def test_a_holder_that_can_not_tell_leaves_it_to_the_store(self) -> None:
+        told = TargetAnswer(status=503, headers=(), body=b'', stamp=None)
+        desk = trainers.TrainerDesk(Intake(), Peers(told), dict().values)
+        found = self.finish(desk.serve(QUERY, request()))
+        self.assertEqual(b'store', found.body)
