--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -181,7 +181,7 @@
     async def _leave(self) -> None:
         try:
             await self._session.leave()
-            for duty in self._duties_by_service.values():
+            for duty in list(self._duties_by_service.values()):
                 await duty.release()
         except _STORE_FAILURES as error:
             log.warning('Not told the others.', cause=str(error))
