Split the runner, the server and the choice of peers into modules of one job

Running items, answering readers and the life of jobs stood in one file of 528 lines; the server's ports and checks stand apart; two copies of the choice of a peer are one.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/forwarding.py
@@ -26,7 +26,7 @@
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.daemon.gateway.streams import StreamForwarder
     from yuccarill.platform.calls import Calls
-    from yuccarill.platform.server import Answerer
+    from yuccarill.platform.ports import Answerer
 
 log = logs.for_part('request')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
@@ -18,8 +18,8 @@
     from yuccarill.daemon.gateway.forwarding import Forwarder
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.daemon.gateway.trainers import TrainerDesk
-    from yuccarill.platform.server import Answerer
-    from yuccarill.platform.server import TrainerCall
+    from yuccarill.platform.ports import Answerer
+    from yuccarill.platform.ports import TrainerCall
 
 log = logs.for_part('front')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
@@ -37,7 +37,7 @@
     from yuccarill.daemon.gateway.job_store import Summary
     from yuccarill.daemon.gateway.relay import Relay
     from yuccarill.daemon.gateway.runner import Runner
-    from yuccarill.platform.server import ResultsQuery
+    from yuccarill.platform.ports import ResultsQuery
 
 log = logs.for_part('jobs')
 
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/item_runs.py
@@ -0,0 +1,249 @@
+"""Run items at engines, and move them off engines that hold them up."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import board as board_module
+from yuccarill.core.jobs import engines as engines_module
+from yuccarill.daemon.gateway import generation
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from yuccarill.core.ids import ModelName
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import WeightVersion
+    from yuccarill.core.jobs.job import ItemResult
+    from yuccarill.core.jobs.job import JobId
+    from yuccarill.daemon.gateway.generation import Generator
+    from yuccarill.daemon.gateway.scoring import Scorer
+    from yuccarill.daemon.gateway.state import GatewayState
+
+log = logs.for_part('runner')
+
+
+class ResultDesk(Protocol):
+    """Take results, and the work that leads to them."""
+
+    def finish(
+        self, run: board_module.ItemRun, result: ItemResult, cause: str
+    ) -> None:
+        """List an item's result."""
+        ...
+
+    def track(
+        self, job: JobId, work: Coroutine[Any, Any, None]
+    ) -> defer.Deferred[None]:
+        """Start work that ends with its job."""
+        ...
+
+
+class Permission(enum.Enum):
+    """Say whether the configuration allows an item here."""
+
+    GRANTED = 'granted'
+    # No route leads to it any more.
+    REVOKED = 'revoked'
+    # Its route leads to another service.
+    ELSEWHERE = 'elsewhere'
+
+
+class Generating:
+    """Track one run of an item at an engine."""
+
+    def __init__(
+        self, engine: engines_module.EngineState, now: Instant
+    ) -> None:
+        self.engine = engine
+        self.started_at = now
+        self.last_at = now
+        self.is_moved = False
+        self.work: defer.Deferred[generation.Outcome] = defer.Deferred()
+
+    def progress(self, now: Instant) -> None:
+        """Note that an event came."""
+        self.last_at = now
+
+
+class ItemRuns:
+    """Run the items that a board has waiting."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        state: GatewayState,
+        board: board_module.JobBoard,
+        fleet: engines_module.EngineFleet,
+        generator: Generator,
+        scorer: Scorer,
+        desk: ResultDesk,
+        clock: Any,
+    ) -> None:
+        self._service = service
+        self._state = state
+        self._board = board
+        self._fleet = fleet
+        self._generator = generator
+        self._scorer = scorer
+        self._desk = desk
+        self._clock = clock
+        self._generating_by_run: dict[board_module.ItemRun, Generating] = {}
+        self._is_stopped = False
+        self._is_pumping = False
+        self._is_asked = False
+
+    def stop(self) -> None:
+        """Start nothing more."""
+        self._is_stopped = True
+
+    def pump(self) -> None:
+        """Start the items that have a place now."""
+        if self._is_stopped or self._is_pumping:
+            # A run that ends while others are started asks for a pump too.
+            self._is_asked = True
+            return
+        self._is_pumping = True
+        try:
+            self._is_asked = True
+            while self._is_asked:
+                self._is_asked = False
+                self._pump()
+        finally:
+            self._is_pumping = False
+
+    def _pump(self) -> None:
+        now = self._now()
+        # Items of one model and age of weights find the same engines.
+        full: set[tuple[ModelName | None, WeightVersion]] = set()
+        for run in list(self._board.waiting()):
+            needs = (run.job.model, run.job.min_version)
+            if needs in full:
+                continue
+            match self._permission(run):
+                case Permission.GRANTED:
+                    engine = self._fleet.choose(run.job, now)
+                    if engine is None:
+                        full.add(needs)
+                    else:
+                        self._start(run, engine)
+                case Permission.REVOKED:
+                    self._desk.finish(run, run.given_up(), 'its route is gone')
+                case Permission.ELSEWHERE:
+                    continue
+
+    def _permission(self, run: board_module.ItemRun) -> Permission:
+        # Items are bound by the configuration in force as requests are: an
+        # item must not reach a service that its route no longer names.
+        table = self._state.table
+        path = run.item.path.partition('?')[0]
+        route = table.find(run.job.host, path) if table else None
+        if route is None:
+            return Permission.REVOKED
+        if self._service in route.services:
+            return Permission.GRANTED
+        return Permission.ELSEWHERE
+
+    def _start(
+        self, run: board_module.ItemRun, engine: engines_module.EngineState
+    ) -> None:
+        run.state = board_module.RunState.RUNNING
+        self._board.jobs_by_id[run.job.id].begin(run)
+        engine.runs_by_model[run.job.model] += 1
+        work = self._desk.track(run.job.id, self._run(run, engine))
+        work.addBoth(lambda _: self.pump())
+
+    def move(self) -> None:
+        """Move runs off engines that hold them up."""
+        now = self._now()
+        # Free places go to waiting items first. Moving all runs of a slow
+        # engine for each place that came free moved 85 runs in a second,
+        # most of them back to where they were.
+        waiting = sum(1 for _ in self._board.waiting())
+        for run, generating in list(self._generating_by_run.items()):
+            engine = generating.engine
+            if not self._fleet.is_held_up(
+                engine,
+                run.job,
+                generating.started_at,
+                generating.last_at,
+                now,
+            ):
+                continue
+            if self._fleet.free_places(run.job, now, engine) <= waiting:
+                continue
+            waiting += 1
+            log.info(
+                'Run moved.',
+                item=run.item.id,
+                engine=generating.engine.target.id,
+                pace=generating.engine.pace,
+                usual=self._fleet.usual_pace(now),
+                silent=round(now - generating.last_at, 3),
+            )
+            if self._fleet.is_silent(generating.last_at, now):
+                # Otherwise the next item would wait there as long.
+                generating.engine.fail(now)
+            generating.is_moved = True
+            generating.work.cancel()
+
+    async def _run(
+        self,
+        run: board_module.ItemRun,
+        engine: engines_module.EngineState,
+    ) -> None:
+        generating = Generating(engine, self._now())
+        generating.work = defer.Deferred.fromCoroutine(
+            self._generator.run(run, engine, generating.progress)
+        )
+        self._generating_by_run[run] = generating
+        try:
+            outcome = await generating.work
+        except defer.CancelledError:
+            if not generating.is_moved:
+                raise
+            outcome = generation.Outcome.BROKEN
+        finally:
+            del self._generating_by_run[run]
+            engine.runs_by_model[run.job.model] -= 1
+            generating.work.cancel()
+        match outcome:
+            case generation.Outcome.WHOLE:
+                run.text.is_whole = True
+                await self.score(run)
+            case generation.Outcome.FAILED:
+                self._failed(run, run.fail())
+            case generation.Outcome.IMPOSSIBLE:
+                self._desk.finish(run, run.given_up(), 'impossible')
+            case generation.Outcome.BROKEN:
+                run.state = board_module.RunState.WAITING
+
+    async def score(self, run: board_module.ItemRun) -> None:
+        """Get the score of a whole text, and finish its item."""
+        run.state = board_module.RunState.SCORING
+        score = run.score
+        if score is None:
+            score = await self._scorer.score(run)
+        run.score = score
+        if score is None:
+            self._desk.finish(run, run.given_up(), 'not scored')
+        else:
+            self._desk.finish(run, run.completed(score), 'completed')
+
+    def _failed(
+        self, run: board_module.ItemRun, result: ItemResult | None
+    ) -> None:
+        if result is None:
+            run.state = board_module.RunState.WAITING
+        else:
+            self._desk.finish(run, result, 'failed at each attempt')
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -59,7 +59,7 @@
         self._written_at = -math.inf
         self._is_writing = False
         self._began_at = 0.0
-        self._is_stopped = False
+        self.is_stopped = False
 
     def add(self, result: ItemResult, makes_group_whole: bool) -> None:
         """List a result soon; an item is listed once."""
@@ -99,7 +99,7 @@
 
         A write under way goes on: what it lists is read here as well.
         """
-        self._is_stopped = True
+        self.is_stopped = True
         self._wake_readers()
 
     def _wake_readers(self) -> None:
@@ -118,7 +118,7 @@
         self._timer = self._clock.callLater(left, self._begin_write)
 
     def _begin_write(self) -> None:
-        if self._is_stopped:
+        if self.is_stopped:
             return
         self._is_writing = True
         self._began_at = self._clock.seconds()
@@ -130,7 +130,7 @@
     async def _write(self) -> None:
         chunk = self._next_chunk()
         while not await self._append(chunk):
-            if self._is_stopped:
+            if self.is_stopped:
                 return
             await task.deferLater(self._clock, WRITE_SECONDS)
         log.info(
@@ -184,7 +184,7 @@
     def _ended(self, _: object) -> None:
         self._is_writing = False
         self._written_at = self._clock.seconds()
-        if self._pending and not self._is_stopped:
+        if self._pending and not self.is_stopped:
             self._write_at = min(
                 self._write_at, self._written_at + COLLECT_SECONDS
             )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -34,6 +34,7 @@
 from yuccarill.daemon.gateway import trainers
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
+from yuccarill.platform import checks
 from yuccarill.platform import engines
 from yuccarill.platform import server
 from yuccarill.platform import settings_file
@@ -123,8 +124,8 @@
         self._client_port = self._listen(
             settings.client_address, self._clients
         )
-        checks = small_server.SmallServer(
-            self._clock, server.pages(self._front, meters.exposition)
+        pages = small_server.SmallServer(
+            self._clock, checks.pages(self._front, meters.exposition)
         )
         host = settings.client_address.rpartition(':')[0]
         for address in {
@@ -132,7 +133,7 @@
             settings.directory_address,
             f'{host}:{METRICS_PORT}',
         } - {None}:
-            self._listen(str(address), checks)
+            self._listen(str(address), pages)
         peers = small_server.SmallServer(self._clock, self._answer_peer)
         self._listen(settings.peer_address, peers)
         self._observer.listen(self._update)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/relay.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/relay.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from yuccarill.core.gateway.routes import RouteKind
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.gateway import peer_choice
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -44,8 +44,7 @@
         self._state = state
         self._links = links
         self._clock = clock
-        self._random = random.Random()
-        self._suspect_until: dict[str, Instant] = {}
+        self._peers = peer_choice.PeerChoice(state, clock)
 
     def holder(self, host: str) -> InstanceRecord | None:
         """Return the other instance that runs a host's batch jobs."""
@@ -60,23 +59,13 @@
 
     def peer(self) -> InstanceRecord | None:
         """Return any other instance that serves."""
-        me = self._state.settings.instance
-        now = self._clock.seconds()
-        found = [
-            record
-            for record in self._state.instances_by_id.values()
-            if record.instance != me
-            and not record.is_leaving
-            and now >= self._suspect_until.get(record.instance, 0.0)
-        ]
-        return self._random.choice(found) if found else None
+        return self._peers.choose()
 
     async def send(
         self, peer: InstanceRecord, request: ClientRequest, seconds: float
     ) -> TargetAnswer | None:
         """Return a peer's answer, none if it did not give one in time."""
-        now = self._clock.seconds()
-        if now < self._suspect_until.get(peer.instance, 0.0):
+        if self._peers.is_out(peer.instance):
             return None
         outgoing = connections.OutgoingRequest(
             method=request.method,
@@ -84,7 +73,7 @@
             headers=(*request.headers, (HEADER, '1')),
             body=request.body,
         )
-        deadline = Instant(now + seconds + ANSWER_SECONDS)
+        deadline = Instant(self._clock.seconds() + seconds + ANSWER_SECONDS)
         try:
             reply = await self._links.exchange(
                 peer.client_address, outgoing, deadline
@@ -93,8 +82,7 @@
             connections.NotConnected,
             connections.ExchangeBroken,
         ) as error:
-            until = Instant(self._clock.seconds() + SUSPECT_SECONDS)
-            self._suspect_until[peer.instance] = until
+            self._peers.leave_out(peer.instance, SUSPECT_SECONDS)
             log.info(
                 'Peer did not answer.',
                 request=request.id,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,6 +12,7 @@
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway import peer_choice
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
@@ -53,11 +53,10 @@
         self._state = state
         self._links = links
         self._clock = clock
-        self._random = random.Random()
         self._is_direct = True
         self._probing = task.LoopingCall(self._probe_soon)
         self._probing.clock = clock
-        self._out_until: dict[str, Instant] = {}
+        self._peers = peer_choice.PeerChoice(state, clock)
 
     async def send(self, request: OutgoingRequest, seconds: float) -> Reply:
         """Return the store's answer.
@@ -151,21 +150,11 @@
         return reply
 
     def _peer(self) -> InstanceRecord | None:
-        me = self._state.settings.instance
-        now = self._clock.seconds()
         # One peer that is out of order may be an accident; two show that
         # the store itself is away.
-        out = [until for until in self._out_until.values() if now < until]
-        if len(out) >= 2:
+        if self._peers.count_out() >= 2:
             return None
-        found = [
-            record
-            for record in self._state.instances_by_id.values()
-            if record.instance != me
-            and not record.is_leaving
-            and now >= self._out_until.get(record.instance, 0.0)
-        ]
-        return self._random.choice(found) if found else None
+        return self._peers.choose()
 
     async def _probe(self) -> None:
         host = self._state.settings.store_address
@@ -190,7 +179,7 @@
     def _regain(self) -> None:
         if not self._is_direct:
             log.info('Store reached directly.')
-            self._out_until.clear()
+            self._peers.clear()
         self._is_direct = True
         if self._probing.running:
             self._probing.stop()
@@ -204,5 +193,4 @@
         )
 
     def _leave_out(self, peer: InstanceRecord) -> None:
-        until = self._clock.seconds() + PEER_OUT_SECONDS
-        self._out_until[peer.instance] = Instant(until)
+        self._peers.leave_out(peer.instance, PEER_OUT_SECONDS)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
@@ -20,7 +20,7 @@
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.sender import Sender
     from yuccarill.platform.calls import Calls
-    from yuccarill.platform.server import Answerer
+    from yuccarill.platform.ports import Answerer
 
 # Seconds without an event after which a run is taken for silent. Clients
 # give up after two seconds at the earliest.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
@@ -8,7 +8,7 @@
 from yuccarill.core.gateway.requests import TargetAnswer
 from yuccarill.daemon.gateway import intake as intake_module
 from yuccarill.daemon.gateway import relay as relay_module
-from yuccarill.platform import server
+from yuccarill.platform import ports
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,7 +18,7 @@
     from yuccarill.daemon.gateway.intake import Intake
     from yuccarill.daemon.gateway.relay import Relay
     from yuccarill.daemon.gateway.runner import Runner
-    from yuccarill.platform.server import TrainerCall
+    from yuccarill.platform.ports import TrainerCall
 
 _JSON = (('Content-Type', 'application/json'),)
 
@@ -48,11 +48,11 @@
             if answer is not None:
                 return answer
         match call:
-            case server.ResultsQuery():
+            case ports.ResultsQuery():
                 return await self._results(call)
-            case server.ItemQuery():
+            case ports.ItemQuery():
                 return await self._item(call)
-            case server.JobEnd():
+            case ports.JobEnd():
                 return await self._end(call, request)
 
     async def _ask_holder(
@@ -63,30 +63,30 @@
         if holder is None:
             return None
         seconds = intake_module.RELAY_SECONDS
-        if isinstance(call, server.ResultsQuery):
+        if isinstance(call, ports.ResultsQuery):
             seconds = call.wait
         answer = await self._relay.send(holder, request, seconds)
         if answer is None or answer.status != 200:
             return None
         return answer
 
-    async def _results(self, query: server.ResultsQuery) -> TargetAnswer:
+    async def _results(self, query: ports.ResultsQuery) -> TargetAnswer:
         # A duty may change hands while a reader waits.
         for runner in list(self._runners()):
-            body = await runner.read_results(query)
+            body = await runner.shelf.read_results(query)
             if body is not None:
                 return _answer(_JSON, body)
         return _answer(_JSON, await self._intake.read_results(query))
 
-    async def _item(self, query: server.ItemQuery) -> TargetAnswer:
+    async def _item(self, query: ports.ItemQuery) -> TargetAnswer:
         for runner in list(self._runners()):
-            body = runner.read_item(query.job, query.item)
+            body = runner.shelf.read_item(query.job, query.item)
             if body is not None:
                 return _answer((), body)
         return _answer((), await self._intake.read_item(query.job, query.item))
 
     async def _end(
-        self, call: server.JobEnd, request: ClientRequest
+        self, call: ports.JobEnd, request: ClientRequest
     ) -> TargetAnswer:
         service = None
         for runner in list(self._runners()):
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -15,7 +15,7 @@
 from yuccarill.daemon.gateway import intake
 from yuccarill.daemon.gateway import job_store
 from yuccarill.platform import keys
-from yuccarill.platform import server
+from yuccarill.platform import ports
 
 from . import memory_store
 from . import test_listing
@@ -161,8 +161,8 @@
 
 
 class ReadTest(IntakeTest):
-    def query(self, first: int = 0, wait: float = 0.0) -> server.ResultsQuery:
-        return server.ResultsQuery(job=JobId('j'), first=first, wait=wait)
+    def query(self, first: int = 0, wait: float = 0.0) -> ports.ResultsQuery:
+        return ports.ResultsQuery(job=JobId('j'), first=first, wait=wait)
 
     def read(self, first: int = 0, wait: float = 0.0) -> dict:
         body = self.finish(self.intake.read_results(self.query(first, wait)))
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -11,7 +11,7 @@
 from yuccarill.core.jobs.job import ResultState
 from yuccarill.daemon.gateway import job_store
 from yuccarill.platform import keys
-from yuccarill.platform import server
+from yuccarill.platform import ports
 
 from . import runner_world
 from . import world
@@ -299,7 +299,7 @@
         runner = self.hold('a')
         job = self.submit()
         self.run_for(2.0)
-        body = runner.read_item(job.id, job.items[0].id)
+        body = runner.shelf.read_item(job.id, job.items[0].id)
         self.assertEqual(b'prompt', body)
         self.assertTrue(runner.knows(job.id))
 
@@ -319,8 +319,10 @@
         self.memory.loses_replies = True
         self.run_for(0.9)
         self.assertEqual(4, len(self.results()))
-        query = server.ResultsQuery(job=job.id, first=0, wait=0.0)
-        reading = defer.Deferred.fromCoroutine(runner.read_results(query))
+        query = ports.ResultsQuery(job=job.id, first=0, wait=0.0)
+        reading = defer.Deferred.fromCoroutine(
+            runner.shelf.read_results(query)
+        )
         self.assertIsNone(reading.result)
 
     def test_a_reader_of_a_holder_without_the_duty_asks_the_store(
@@ -330,9 +332,13 @@
         runner = self.hold('a')
         job = self.submit()
         self.run_for(2.0)
-        query = server.ResultsQuery(job=job.id, first=0, wait=0.0)
-        reading = defer.Deferred.fromCoroutine(runner.read_results(query))
+        query = ports.ResultsQuery(job=job.id, first=0, wait=0.0)
+        reading = defer.Deferred.fromCoroutine(
+            runner.shelf.read_results(query)
+        )
         self.assertIsNotNone(reading.result)
         runner._duty.revision = None
-        reading = defer.Deferred.fromCoroutine(runner.read_results(query))
+        reading = defer.Deferred.fromCoroutine(
+            runner.shelf.read_results(query)
+        )
         self.assertIsNone(reading.result)
--- a/packages/yuccarill-daemon/tests/gateway/test_trainers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_trainers.py
@@ -13,11 +13,11 @@
 from yuccarill.core.jobs.job import JobId
 from yuccarill.daemon.gateway import relay
 from yuccarill.daemon.gateway import trainers
-from yuccarill.platform import server
+from yuccarill.platform import ports
 
 from . import world
 
-QUERY = server.ResultsQuery(job=JobId('j'), first=0, wait=0.0)
+QUERY = ports.ResultsQuery(job=JobId('j'), first=0, wait=0.0)
 
 
 def request(*headers: tuple[str, str]) -> ClientRequest:
@@ -38,6 +38,7 @@
 
     def __init__(self, body: bytes | None) -> None:
         self.body = body
+        self.shelf = self
         self.waiting: defer.Deferred = defer.Deferred()
 
     async def read_results(self, query: object) -> bytes | None:
