Send watches again when the direct way to the store is lost

Change: when the direct way is lost, all that is followed is read and watched again, through a peer.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -138,11 +138,17 @@
         self._listen(settings.peer_address, peers)
         self._observer.listen(self._update)
         self._session.lease.on_return = self._observer.refresh
+        self._way.on_lost = self._way_lost
         for work in (*self._observer.following(), self._session.follow()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
             self._following.append(following)
 
+    def _way_lost(self) -> None:
+        self._observer.refresh()
+        for running in list(self._runners_by_service.values()):
+            running.resume()
+
     async def _answer_peer(
         self, request: small_server.SmallRequest
     ) -> small_server.Page:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -135,7 +135,7 @@
             self._forget(job)
 
     def resume(self) -> None:
-        """Go on after the duty was lost and came back unused."""
+        """Read anew what may have changed without being heard."""
         self._follower.refresh()
         self._requests.refresh()
         self.survey()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -17,6 +17,8 @@
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from yuccarill.daemon.adapters.connections import Connections
     from yuccarill.daemon.adapters.connections import OutgoingRequest
     from yuccarill.daemon.adapters.connections import Reply
@@ -53,6 +55,8 @@
         self._state = state
         self._links = links
         self._clock = clock
+        # Called when the direct way is lost.
+        self.on_lost: Callable[[], None] = lambda: None
         self._is_direct = True
         self._probing = task.LoopingCall(self._probe_soon)
         self._probing.clock = clock
@@ -170,7 +174,10 @@
     def _lose(self, cause: str) -> None:
         if self._is_direct:
             log.warning('Store not reached directly.', cause=cause)
-        self._is_direct = False
+            self._is_direct = False
+            # Watches under way went there: they may hear nothing for as
+            # long as they wait, while other calls go through peers.
+            self._clock.callLater(0, self.on_lost)
         # An instance that makes few calls of its own would not notice that
         # the direct way is back, and would turn its peers' calls away.
         if not self._probing.running:
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -115,6 +115,20 @@
         with self.assertRaises(connections.ExchangeBroken):
             self.send()
 
+    def test_watches_are_told_that_their_way_is_lost(self) -> None:
+        """An instance refused a new route 2.1 s after its change.
+
+        1. The store turns a watcher away; its watch is open and deaf.
+        2. Its other calls go through a peer, so it counts as fresh.
+        3. Its watch has to be sent again, through the peer.
+        """
+        told: list[float] = []
+        self.way.on_lost = lambda: told.append(self.clock.seconds())
+        self.links.statuses_by_address['store:3'] = 503
+        for _ in range(3):
+            self.send()
+        self.assertEqual(1, len(told))
+
     def test_a_peer_that_is_back_passes_calls_on_at_once(self) -> None:
         """A holder lost its duty although its peers reached the store.
 
