Let as many engines follow a model as its steps have items

Cause: on the grown sites three models share 23 engines evenly, so a step of 112 items found 64 places (128 found 48) and ran in rounds, while the other engines had weights that were too old for it.

Change: a model's engines have places for three quarters of its step's items at least.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
@@ -23,6 +23,9 @@
 # Loads take longer while more than 2 of 5 or 9 of 23 engines load.
 LOADING_PART = 0.4
 MIN_LOADING = 2
+# Places that a model's engines have for each item of its steps. Most texts
+# end soon and make room for the rest, so fewer than one are enough.
+PLACES_PART = 0.75
 # Engines that serve a model at least, where there are that many.
 MIN_ENGINES = 2
 
@@ -39,6 +42,7 @@
     fleet: EngineFleet,
     engines: Sequence[EngineState],
     models: Sequence[ModelName],
+    items_by_model: Mapping[ModelName, int],
     now: Instant,
 ) -> dict[ModelName, tuple[EngineState, ...]]:
     """Return the engines that follow each model's versions.
@@ -47,10 +51,11 @@
     an engine that follows all models changes as often as all trainers
     together name versions.
     """
-    count = len(engines)
-    share = max(MIN_ENGINES, math.ceil(count / max(1, len(models))))
-    share = min(share, count)
-    fair = math.ceil(share * len(models) / max(1, count))
+    shares = {
+        model: _share(engines, len(models), items_by_model.get(model, 0))
+        for model in models
+    }
+    fair = math.ceil(sum(shares.values()) / max(1, len(engines)))
     models_by_engine: dict[TargetId, int] = {}
     found = {}
     for model in sorted(models):
@@ -66,16 +71,31 @@
                 engine.target.id,
             ),
         )
-        found[model] = tuple(ordered[:share])
+        found[model] = tuple(ordered[: shares[model]])
         for engine in found[model]:
             known = models_by_engine.get(engine.target.id, 0)
             models_by_engine[engine.target.id] = known + 1
     return found
 
 
+def _share(engines: Sequence[EngineState], models: int, items: int) -> int:
+    """Return how many engines follow a model whose steps have so many items.
+
+    An even part of the engines is free of charge. A step that finds fewer
+    places than items runs in rounds, each as long as its longest text.
+    """
+    if not engines:
+        return 0
+    slots = sum(engine.target.slots for engine in engines) / len(engines)
+    even = math.ceil(len(engines) / max(1, models))
+    wanted = math.ceil(PLACES_PART * items / max(1.0, slots))
+    return min(len(engines), max(MIN_ENGINES, even, wanted))
+
+
 def next_switches(
     fleet: EngineFleet,
     versions_by_model: Mapping[ModelName, WeightVersion],
+    items_by_model: Mapping[ModelName, int],
     now: Instant,
 ) -> list[Switch]:
     """Return the changes that may begin now."""
@@ -84,7 +104,9 @@
         for engine in fleet.engines_by_id.values()
         if not engine.target.is_leaving
     ]
-    assigned = assignment(fleet, ready, sorted(versions_by_model), now)
+    assigned = assignment(
+        fleet, ready, sorted(versions_by_model), items_by_model, now
+    )
     busy = sum(1 for engine in ready if engine.switching)
     room = max(MIN_LOADING, math.floor(LOADING_PART * len(ready))) - busy
     wanted: list[tuple[float, Switch]] = []
--- a/packages/yuccarill-core/tests/jobs/test_weights.py
+++ b/packages/yuccarill-core/tests/jobs/test_weights.py
@@ -36,15 +36,34 @@
         fleet = fleet_of(engine_count, m=1)
         models = [ModelName(f'm{n}') for n in range(model_count)]
         ready = list(fleet.engines_by_id.values())
-        found = weights.assignment(fleet, ready, models, NOW)
+        found = weights.assignment(fleet, ready, models, {}, NOW)
         for model in models:
             self.assertEqual(expected, len(found[model]))
 
+    # Engines, items a step, and the engines of 4 places that follow.
+    @params((23, 0, 8), (23, 40, 8), (23, 64, 12), (23, 500, 23), (5, 8, 2))
+    def test_large_steps_find_places(
+        self, engine_count: int, item_count: int, expected: int
+    ) -> None:
+        """A step of 112 items found 64 places and ran in rounds.
+
+        1. Three models share 23 engines evenly: eight each.
+        2. A step has more items than their places, and the other engines
+           have weights that are too old for it.
+        3. Each round takes as long as its longest text, some seconds.
+        """
+        fleet = fleet_of(engine_count, a=1)
+        models = [ModelName(name) for name in 'abc']
+        ready = list(fleet.engines_by_id.values())
+        items_by_model = {ModelName('a'): item_count}
+        found = weights.assignment(fleet, ready, models, items_by_model, NOW)
+        self.assertEqual(expected, len(found[ModelName('a')]))
+
     def test_models_are_spread_over_the_engines(self) -> None:
         fleet = fleet_of(6, a=1, b=1, c=1)
         models = [ModelName(name) for name in 'abc']
         ready = list(fleet.engines_by_id.values())
-        found = weights.assignment(fleet, ready, models, NOW)
+        found = weights.assignment(fleet, ready, models, {}, NOW)
         used = [e.target.id for engines_ in found.values() for e in engines_]
         self.assertEqual(6, len(set(used)))
 
@@ -52,12 +71,12 @@
         fleet = fleet_of(6, a=1, b=1, c=1)
         models = [ModelName(name) for name in 'abc']
         ready = list(fleet.engines_by_id.values())
-        before = weights.assignment(fleet, ready, models, NOW)
+        before = weights.assignment(fleet, ready, models, {}, NOW)
         for model, followers in before.items():
             for engine in followers:
                 engine.saw_version(model, WeightVersion(4))
         left = [e for e in ready if e is not before[ModelName('a')][0]]
-        after = weights.assignment(fleet, left, models, NOW)
+        after = weights.assignment(fleet, left, models, {}, NOW)
         for name in 'bc':
             model = ModelName(name)
             ids = {e.target.id for e in before[model]}
@@ -67,14 +86,14 @@
 class NextSwitchesTest(unittest.TestCase):
     def test_nothing_to_do(self) -> None:
         fleet = fleet_of(3, m=2)
-        self.assertEqual([], weights.next_switches(fleet, named(m=2), NOW))
+        self.assertEqual([], weights.next_switches(fleet, named(m=2), {}, NOW))
 
     @params((2, 1), (5, 2), (10, 4))
     def test_only_some_change_at_a_time(
         self, count: int, expected: int
     ) -> None:
         fleet = fleet_of(count, m=1)
-        found = weights.next_switches(fleet, named(m=2), NOW)
+        found = weights.next_switches(fleet, named(m=2), {}, NOW)
         self.assertEqual(expected, len(found))
 
     def test_one_engine_goes_on_serving(self) -> None:
@@ -85,18 +104,18 @@
         3. If both do, the step has no engine for a second.
         """
         fleet = fleet_of(2, m=1)
-        (switch,) = weights.next_switches(fleet, named(m=2), NOW)
+        (switch,) = weights.next_switches(fleet, named(m=2), {}, NOW)
         fleet.engines_by_id[switch.engine].switching.add(switch.model)
-        self.assertEqual([], weights.next_switches(fleet, named(m=2), NOW))
+        self.assertEqual([], weights.next_switches(fleet, named(m=2), {}, NOW))
 
     def test_engines_that_serve_nothing_change_at_once(self) -> None:
         fleet = fleet_of(3, m=1)
-        found = weights.next_switches(fleet, named(m=5), NOW)
+        found = weights.next_switches(fleet, named(m=5), {}, NOW)
         self.assertEqual(2, len(found))
 
     def test_the_model_furthest_behind_goes_first(self) -> None:
         fleet = fleet_of(4, a=1, b=5)
-        found = weights.next_switches(fleet, named(a=4, b=6), NOW)
+        found = weights.next_switches(fleet, named(a=4, b=6), {}, NOW)
         self.assertEqual('a', found[0].model)
 
     def test_failed_engines_are_replaced(self) -> None:
@@ -110,6 +129,7 @@
             fleet,
             list(fleet.engines_by_id.values()),
             [ModelName('a')],
+            {},
             NOW,
         )
         self.assertEqual('e1', found[ModelName('a')][-1].target.id)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -214,6 +214,8 @@
         )
         reused = self._board.add(state, [result.id for result in known])
         self._listings_by_job[job.id] = found
+        if job.model is not None:
+            self._switcher.items_by_model[job.model] = len(job.items)
         self.shelf.keep(job, found)
         log.info(
             'Job taken.',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccarill.core.ids import ModelName
     from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
     from yuccarill.daemon.gateway.duties import Duty
@@ -65,6 +66,8 @@
         self._on_switched = on_switched
         self._clock = clock
         self._running: set[defer.Deferred[None]] = set()
+        # How many items a step of each model has, by the last one.
+        self.items_by_model: dict[ModelName, int] = {}
 
     def update(self) -> None:
         """Begin the switches that may begin now."""
@@ -76,7 +79,7 @@
             if self._is_served(model)
         }
         for switch in weights.next_switches(
-            self._fleet, versions_by_model, self._now()
+            self._fleet, versions_by_model, self.items_by_model, self._now()
         ):
             engine = self._fleet.engines_by_id[switch.engine]
             engine.switching.add(switch.model)
