--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo demo-lifti test lint format capacity
+.PHONY: setup demo demo-lifti demo-platform test lint format capacity
 
 setup: $(STAMP)
 
@@ -18,6 +18,9 @@
 demo-lifti: $(STAMP)
 	BIN=$(BIN) bash tools/demo.sh examples/lifti.toml
 
+demo-platform: $(STAMP)
+	cd platform && ../$(BIN)/python -m tests.soak.run --seeds 1 --seconds 10 --table
+
 test: $(STAMP)
 	$(BIN)/python tools/run_tests.py
 
