Tell a watcher's readers at once that it lost the store

A reader's poll stayed open for 1.5 s, and the word of a watcher that had lost the store was believed up to 2.2 s. Change: a loss, or a check that fails, ends open polls with 503; the reader asks the store itself. Measured: two tests fail before and pass now.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
@@ -75,6 +75,12 @@
             page = await follower.changes(cursor, POLL_SECONDS)
         if page is None:
             return HttpPage(status=410)
+        if not follower.is_in_touch:
+            # Said at once: a reader that waited for the age to pass its
+            # bound refused routes with 404 for more than the 2 s that it
+            # has. Loss ends open polls, so a reader learns of it within
+            # a check and a call, and asks the store itself.
+            return HttpPage(status=503)
         feed = Feed(page=page, cursor=follower.cursor, age=follower.age())
         return HttpPage(
             status=200,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
@@ -81,6 +81,8 @@
         self._watching: defer.Deferred[None] | None = None
         self._pause = FIRST_PAUSE
         self._is_lost = False
+        # The last check got no answer.
+        self._is_doubted = False
 
     async def follow(self) -> None:
         """Read, then watch and check, until cancelled."""
@@ -104,6 +106,11 @@
         age: float = self._clock.seconds() - self._heard_at
         return age
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Say whether the last call of the store was answered."""
+        return not (self._is_lost or self._is_doubted)
+
     def copy(self) -> Page:
         """Return every key, for one who follows this copy."""
         return store_module.Page(
@@ -207,9 +214,20 @@
                 continue
             try:
                 await self._check()
-            except (store_module.StoreRefused, store_module.StoreUnclear):
-                # The watch logs when the store is lost.
-                continue
+            except (
+                store_module.StoreRefused,
+                store_module.StoreUnclear,
+            ) as error:
+                self._doubt(error)
+            else:
+                self._is_doubted = False
+
+    def _doubt(self, error: Exception) -> None:
+        # The watch logs when the store is lost.
+        if not self._is_doubted:
+            log.info('Check failed.', prefix=self._prefix, cause=str(error))
+        self._is_doubted = True
+        self._history.wake()
 
     async def _check(self) -> None:
         # A watch sent while the store was silent is never answered, on a
@@ -255,11 +273,12 @@
         if not self._is_lost:
             self._is_lost = True
             log.warning('Store lost.', prefix=self._prefix, cause=str(error))
+            self._history.wake()
         await task.deferLater(self._clock, self._pause)
         self._pause = min(self._pause * 2.0, LAST_PAUSE)
 
     def _is_reached(self) -> None:
         if self._is_lost:
             log.info('Store reached again.', prefix=self._prefix)
-        self._is_lost = False
+        self._is_lost = self._is_doubted = False
         self._pause = FIRST_PAUSE
--- a/packages/yuccarill-daemon/tests/gateway/test_feed.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -126,6 +126,44 @@
         self.assertEqual(['+p/a'], self.heard)
         self.assertIn('watch', self.own.calls)
 
+    def test_a_change_comes_in_time_though_the_watcher_lost_the_store(
+        self,
+    ) -> None:
+        """Requests on a new route got 404 for over 2 s after its change.
+
+        1. The watcher's link to the store breaks, or falls silent.
+        2. The route is added; the reader's own link would tell of it.
+        3. The reader's poll stays open, and the watcher's last word is
+           still young enough to be believed, so it goes on waiting.
+        """
+        self.run_for(0.1)
+        self.read()
+        self.run_for(0.9)
+        self.watching.refuses = True
+        # Ends the watch that is open.
+        self.keys.put('other', b'')
+        self.keys.forget_history()
+        self.run_for(0.1)
+        self.keys.put('p/a', b'')
+        self.run_for(0.5)
+        self.assertEqual(['+p/a'], self.heard)
+
+    def test_a_change_comes_in_time_though_the_store_is_silent(self) -> None:
+        """Requests on a new route got 404 for over 2 s after its change.
+
+        1. The watcher's link to the store falls silent, just after a check.
+        2. The route is added; the reader's own link would tell of it.
+        3. The watcher's next check fails, but its last word is still young
+           enough to be believed.
+        """
+        self.run_for(0.1)
+        self.read()
+        self.run_for(follower.CHECK_SECONDS)
+        self.watching.is_silent = True
+        self.keys.put('p/a', b'')
+        self.run_for(1.95)
+        self.assertEqual(['+p/a'], self.heard)
+
     def test_a_removal_is_found_when_the_watcher_changes(self) -> None:
         self.keys.put('p/a', b'')
         self.run_for(0.1)
