Say once which instances serve and which peer is chosen

Cause: the filter of instances that are not leaving stood four times, the map of cores twice, and what a failed peer costs was kept in two classes. Change: GatewayState.serving_instances() and cores_by_name(); the feed asks a PeerChoice, which may keep a peer that was of use. Behaviour is the same.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -346,15 +346,8 @@
 
     def _rank(self) -> int:
         """Return this instance's place among the candidates."""
-        me = str(self._state.settings.instance)
-        cores_by_name = {
-            record.instance: record.cores
-            for record in self._state.instances_by_id.values()
-            if not record.is_leaving
-        }
-        cores_by_name[me] = self._state.settings.cores
-        ordered = candidates.ordered(cores_by_name, self.service)
-        return ordered.index(me)
+        ordered = candidates.ordered(self._state.cores_by_name(), self.service)
+        return ordered.index(self._state.settings.instance)
 
     def _failed(self, failure: Any) -> None:
         if failure.check(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 import urllib.parse
@@ -14,6 +13,7 @@
 from yuccarill.core.ids import Revision
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters.small_server import Page as HttpPage
+from yuccarill.daemon.gateway import peer_choice
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
@@ -105,9 +105,7 @@
         self._store = store
         self._links = links
         self._clock = clock
-        self._random = random.Random()
-        self._out_until: dict[str, Instant] = {}
-        self._chosen = ''
+        self._peers = peer_choice.PeerChoice(state, clock)
         # Where to go on, and in whose copy.
         self._cursor = ''
         self._cursor_of = ''
@@ -143,29 +141,13 @@
         return await self._store.watch(prefix, after, seconds)
 
     def _watcher(self) -> InstanceRecord | None:
-        me = self._state.settings.instance
-        records_by_name = {
-            record.instance: record
-            for record in self._state.instances_by_id.values()
-            if not record.is_leaving
-        }
-        cores_by_name = {
-            name: record.cores for name, record in records_by_name.items()
-        }
-        cores_by_name[me] = self._state.settings.cores
-        names = watchers.watchers(cores_by_name)
-        now = self._clock.seconds()
-        usable = [
-            name
-            for name in names
-            if name in records_by_name
-            and now >= self._out_until.get(name, 0.0)
-        ]
-        if me in names or not usable:
+        names = watchers.watchers(self._state.cores_by_name())
+        if self._state.settings.instance in names:
             return None
-        if self._chosen not in usable:
-            self._chosen = self._random.choice(usable)
-        return records_by_name[self._chosen]
+        chosen = self._peers.choose(names)
+        if chosen is not None:
+            self._peers.keep(chosen.instance)
+        return chosen
 
     async def _ask(
         self, watcher: InstanceRecord, prefix: str
@@ -199,9 +181,8 @@
 
     def _leave_out(self, watcher: InstanceRecord, cause: str) -> None:
         log.info('Watcher left out.', watcher=watcher.instance, cause=cause)
-        until = Instant(self._clock.seconds() + OUT_SECONDS)
-        self._out_until[watcher.instance] = until
-        self._chosen = self._cursor_of = ''
+        self._peers.leave_out(watcher.instance, OUT_SECONDS)
+        self._cursor_of = ''
 
 
 def _feed(reply: connections.Reply) -> Feed:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
@@ -64,9 +64,7 @@
         Raises NotRun if no instance is known that takes requests.
         """
         found = {
-            record.client_address
-            for record in self._state.instances_by_id.values()
-            if not record.is_leaving
+            record.client_address for record in self._state.serving_instances()
         }
         me = self._state.settings
         if self.is_ready():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_choice.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_choice.py
@@ -9,30 +9,42 @@
 from yuccarill.core.ids import Instant
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.daemon.gateway.state import InstanceRecord
 
 
 class PeerChoice:
-    """Remember which peers are left out, and until when."""
+    """Remember which peers are left out, and which one was of use."""
 
     def __init__(self, state: GatewayState, clock: Any) -> None:
         self._state = state
         self._clock = clock
         self._random = random.Random()
         self._out_until: dict[str, Instant] = {}
+        self._kept = ''
+
+    def choose(
+        self, among: Collection[str] | None = None
+    ) -> InstanceRecord | None:
+        """Return another instance that serves and is not left out.
 
-    def choose(self) -> InstanceRecord | None:
-        """Return any other instance that serves and is not left out."""
+        The one that was kept last is returned as long as it is among them.
+        """
         me = self._state.settings.instance
-        found = [
-            record
-            for record in self._state.instances_by_id.values()
+        found_by_name = {
+            record.instance: record
+            for record in self._state.serving_instances()
             if record.instance != me
-            and not record.is_leaving
+            and (among is None or record.instance in among)
             and not self.is_out(record.instance)
-        ]
-        return self._random.choice(found) if found else None
+        }
+        if self._kept in found_by_name:
+            return found_by_name[self._kept]
+        if not found_by_name:
+            return None
+        return self._random.choice(list(found_by_name.values()))
 
     def is_out(self, instance: str) -> bool:
         """Tell whether a peer is left out now."""
@@ -43,10 +55,16 @@
         """Return how many peers are left out now."""
         return sum(self.is_out(name) for name in self._out_until)
 
+    def keep(self, instance: str) -> None:
+        """Go on with a peer that was of use."""
+        self._kept = instance
+
     def leave_out(self, instance: str, seconds: float) -> None:
         """Leave a peer out for a while."""
         until = self._clock.seconds() + seconds
         self._out_until[instance] = Instant(until)
+        if self._kept == instance:
+            self._kept = ''
 
     def clear(self) -> None:
         """Choose among all again."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -60,3 +60,20 @@
     is_current: bool = False
     # Written by the process.
     is_leaving: bool = False
+
+    def serving_instances(self) -> list[InstanceRecord]:
+        """Return the listed instances that are not leaving."""
+        return [
+            record
+            for record in self.instances_by_id.values()
+            if not record.is_leaving
+        ]
+
+    def cores_by_name(self) -> dict[str, float]:
+        """Return the cores of instances that serve, this one included."""
+        cores = {
+            record.instance: record.cores
+            for record in self.serving_instances()
+        }
+        cores[self.settings.instance] = self.settings.cores
+        return cores
