Hand unfinished texts on at a planned stop

With the store away in the moment of the signal the duty was not given back at all. Change: a leaving holder sends what was made of its items to the two next candidates, which go on after the last whole event, with the versions as they were made; results not listed yet go along. What the store lists is taken over as made, so that carried groups are not generated again. Telling the others and giving the duty back are tried until the store has them.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -7,9 +7,11 @@
 
 from yuccarill.core.jobs.job import ItemResult
 from yuccarill.core.jobs.job import ResultState
+from yuccarill.core.jobs import left_text
 from yuccarill.core.jobs import text as text_module
 
 if TYPE_CHECKING:
+    from collections.abc import Container
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -50,18 +52,32 @@
         self.failures = 0
         self.score_failures = 0
 
-    def reuse(self, left: ItemRun) -> bool:
-        """Go on with what an earlier job left of the same item."""
-        is_single = self.job.is_single_version
-        if left.item.body != self.item.body:
+    def reuse(self, left: left_text.LeftText) -> bool:
+        """Go on with what an earlier run left of the same item."""
+        if left.body_digest != left_text.body_digest(self.item):
             return False
-        if not left.text.fits(self.job.min_version, is_single):
+        text = text_module.ItemText.restore(
+            left.parts, left.versions, left.is_whole
+        )
+        if not text.fits(self.job.min_version, self.job.is_single_version):
             return False
-        self.text = left.text
-        if left.item.score_request == self.item.score_request:
+        self.text = text
+        if left.scoring_digest == left_text.scoring_digest(self.item):
             self.score = left.score
         return True
 
+    def left(self) -> left_text.LeftText:
+        """Return what there is of the text."""
+        return left_text.LeftText(
+            item=self.item.id,
+            body_digest=left_text.body_digest(self.item),
+            scoring_digest=left_text.scoring_digest(self.item),
+            parts=self.text.parts,
+            versions=self.text.versions,
+            is_whole=self.text.is_whole,
+            score=self.score,
+        )
+
     def fail(self) -> ItemResult | None:
         """Count a failed run; return the result if it was the last."""
         self.failures += 1
@@ -124,6 +140,20 @@
         self._left_by_group[run.item.group] -= 1
         return self._left_by_group[run.item.group] == 0
 
+    def take(self, result: ItemResult) -> None:
+        """Take a result that another instance listed."""
+        run = self.runs_by_id.get(result.id)
+        if run is None:
+            return
+        self.end(result.id)
+        # An item of a group that was not whole comes again in the next
+        # step, and would be made and scored a second time.
+        if result.state is ResultState.COMPLETED:
+            run.text = text_module.ItemText.restore(
+                [result.text], result.versions, is_whole=True
+            )
+            run.score = result.score
+
     @property
     def is_finished(self) -> bool:
         return not any(self._left_by_group.values())
@@ -151,19 +181,20 @@
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[JobId, JobState] = {}
-        # What was made of items whose jobs have ended, the oldest first.
-        self._left_by_id: dict[ItemId, ItemRun] = {}
+        # What was made of items whose jobs have ended here, or are run by
+        # another instance so far; the oldest first.
+        self._left_by_id: dict[ItemId, left_text.LeftText] = {}
 
     def add(
-        self, state: JobState, listed: Iterable[ItemId] = ()
+        self, state: JobState, listed: Iterable[ItemResult] = ()
     ) -> list[ItemRun]:
-        """Take a job and the items that already have their results.
+        """Take a job and the results that its items already have.
 
         Returns the runs whose text is whole, from an earlier job.
         """
         self.jobs_by_id[state.job.id] = state
-        for item_id in listed:
-            state.end(item_id)
+        for result in listed:
+            state.take(result)
         whole = []
         for run in list(state.waiting()):
             left = self._left_by_id.pop(run.item.id, None)
@@ -178,12 +209,30 @@
             return None
         # The trainer asks again for groups that were not whole, and what
         # is made of them is work saved in the next step.
-        for run in state.runs_by_id.values():
-            if run.text.events:
-                self._left_by_id[run.item.id] = run
+        self.leave(
+            run.left() for run in state.runs_by_id.values() if run.text.events
+        )
+        return state
+
+    def leave(self, texts: Iterable[left_text.LeftText]) -> None:
+        """Keep texts for the jobs that will ask for their items."""
+        for text in texts:
+            self._left_by_id[text.item] = text
         while len(self._left_by_id) > MAX_LEFT:
             del self._left_by_id[next(iter(self._left_by_id))]
-        return state
+
+    def left(self, listed: Container[ItemId]) -> list[left_text.LeftText]:
+        """Return what another instance would go on with, open jobs first.
+
+        It reads by itself which items have their results listed.
+        """
+        unfinished = [
+            run.left()
+            for state in self.jobs_by_id.values()
+            for run in state.runs_by_id.values()
+            if run.text.events and run.item.id not in listed
+        ]
+        return [*unfinished, *reversed(self._left_by_id.values())]
 
     def waiting(self) -> Iterator[ItemRun]:
         """Yield the items to run, the most urgent first."""
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/text.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/text.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from yuccarill.core.ids import WeightVersion
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one event of an engine's stream."""
@@ -37,6 +42,24 @@
         # Set once an engine has sent the last event.
         self.is_whole = False
 
+    @classmethod
+    def restore(
+        cls,
+        parts: Iterable[str],
+        versions: Iterable[WeightVersion],
+        is_whole: bool,
+    ) -> ItemText:
+        """Return the text that an earlier run left."""
+        text = cls()
+        text._parts = list(parts)
+        text._versions = set(versions)
+        text.is_whole = is_whole
+        return text
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        return tuple(self._parts)
+
     @property
     def events(self) -> int:
         """Count the events that were taken; a resumed run starts after."""
--- a/packages/yuccarill-core/tests/jobs/test_board.py
+++ b/packages/yuccarill-core/tests/jobs/test_board.py
@@ -8,7 +8,9 @@
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs.job import ItemId
+from yuccarill.core.jobs.job import ItemResult
 from yuccarill.core.jobs.job import ResultState
+from yuccarill.core.jobs import text as text_module
 from yuccarill.core.jobs.text import StreamEvent
 
 from . import items
@@ -20,6 +22,16 @@
         run.text.take(StreamEvent(number=number, data=f'd{number}'))
 
 
+def listed(item: str) -> ItemResult:
+    return ItemResult(
+        id=ItemId(item),
+        state=ResultState.COMPLETED,
+        text='d1\nd2',
+        versions=(WeightVersion(2),),
+        score='signed',
+    )
+
+
 class OrderTest(unittest.TestCase):
     def test_jobs_due_first_go_first(self) -> None:
         board = board_module.JobBoard()
@@ -50,7 +62,7 @@
     def test_listed_items_are_not_run_again(self) -> None:
         board = board_module.JobBoard()
         state = items.make_state(items.make_job())
-        board.add(state, [ItemId('j-0-0'), ItemId('j-0-1')])
+        board.add(state, [listed('j-0-0'), listed('j-0-1')])
         order = [run.item.id for run in board.waiting()]
         self.assertEqual(['j-1-0', 'j-1-1'], order)
 
@@ -119,3 +131,80 @@
     def test_a_text_of_too_old_weights_is_made_anew(self) -> None:
         run, _ = self.carry(3)
         self.assertEqual(0, run.text.events)
+
+    def test_what_another_instance_listed_is_not_made_again(self) -> None:
+        """Items were generated twice after their holder was replaced.
+
+        1. A holder lists one of a group's two items and is replaced.
+        2. The trainer ends the step: the group was not whole.
+        3. Its next step asks for both; the listed one is taken over.
+        """
+        board = board_module.JobBoard()
+        state = items.make_state(items.make_job(min_version=2))
+        board.add(state, [listed('j-0-0')])
+        board.remove(state.job.id)
+        again = items.make_state(items.make_job(min_version=2))
+        whole = board.add(again)
+        self.assertEqual([again.runs_by_id[ItemId('j-0-0')]], whole)
+        result = whole[0].completed(str(whole[0].score))
+        self.assertEqual(listed('j-0-0'), result)
+
+
+class HandOnTest(unittest.TestCase):
+    """A board's texts go on at the board of another instance."""
+
+    def setUp(self) -> None:
+        self.before = board_module.JobBoard()
+        self.after = board_module.JobBoard()
+        self.state = items.make_state(items.make_job(min_version=2))
+        self.before.add(self.state)
+
+    def run_of(self, item: str) -> board_module.ItemRun:
+        return self.state.runs_by_id[ItemId(item)]
+
+    def hand_on(self, **more: object) -> board_module.JobState:
+        self.after.leave(self.before.left(listed=()))
+        state = items.make_state(items.make_job(min_version=2, **more))
+        self.whole = self.after.add(state)
+        return state
+
+    def test_a_begun_text_goes_on_after_its_last_event(self) -> None:
+        write(self.run_of('j-0-0'), version=2, count=3)
+        run = self.hand_on().runs_by_id[ItemId('j-0-0')]
+        self.assertEqual(('d1', 'd2', 'd3'), run.text.parts)
+        self.assertEqual((2,), run.text.versions)
+        self.assertIs(board_module.RunState.WAITING, run.state)
+
+    def test_the_version_of_a_later_event_is_not_guessed(self) -> None:
+        # The engine that goes on may have other weights.
+        write(self.run_of('j-0-0'), version=2, count=3)
+        run = self.hand_on().runs_by_id[ItemId('j-0-0')]
+        with self.assertRaises(text_module.TextBroken):
+            run.text.take(StreamEvent(number=4, data='d4'))
+
+    def test_a_result_that_was_not_listed_yet_is_not_made_again(self) -> None:
+        run = self.run_of('j-0-0')
+        write(run, version=2, count=3)
+        run.text.is_whole = True
+        run.score = 'signed'
+        self.state.end(run.item.id)
+        self.hand_on()
+        self.assertEqual(['j-0-0'], [run.item.id for run in self.whole])
+        self.assertEqual('signed', self.whole[0].score)
+
+    def test_what_was_listed_is_not_handed_on(self) -> None:
+        # It stands in the store, and each byte between data centres counts.
+        write(self.run_of('j-0-0'), version=2, count=3)
+        write(self.run_of('j-0-1'), version=2, count=3)
+        found = self.before.left(listed={ItemId('j-0-0')})
+        self.assertEqual(['j-0-1'], [text.item for text in found])
+
+    def test_texts_of_open_jobs_come_first(self) -> None:
+        # They are the ones that are cut off where the size is bounded.
+        write(self.run_of('j-0-0'), version=2, count=3)
+        self.before.remove(self.state.job.id)
+        state = items.make_state(items.make_job('k'))
+        self.before.add(state)
+        write(state.runs_by_id[ItemId('k-0-0')], version=1, count=1)
+        found = self.before.left(listed=())
+        self.assertEqual(['k-0-0', 'j-0-0'], [text.item for text in found])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -169,7 +169,10 @@
             self.tenure.order(self._now())
 
     async def release(self) -> None:
-        """Give the duty back, telling when the last order was sent."""
+        """Give the duty back, telling when the last order was sent.
+
+        Tries again until the store has it or the lease has ended.
+        """
         tenure, self.tenure = self.tenure, None
         if tenure is None:
             return
@@ -181,11 +184,27 @@
         expected = store_module.Expectation(
             key=keys.duty(self.service), revision=Revision(tenure.epoch)
         )
-        await self._store.transact(
-            expected=[expected],
-            writes=[self._last_holder(idle, waits)],
-            removals=[keys.duty(self.service)],
-        )
+        while True:
+            try:
+                await self._store.transact(
+                    expected=[expected],
+                    writes=[self._last_holder(idle, waits)],
+                    removals=[keys.duty(self.service)],
+                )
+                break
+            except store_module.StoreConflict:
+                # An earlier try was carried out, or the lease ended.
+                break
+            except (
+                store_module.StoreRefused,
+                store_module.StoreUnclear,
+            ) as error:
+                log.info(
+                    'Duty not given back.',
+                    service=self.service,
+                    cause=str(error),
+                )
+                await task.deferLater(self._clock, RETRY_SECONDS)
         log.info('Duty given back.', service=self.service)
 
     def give_up(self, revision: Revision) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -14,6 +14,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway import departure
 from yuccarill.daemon.gateway import duties
 from yuccarill.daemon.gateway import feed
 from yuccarill.daemon.gateway import forwarding
@@ -31,6 +32,7 @@
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway import store_way
 from yuccarill.daemon.gateway import streams
+from yuccarill.daemon.gateway import texts
 from yuccarill.daemon.gateway import trainers
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
@@ -108,6 +110,15 @@
         self._front = front.Front(
             self._state, forwarder, desk, self._observer.age
         )
+        self._depot = texts.TextDepot(clock)
+        self._departure = departure.Departure(
+            self._session,
+            self._duties_by_service,
+            self._runners_by_service,
+            self._depot,
+            texts.TextSender(self._state, links, clock),
+            clock,
+        )
         self._clients = server.ClientFactory(self._front, clock, self._now)
         self._following: list[defer.Deferred[None]] = []
         self._client_port: Any = None
@@ -154,6 +165,8 @@
     ) -> small_server.Page:
         if request.path == feed.PATH:
             return await self._feeds.handle(request)
+        if request.path == texts.PATH:
+            return await self._depot.receive(request)
         return await self._way.pass_on(request)
 
     def reload(self) -> None:
@@ -174,9 +187,17 @@
         end_at = self._now() + grace - END_BEFORE_KILL
         log.info('Stopping.', under_way=self._clients.requests_under_way)
         self._state.is_leaving = True
-        await self._leave()
+        leaving = defer.Deferred.fromCoroutine(self._departure.leave())
+        leaving.addErrback(self._crashed)
         while self._now() < close_at:
             await self._pause()
+        if not leaving.called:
+            # The duty goes on elsewhere once its lease has ended.
+            leaving.cancel()
+            handing_on = defer.Deferred.fromCoroutine(
+                self._departure.hand_on()
+            )
+            handing_on.addErrback(self._crashed)
         await defer.maybeDeferred(self._client_port.stopListening)
         self._clients.close_idle()
         while self._clients.requests_under_way and self._now() < end_at:
@@ -185,14 +206,6 @@
         await self._end()
         log.info('Stopped.', cut_off=self._clients.requests_under_way)
 
-    async def _leave(self) -> None:
-        try:
-            await self._session.leave()
-            for duty in list(self._duties_by_service.values()):
-                await duty.release()
-        except _STORE_FAILURES as error:
-            log.warning('Not told the others.', cause=str(error))
-
     async def _end(self) -> None:
         for following in self._following:
             following.cancel()
@@ -251,6 +264,7 @@
             scoring.Scorer(self._state, self._sender, self._clock),
             self._engines,
             self._clock,
+            self._depot.take(service),
         )
         self._runners_by_service[service] = started
         started.start()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -28,11 +28,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
+    from yuccarill.core.jobs.left_text import LeftText
     from yuccarill.daemon.gateway.duties import Duty
     from yuccarill.daemon.gateway.generation import Generator
     from yuccarill.daemon.gateway.job_store import JobStore
@@ -66,12 +68,15 @@
         scorer: Scorer,
         engines: Engines,
         clock: Any,
+        handed: Iterable[LeftText] = (),
     ) -> None:
         self._state = state
         self._duty = duty
         self._jobs = jobs
         self._clock = clock
         self._board = board_module.JobBoard()
+        # What the holder before had made of the items.
+        self._board.leave(handed)
         self._fleet = engines_module.EngineFleet()
         self._requests = engine_requests.EngineRequests(
             store, self.survey, clock
@@ -140,6 +145,15 @@
         self._requests.refresh()
         self.survey()
 
+    def left_texts(self) -> list[LeftText]:
+        """Return the texts that another instance would go on with."""
+        listed = {
+            result.id
+            for found in self._listings_by_job.values()
+            for result in found.results
+        }
+        return self._board.left(listed)
+
     def knows(self, job: JobId) -> bool:
         """Tell whether a job is one of this service."""
         return job in self.shelf
@@ -212,7 +226,7 @@
             Instant(submitted + due),
             Instant(submitted + retained),
         )
-        reused = self._board.add(state, [result.id for result in known])
+        reused = self._board.add(state, known)
         self._listings_by_job[job.id] = found
         if job.model is not None:
             self._switcher.items_by_model[job.model] = len(job.items)
@@ -226,6 +240,7 @@
             items=len(job.items),
             listed=len(known),
             reused=len(reused),
+            resumed=sum(run.text.events > 0 for run in state.waiting()),
             age=round(age, 2),
         )
         for run in reused:
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -6,6 +6,7 @@
 import dataclasses
 import time
 from typing import Any
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from twisted.internet import task
@@ -36,6 +37,11 @@
 from . import test_listing
 from . import world
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccarill.core.jobs.left_text import LeftText
+
 GAP = 0.04
 EVENTS = 10
 
@@ -190,7 +196,9 @@
     def engine(self, name: str) -> Engine:
         return self.engines.engines_by_id[TargetId(name)]
 
-    def hold(self, name: str) -> runner_module.Runner:
+    def hold(
+        self, name: str, handed: Iterable[LeftText] = ()
+    ) -> runner_module.Runner:
         """Give the duty to an instance, which begins to run jobs."""
         self.holds += 1
         self.keys.put(keys.duty(world.SERVICE), b'%d' % self.holds)
@@ -210,6 +218,7 @@
             Scorer(),
             self.engines,
             self.clock,
+            handed,
         )
         self.memory: memory_store.MemoryStore = memory
         found.start()
