Give no item up by the clock of another machine

Cause: the trouble table had no test for a step of the clock, nor for an instance that is to be emptied. Writing the first showed a fault: a holder that takes a job from the store aged it by the wall clock, and one that is ahead gave its items up at once. Change: the time after which an item may be given up counts from where the holder took the job; the wall clock only orders jobs. Tests of both troubles.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -216,6 +216,8 @@
         found = listing.Listing(
             job.id, len(job.items), known, self._jobs, self._duty, self._clock
         )
+        # By the clocks of two machines, of which either may have been set
+        # anew: it may put jobs in another order, but gives nothing up.
         age = max(0.0, time.time() - job.submitted_at)
         submitted = self._now() - age
         due = job.due_at - job.submitted_at
@@ -224,7 +226,9 @@
             job,
             Instant(submitted),
             Instant(submitted + due),
-            Instant(submitted + retained),
+            # Counted from here: a clock that is ahead would give items up
+            # that a trainer still waits for, and a later end costs nothing.
+            Instant(self._now() + retained),
         )
         reused = self._board.add(state, known)
         self._listings_by_job[job.id] = found
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import time
+from unittest import mock
+
 import msgspec
 from twisted.internet import defer
 
 from yuccarill.core.gateway import routes
+from yuccarill.core.ids import InstanceId
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.job import ResultState
 from yuccarill.daemon.gateway import job_store
 from yuccarill.platform import keys
+from yuccarill.platform import operators
 from yuccarill.platform import ports
 
 from . import runner_world
@@ -186,6 +191,77 @@
     return msgspec.structs.replace(job, id=name)
 
 
+class ClockStepTest(runner_world.RunnerTest):
+    def test_a_step_of_the_clock_gives_nothing_up(self) -> None:
+        """Items failed that their trainer still waited for.
+
+        1. A job is accepted at an instance whose clock is right.
+        2. The holder's clock is an hour ahead when it takes the job.
+        3. By it the job's time is over; the engines are slow, not gone.
+        """
+        for engine in self.engines.engines_by_id.values():
+            engine.gap = 0.5
+        self.submit()
+        ahead = mock.patch.object(
+            time, 'time', lambda: self.clock.seconds() + 3600.0
+        )
+        with ahead:
+            self.hold('a')
+            self.run_for(7.0)
+        states = [result.state for result in self.results()]
+        self.assertEqual([ResultState.COMPLETED] * 4, states)
+
+    def test_a_clock_that_is_behind_holds_nothing_back(self) -> None:
+        self.submit()
+        behind = mock.patch.object(
+            time, 'time', lambda: self.clock.seconds() - 3600.0
+        )
+        with behind:
+            self.hold('a')
+            self.run_for(2.0)
+        self.assertEqual(4, len(self.results()))
+
+
+class RetirementTest(runner_world.RunnerTest):
+    """Operators ask for a disk instance to be emptied."""
+
+    def answer(self) -> bytes | None:
+        entry = self.keys.entries_by_key.get(keys.retirement(InstanceId('s1')))
+        return None if entry is None else entry.value
+
+    def ask(self) -> None:
+        self.keys.put(keys.RETIRE_PREFIX + 's1', b'{}')
+
+    def test_the_holder_says_that_nothing_is_kept_there(self) -> None:
+        self.hold('a')
+        self.run_for(0.2)
+        self.ask()
+        self.run_for(1.0)
+        self.assertEqual(operators.retirement_done(), self.answer())
+
+    def test_a_request_from_before_the_holder_is_answered(self) -> None:
+        self.ask()
+        self.hold('a')
+        self.run_for(1.0)
+        self.assertEqual(operators.retirement_done(), self.answer())
+
+    def test_the_answer_is_written_once_the_store_is_back(self) -> None:
+        """An operator waited for ever to take the machine away.
+
+        1. The store turns the answer away.
+        2. It is back seconds later; the request is not written again.
+        """
+        self.hold('a')
+        self.run_for(0.2)
+        self.ask()
+        self.run_for(0.005)
+        self.memory.refuses = True
+        self.run_for(3.0)
+        self.memory.refuses = False
+        self.run_for(2.0)
+        self.assertEqual(operators.retirement_done(), self.answer())
+
+
 class HandoverTest(runner_world.RunnerTest):
     """The instance that runs a job dies, or is cut off from the store."""
 
