Keep a duty's keys in a module of their own

Change: the conditional writes are DutyKeys in duty_keys.py; Duty decides when. Behaviour is the same. Measured: the tests of the gateway pass.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 import uuid
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -17,16 +16,16 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
+from yuccarill.daemon.gateway import duty_keys
 from yuccarill.daemon.gateway import lease as lease_module
-from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon import logs
-from yuccarill.platform import keys
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.gateway.state import DutyRecord
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.store import Store
 
@@ -68,7 +67,13 @@
         self.is_continued = False
         self._incarnation = Incarnation(uuid.uuid4().hex)
         self._state = state
-        self._store = store
+        self._keys = duty_keys.DutyKeys(
+            service,
+            state.settings.instance,
+            self._incarnation,
+            store,
+            clock,
+        )
         self._on_change = on_change
         self._clock = clock
         self._attempt: defer.Deferred[None] | None = None
@@ -115,7 +120,7 @@
         elif self._attempt is None and self._is_free(holder):
             self._contend()
 
-    def _is_free(self, holder: state_module.DutyRecord | None) -> bool:
+    def _is_free(self, holder: DutyRecord | None) -> bool:
         # A process that was killed finds the duty still under the lease of
         # the one before it on the same instance: waiting for that lease to
         # end would leave the engines without orders for seconds.
@@ -149,12 +154,14 @@
         sent_at = self._now()
         revision = self.revision
         try:
-            entry = await self._store.get(keys.duty(self.service))
+            is_known = revision is not None and await self._keys.knows(
+                revision
+            )
         finally:
             self._confirming = None
         if revision is None or revision != self.revision:
             return
-        if entry is not None and entry.revision == revision:
+        if is_known:
             self.confirm_from(sent_at)
         else:
             self._lose('the store does not know it')
@@ -181,30 +188,7 @@
         now = self._now()
         idle = min(tenure.idle_seconds(now), LONG_AGO)
         waits = max(0.0, tenure.orders_from - now)
-        expected = store_module.Expectation(
-            key=keys.duty(self.service), revision=Revision(tenure.epoch)
-        )
-        while True:
-            try:
-                await self._store.transact(
-                    expected=[expected],
-                    writes=[self._last_holder(idle, waits)],
-                    removals=[keys.duty(self.service)],
-                )
-                break
-            except store_module.StoreConflict:
-                # An earlier try was carried out, or the lease ended.
-                break
-            except (
-                store_module.StoreRefused,
-                store_module.StoreUnclear,
-            ) as error:
-                log.info(
-                    'Duty not given back.',
-                    service=self.service,
-                    cause=str(error),
-                )
-                await task.deferLater(self._clock, RETRY_SECONDS)
+        await self._keys.give_back(Revision(tenure.epoch), idle, waits)
         log.info('Duty given back.', service=self.service)
 
     def give_up(self, revision: Revision) -> None:
@@ -212,7 +196,7 @@
         if self.tenure is not None and self.revision == revision:
             self._lose('the store does not know it')
 
-    def _check(self, holder: state_module.DutyRecord | None) -> None:
+    def _check(self, holder: DutyRecord | None) -> None:
         assert self.tenure is not None
         epoch = self.tenure.epoch
         if holder is not None and holder.revision > epoch:
@@ -267,7 +251,7 @@
             self._state.settings.instance, last, self._policy, self._now()
         )
         waits = orders_from - self._now()
-        revision = await self._write(lease, holder, last, waits)
+        revision = await self._keys.take(lease, holder, last, waits)
         orders_from = Instant(self._now() + waits)
         self.is_continued = (
             last is not None and last.incarnation == self._incarnation
@@ -297,72 +281,9 @@
         # From now on a restart of this instance need not wait again.
         if self.revision != revision:
             return
-        writing = defer.Deferred.fromCoroutine(self._write_waited(revision))
+        writing = defer.Deferred.fromCoroutine(self._keys.waited(revision))
         writing.addErrback(self._failed)
 
-    async def _write_waited(self, revision: Revision) -> None:
-        await self._store.transact(
-            expected=[
-                store_module.Expectation(
-                    key=keys.duty(self.service), revision=revision
-                )
-            ],
-            writes=[self._last_holder(None, 0.0)],
-        )
-
-    async def _write(
-        self,
-        lease: int,
-        holder: state_module.DutyRecord | None,
-        last: leadership.LastHolder | None,
-        waits: float,
-    ) -> Revision:
-        key = keys.duty(self.service)
-        record = state_module.DutyRecord(
-            instance=self._state.settings.instance
-        )
-        return await self._store.transact(
-            expected=[
-                store_module.Expectation(
-                    key=key,
-                    revision=store_module.ABSENT
-                    if holder is None
-                    else Revision(holder.revision),
-                ),
-                # What is known here of the last holder may be old: taken
-                # for itself, this instance would order at once what
-                # another one ordered a moment ago.
-                store_module.Expectation(
-                    key=keys.last_holder(self.service),
-                    revision=store_module.ABSENT
-                    if last is None
-                    else last.revision,
-                ),
-            ],
-            writes=[
-                store_module.Write(
-                    key=key,
-                    value=msgspec.msgpack.encode(record),
-                    lease=lease,
-                ),
-                self._last_holder(None, waits),
-            ],
-        )
-
-    def _last_holder(
-        self, idle: float | None, waits: float
-    ) -> store_module.Write:
-        record = leadership.LastHolder(
-            instance=self._state.settings.instance,
-            incarnation=self._incarnation,
-            idle_seconds=idle,
-            waits=waits,
-        )
-        return store_module.Write(
-            key=keys.last_holder(self.service),
-            value=msgspec.msgpack.encode(record),
-        )
-
     def _rank(self) -> int:
         """Return this instance's place among the candidates."""
         ordered = candidates.ordered(self._state.cores_by_name(), self.service)
