Keep one HTTP exchange apart from the pool of connections

Change: messages, errors and one connection's exchanges are in http_exchange.py, the pool stays. Behaviour is the same.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
@@ -11,7 +11,7 @@
 from yuccarill.core.gateway import watchers
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page as HttpPage
 from yuccarill.daemon.gateway import peer_choice
 from yuccarill.daemon import logs
@@ -155,7 +155,7 @@
         fields = {'prefix': prefix}
         if self._cursor:
             fields['after'] = self._cursor
-        request = connections.OutgoingRequest(
+        request = http_exchange.OutgoingRequest(
             method='GET',
             target=f'{PATH}?{urllib.parse.urlencode(fields)}',
             headers=(('Host', watcher.peer_address),),
@@ -168,8 +168,8 @@
             )
             feed = _feed(reply)
         except (
-            connections.NotConnected,
-            connections.ExchangeBroken,
+            http_exchange.NotConnected,
+            http_exchange.ExchangeBroken,
             WatcherUnusable,
         ) as error:
             self._leave_out(watcher, str(error))
@@ -185,7 +185,7 @@
         self._cursor_of = ''
 
 
-def _feed(reply: connections.Reply) -> Feed:
+def _feed(reply: http_exchange.Reply) -> Feed:
     if reply.head.status == 410:
         raise store_module.HistoryGone
     if reply.head.status != 200:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
@@ -10,7 +10,7 @@
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs import text as text_module
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
@@ -133,7 +133,7 @@
         known = None if version is None else WeightVersion(version)
         self._see(known)
         if known is not None and known < self._run.job.min_version:
-            raise connections.SinkRefused(f'its weights are version {known}')
+            raise http_exchange.SinkRefused(f'its weights are version {known}')
         self._run.text.begin_run(known)
 
     def event(self, event: StreamEvent) -> None:
@@ -141,11 +141,11 @@
         try:
             self._run.text.take(event)
         except text_module.TextBroken as error:
-            raise connections.SinkRefused(str(error)) from error
+            raise http_exchange.SinkRefused(str(error)) from error
         job = self._run.job
         if not self._run.text.fits(job.min_version, job.is_single_version):
             self.must_restart = True
-            raise connections.SinkRefused('its weights changed under way')
+            raise http_exchange.SinkRefused('its weights changed under way')
         now = Instant(self._clock.seconds())
         self._on_progress(now)
         if self._last_at is not None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/relay.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/relay.py
@@ -12,7 +12,7 @@
 from yuccarill.core.gateway.requests import TargetAnswer
 from yuccarill.core.gateway.routes import RouteKind
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway import peer_choice
 from yuccarill.daemon import logs
 
@@ -67,7 +67,7 @@
         """Return a peer's answer, none if it did not give one in time."""
         if self._peers.is_out(peer.instance):
             return None
-        outgoing = connections.OutgoingRequest(
+        outgoing = http_exchange.OutgoingRequest(
             method=request.method,
             target=request.target,
             headers=(*request.headers, (HEADER, '1')),
@@ -79,8 +79,8 @@
                 peer.client_address, outgoing, deadline
             )
         except (
-            connections.NotConnected,
-            connections.ExchangeBroken,
+            http_exchange.NotConnected,
+            http_exchange.ExchangeBroken,
         ) as error:
             self._peers.leave_out(peer.instance, SUSPECT_SECONDS)
             log.info(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -9,7 +9,7 @@
 from twisted.internet import task
 
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import peer_choice
@@ -20,8 +20,8 @@
     from collections.abc import Callable
 
     from yuccarill.daemon.adapters.connections import Connections
-    from yuccarill.daemon.adapters.connections import OutgoingRequest
-    from yuccarill.daemon.adapters.connections import Reply
+    from yuccarill.daemon.adapters.http_exchange import OutgoingRequest
+    from yuccarill.daemon.adapters.http_exchange import Reply
     from yuccarill.daemon.adapters.small_server import SmallRequest
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.daemon.gateway.state import InstanceRecord
@@ -82,8 +82,8 @@
         try:
             reply = await self._directly(request, seconds)
         except (
-            connections.NotConnected,
-            connections.ExchangeBroken,
+            http_exchange.NotConnected,
+            http_exchange.ExchangeBroken,
         ) as error:
             self._lose(repr(error))
             peer = self._peer()
@@ -101,7 +101,7 @@
 
     async def pass_on(self, request: SmallRequest) -> Page:
         """Send a peer's call to the store, directly only."""
-        outgoing = connections.OutgoingRequest(
+        outgoing = http_exchange.OutgoingRequest(
             method=request.method,
             target=request.target,
             headers=(
@@ -114,9 +114,9 @@
             return Page(status=STATUS_NOT_REACHED)
         try:
             reply = await self._directly(outgoing, MAX_PASSED_ON)
-        except connections.NotConnected:
+        except http_exchange.NotConnected:
             return Page(status=STATUS_NOT_REACHED)
-        except connections.ExchangeBroken:
+        except http_exchange.ExchangeBroken:
             return Page(status=STATUS_UNCLEAR)
         return Page(status=reply.head.status, body=reply.body)
 
@@ -157,7 +157,7 @@
             left = deadline - self._clock.seconds()
             try:
                 return await self._through(peer, request, left)
-            except connections.NotConnected:
+            except http_exchange.NotConnected:
                 following = self._peer()
                 if following is None or self._clock.seconds() >= deadline:
                     raise
@@ -170,15 +170,15 @@
             reply = await self._exchange(
                 'peer', peer.peer_address, request, seconds
             )
-        except (connections.NotConnected, connections.ExchangeBroken):
+        except (http_exchange.NotConnected, http_exchange.ExchangeBroken):
             self._leave_out(peer)
             raise
         if reply.head.status == STATUS_NOT_REACHED:
             self._leave_out(peer)
-            raise connections.NotConnected('a peer does not reach the store')
+            raise http_exchange.NotConnected('a peer does not reach the store')
         if reply.head.status == STATUS_UNCLEAR:
             self._leave_out(peer)
-            raise connections.ExchangeBroken('a peer got no answer')
+            raise http_exchange.ExchangeBroken('a peer got no answer')
         self._peers.keep(peer.instance)
         return reply
 
@@ -195,7 +195,7 @@
             reply = await self._directly(
                 store_module.probe(host), PROBE_TIMEOUT
             )
-        except (connections.NotConnected, connections.ExchangeBroken):
+        except (http_exchange.NotConnected, http_exchange.ExchangeBroken):
             return
         if not store_module.is_turned_away(reply.head.status):
             self._regain()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
@@ -8,7 +8,7 @@
 
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway import sender as sender_module
 from yuccarill.platform import calls as calls_module
 
@@ -103,7 +103,7 @@
     def event(self, event: StreamEvent) -> None:
         expected = (self._last or 0) + 1
         if event.number != expected:
-            raise connections.SinkRefused(
+            raise http_exchange.SinkRefused(
                 f'event {event.number} came instead of {expected}'
             )
         self._last = expected
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
@@ -12,7 +12,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.jobs.left_text import LeftText
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon import logs
 
@@ -148,7 +148,7 @@
         count: int,
         body: bytes,
     ) -> None:
-        request = connections.OutgoingRequest(
+        request = http_exchange.OutgoingRequest(
             method='POST',
             target=PATH,
             headers=(('Host', peer.peer_address),),
@@ -161,8 +161,8 @@
             )
             outcome = f'status {reply.head.status}'
         except (
-            connections.NotConnected,
-            connections.ExchangeBroken,
+            http_exchange.NotConnected,
+            http_exchange.ExchangeBroken,
         ) as error:
             # The texts are generated anew, at the cost of engines' time.
             outcome = str(error)
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -25,7 +25,7 @@
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.text import StreamEvent
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway import generation
 from yuccarill.daemon.gateway import job_store
 from yuccarill.daemon.gateway import runner as runner_module
@@ -94,7 +94,7 @@
         try:
             sink.begin(answer, found.version)
             await self._events(found, first, sink)
-        except connections.SinkRefused as error:
+        except http_exchange.SinkRefused as error:
             raise calls.CallFailed(calls.CallEnd.BROKEN, str(error)) from error
         return answer
 
@@ -106,7 +106,7 @@
         for number in range(first + 1, EVENTS + 1):
             await self._sleep(engine.gap)
             if engine.breaks_after and made >= engine.breaks_after:
-                raise connections.SinkRefused('broke off')
+                raise http_exchange.SinkRefused('broke off')
             changed = engine.version != version
             version = engine.version
             sink.event(
--- a/packages/yuccarill-daemon/tests/gateway/test_feed.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import feed
 from yuccarill.daemon.gateway import follower
@@ -28,16 +28,16 @@
 
     async def exchange(
         self, address: str, request: object, deadline: Instant
-    ) -> connections.Reply:
+    ) -> http_exchange.Reply:
         self.polls += 1
         server = self.servers_by_address.get(address)
         if server is None:
-            raise connections.NotConnected('nobody is there')
+            raise http_exchange.NotConnected('nobody is there')
         page = await server.handle(
             small_server.SmallRequest(method='GET', target=request.target)
         )
-        head = connections.ReplyHead(status=page.status, headers=())
-        return connections.Reply(head=head, body=page.body)
+        head = http_exchange.ReplyHead(status=page.status, headers=())
+        return http_exchange.Reply(head=head, body=page.body)
 
 
 class FeedTest(world.WorldTest):
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -7,14 +7,14 @@
 from twisted.internet import task
 
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway import store_way
 
 from . import world
 
-POST = connections.OutgoingRequest(method='POST', target='/x')
+POST = http_exchange.OutgoingRequest(method='POST', target='/x')
 
 
 @dataclasses.dataclass
@@ -27,14 +27,14 @@
 
     async def exchange(
         self, address: str, request: object, deadline: Instant
-    ) -> connections.Reply:
+    ) -> http_exchange.Reply:
         self.sent.append(address)
         await task.deferLater(self.clock, 0.004)
         status = self.statuses_by_address[address]
         if isinstance(status, Exception):
             raise status
-        head = connections.ReplyHead(status=status, headers=())
-        return connections.Reply(head=head, body=b'')
+        head = http_exchange.ReplyHead(status=status, headers=())
+        return http_exchange.Reply(head=head, body=b'')
 
 
 class StoreWayTest(world.WorldTest):
@@ -68,7 +68,7 @@
         2. The call goes through another instance and is answered.
         3. Further calls go there at once, without waiting for the store.
         """
-        lost = connections.ExchangeBroken('silent')
+        lost = http_exchange.ExchangeBroken('silent')
         self.links.statuses_by_address['store:3'] = lost
         self.assertEqual(200, self.send())
         self.links.sent.clear()
@@ -94,12 +94,12 @@
         self,
     ) -> None:
         # Each call is paid for, refused ones too.
-        lost = connections.NotConnected('away')
+        lost = http_exchange.NotConnected('away')
         self.links.statuses_by_address['store:3'] = lost
         for peer in ('b:2', 'c:2'):
             self.links.statuses_by_address[peer] = store_way.STATUS_NOT_REACHED
         for _ in range(10):
-            with self.assertRaises(connections.NotConnected):
+            with self.assertRaises(http_exchange.NotConnected):
                 self.send()
         peers = [
             address for address in self.links.sent if address != 'store:3'
@@ -108,11 +108,11 @@
 
     def test_an_unclear_outcome_stays_unclear(self) -> None:
         # A write that a peer may have passed on must not count as refused.
-        lost = connections.NotConnected('cut')
+        lost = http_exchange.NotConnected('cut')
         self.links.statuses_by_address['store:3'] = lost
         for peer in ('b:2', 'c:2'):
             self.links.statuses_by_address[peer] = store_way.STATUS_UNCLEAR
-        with self.assertRaises(connections.ExchangeBroken):
+        with self.assertRaises(http_exchange.ExchangeBroken):
             self.send()
 
     def test_watches_are_told_that_their_way_is_lost(self) -> None:
@@ -168,7 +168,7 @@
         super().setUp()
         state = self.state('n0')
         statuses: dict[str, int | Exception] = {
-            'store:3': connections.NotConnected('cut')
+            'store:3': http_exchange.NotConnected('cut')
         }
         for number in range(self.SIZE):
             is_cut = number % 3 == 0
@@ -199,7 +199,7 @@
         for _ in range(60):
             try:
                 self.finish(self.way.send(POST, 0.8))
-            except connections.NotConnected:
+            except http_exchange.NotConnected:
                 lost += 1
             self.run_for(0.6)
         self.assertEqual(0, lost)
@@ -216,11 +216,11 @@
         # Each call is paid for; forty instances times forty are too many.
         for way in self.links.statuses_by_address:
             self.links.statuses_by_address[way] = store_way.STATUS_NOT_REACHED
-        self.links.statuses_by_address['store:3'] = connections.NotConnected(
+        self.links.statuses_by_address['store:3'] = http_exchange.NotConnected(
             'away'
         )
         for _ in range(10):
-            with self.assertRaises(connections.NotConnected):
+            with self.assertRaises(http_exchange.NotConnected):
                 self.finish(self.way.send(POST, 0.8))
         peers = [way for way in self.links.sent if way != 'store:3']
         self.assertLessEqual(len(peers), store_way.MAX_PEERS_OUT)
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -14,7 +14,7 @@
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.text import StreamEvent
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway import sender
 from yuccarill.daemon.gateway import streams
 from yuccarill.platform import calls
@@ -85,7 +85,7 @@
                         raw=b'%d;' % number,
                     )
                 )
-        except connections.SinkRefused as error:
+        except http_exchange.SinkRefused as error:
             raise calls.CallFailed(calls.CallEnd.BROKEN, str(error)) from error
         if first + count <= EVENTS:
             raise calls.CallFailed(calls.CallEnd.BROKEN, 'broke off')
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -11,7 +11,7 @@
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.job import ItemId
 from yuccarill.core.jobs.left_text import LeftText
-from yuccarill.daemon.adapters import connections
+from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import departure
 from yuccarill.daemon.gateway import session as session_module
@@ -43,23 +43,23 @@
     async def exchange(
         self,
         address: str,
-        request: connections.OutgoingRequest,
+        request: http_exchange.OutgoingRequest,
         deadline: Instant,
-    ) -> connections.Reply:
+    ) -> http_exchange.Reply:
         self.sent.append(address)
         await task.deferLater(self.clock, 0.004)
         depot = self.depots_by_address.get(address)
         if depot is None:
             left = deadline - self.clock.seconds()
             await task.deferLater(self.clock, left)
-            raise connections.ExchangeBroken('no whole answer in time')
+            raise http_exchange.ExchangeBroken('no whole answer in time')
         page = await depot.receive(
             small_server.SmallRequest(
                 method='POST', target=request.target, body=request.body
             )
         )
-        head = connections.ReplyHead(status=page.status, headers=())
-        return connections.Reply(head=head, body=page.body)
+        head = http_exchange.ReplyHead(status=page.status, headers=())
+        return http_exchange.Reply(head=head, body=page.body)
 
 
 def list_instances(state: state_module.GatewayState, names: str) -> None:
