Try the store directly where no peer reaches it

After the store was away, every instance counts it as not reached until its probe, up to 0.6 s later; a reader at an instance that still did was refused with 503 since its peers did too. Change: a call that no peer passed on is tried directly. Measured: a unit test fails without the change.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
@@ -75,10 +75,17 @@
         Raises NotConnected if the store did not get the call, else
         ExchangeBroken.
         """
+        started_at = self._clock.seconds()
         if not self._is_direct:
             peer = self._peer()
             if peer is not None:
-                return await self._through_peers(peer, request, seconds)
+                try:
+                    return await self._through_peers(peer, request, seconds)
+                except http_exchange.NotConnected:
+                    # Where the store was away from everybody, it is back
+                    # for all of them before their probes show it.
+                    if self._clock.seconds() >= started_at + seconds:
+                        raise
         try:
             reply = await self._directly(request, seconds)
         except (
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -106,6 +106,26 @@
         ]
         self.assertLessEqual(len(peers), 2)
 
+    def test_a_call_is_tried_directly_where_no_peer_reaches_the_store(
+        self,
+    ) -> None:
+        """A reader was refused though the store was back.
+
+        1. The store was away; every instance counts it as not reached.
+        2. It is back, and no probe of the direct way has shown it yet.
+        3. No peer passes the call on, so nobody has tried the store.
+        """
+        away = http_exchange.NotConnected('away')
+        self.links.statuses_by_address['store:3'] = away
+        for peer in ('b:2', 'c:2'):
+            self.links.statuses_by_address[peer] = store_way.STATUS_NOT_REACHED
+        with self.assertRaises(http_exchange.NotConnected):
+            self.send()
+        # Those that were out of order are asked again after a while.
+        self.clock.advance(store_way.PEER_OUT_SECONDS + 0.1)
+        self.links.statuses_by_address['store:3'] = 200
+        self.assertEqual(200, self.send())
+
     def test_an_unclear_outcome_stays_unclear(self) -> None:
         # A write that a peer may have passed on must not count as refused.
         lost = http_exchange.NotConnected('cut')
