Leave engines as they are until the coming step is placed

Cause: a trainer names a version and asks for its step 0.7 s later. Change: engines that serve the coming step switch once its items have their places, after 3 s at the latest.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
@@ -12,6 +12,7 @@
 from yuccarill.core.ids import WeightVersion
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -97,8 +98,13 @@
     versions_by_model: Mapping[ModelName, WeightVersion],
     items_by_model: Mapping[ModelName, int],
     now: Instant,
+    held: Collection[ModelName] = (),
 ) -> list[Switch]:
-    """Return the changes that may begin now."""
+    """Return the changes that may begin now.
+
+    Engines that serve the step to come are left as they are for models
+    that are held.
+    """
     ready = [
         engine
         for engine in fleet.engines_by_id.values()
@@ -120,7 +126,7 @@
             known = engine.version(model) or 0
             if engine.switching or known >= version:
                 continue
-            if engine in serving and left <= 0:
+            if engine in serving and (left <= 0 or model in held):
                 continue
             left -= 1
             switch = Switch(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -84,6 +84,7 @@
         self._switcher = weight_switcher.WeightSwitcher(
             state,
             duty,
+            self._board,
             self._fleet,
             engines,
             self._requests,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import step_hold
 from yuccarill.core.jobs import weights
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
@@ -18,6 +19,7 @@
     from collections.abc import Callable
 
     from yuccarill.core.ids import ModelName
+    from yuccarill.core.jobs.board import JobBoard
     from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
     from yuccarill.daemon.gateway.duties import Duty
@@ -52,6 +54,7 @@
         self,
         state: GatewayState,
         duty: Duty,
+        board: JobBoard,
         fleet: EngineFleet,
         engines: Engines,
         requests: EngineRequests,
@@ -60,7 +63,9 @@
     ) -> None:
         self._state = state
         self._duty = duty
+        self._board = board
         self._fleet = fleet
+        self._hold = step_hold.StepHold()
         self._engines = engines
         self._requests = requests
         self._on_switched = on_switched
@@ -79,7 +84,11 @@
             if self._is_served(model)
         }
         switches = weights.next_switches(
-            self._fleet, versions_by_model, self.items_by_model, self._now()
+            self._fleet,
+            versions_by_model,
+            self.items_by_model,
+            self._now(),
+            self._hold.held(versions_by_model, self._board, self._now()),
         )
         # All are marked before the first one begins: an idle engine's switch
         # asks for the next look at once, which would begin the others too.
