Copy texts under way to the next candidate

Change: a runner sends what is new of its texts to the next candidate each half second; whoever takes the duty goes on after the last copied event. Events of two holders, and of a text begun anew, are told apart by sender and number.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -226,13 +226,16 @@
 
         It reads by itself which items have their results listed.
         """
-        unfinished = [
+        return [*self.unlisted(listed), *reversed(self._left_by_id.values())]
+
+    def unlisted(self, listed: Container[ItemId]) -> list[left_text.LeftText]:
+        """Return the texts of open jobs whose results are not listed."""
+        return [
             run.left()
             for state in self.jobs_by_id.values()
             for run in state.runs_by_id.values()
             if run.text.events and run.item.id not in listed
         ]
-        return [*unfinished, *reversed(self._left_by_id.values())]
 
     def waiting(self) -> Iterator[ItemRun]:
         """Yield the items to run, the most urgent first."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -29,6 +29,7 @@
 from yuccarill.daemon.gateway import scoring
 from yuccarill.daemon.gateway import sender
 from yuccarill.daemon.gateway import session
+from yuccarill.daemon.gateway import standby
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway import store_way
 from yuccarill.daemon.gateway import streams
@@ -74,6 +75,7 @@
         self._state = state_module.GatewayState(settings)
         self._duties_by_service: dict[ServiceName, duties.Duty] = {}
         self._runners_by_service: dict[ServiceName, runner.Runner] = {}
+        self._standbys_by_service: dict[ServiceName, standby.StandbyCopy] = {}
         links = connections.Connections(clock, _count_connection)
         self._way = store_way.StoreWay(self._state, links, clock)
         self._store = store_module.Store(self._way, settings.store_address)
@@ -111,12 +113,13 @@
             self._state, forwarder, desk, self._observer.age
         )
         self._depot = texts.TextDepot(clock)
+        self._text_sender = texts.TextSender(self._state, links, clock)
         self._departure = departure.Departure(
             self._session,
             self._duties_by_service,
             self._runners_by_service,
             self._depot,
-            texts.TextSender(self._state, links, clock),
+            self._text_sender,
             clock,
         )
         self._clients = server.ClientFactory(self._front, clock, self._now)
@@ -268,11 +271,17 @@
         )
         self._runners_by_service[service] = started
         started.start()
+        copying = standby.StandbyCopy(
+            service, started.open_texts, self._text_sender, self._clock
+        )
+        self._standbys_by_service[service] = copying
+        copying.start()
 
     def _stop_runner(self, service: ServiceName) -> None:
         known = self._runners_by_service.pop(service, None)
         if known is not None:
             known.stop()
+            self._standbys_by_service.pop(service).stop()
 
     def _listen(self, address: str, factory: Any) -> Any:
         host, _, port = address.rpartition(':')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -31,6 +31,7 @@
     from collections.abc import Iterable
 
     from yuccarill.core.ids import ServiceName
+    from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
@@ -148,12 +149,18 @@
 
     def left_texts(self) -> list[LeftText]:
         """Return the texts that another instance would go on with."""
-        listed = {
+        return self._board.left(self._listed_items())
+
+    def open_texts(self) -> list[LeftText]:
+        """Return those of open jobs only."""
+        return self._board.unlisted(self._listed_items())
+
+    def _listed_items(self) -> set[ItemId]:
+        return {
             result.id
             for found in self._listings_by_job.values()
             for result in found.results
         }
-        return self._board.left(listed)
 
     def knows(self, job: JobId) -> bool:
         """Tell whether a job is one of this service."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import NamedTuple
 from typing import TYPE_CHECKING
+import uuid
 
 import msgspec
 from twisted.internet import defer
@@ -43,12 +45,38 @@
 MAX_KEPT = 500
 
 
+class NotTaken(Exception):
+    """Report texts that a peer does not have."""
+
+
+class HandedText(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a text, or what has come to one that was handed on before."""
+
+    text: LeftText
+    # Events before the first part here, which the receiver has already.
+    first: int = 0
+
+
 class HandedTexts(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the texts of one service that an instance hands on."""
+    """Hold texts of one service that an instance hands on."""
 
     service: ServiceName
+    # Who sends them, and how many messages it has sent. Two holders, of
+    # which one does not know yet that it was replaced, send other texts of
+    # the same items: the events of one must not follow those of the other.
+    source: str
+    number: int
     # The most useful first.
-    texts: tuple[LeftText, ...]
+    texts: tuple[HandedText, ...]
+
+
+class _KeptText(NamedTuple):
+    """Keep a text, and by which message it came."""
+
+    text: LeftText
+    source: str
+    number: int
+    until: Instant
 
 
 class TextDepot:
@@ -56,9 +84,7 @@
 
     def __init__(self, clock: Any) -> None:
         self._clock = clock
-        self._texts_by_service: dict[
-            ServiceName, dict[ItemId, tuple[Instant, LeftText]]
-        ] = {}
+        self._texts_by_service: dict[ServiceName, dict[ItemId, _KeptText]] = {}
 
     async def receive(self, request: SmallRequest) -> Page:
         """Take texts from an instance that leaves."""
@@ -67,33 +93,50 @@
         except msgspec.MsgspecError as error:
             log.warning('Texts not taken.', cause=str(error))
             return Page(status=400)
-        kept = self._texts_by_service.setdefault(handed.service, {})
         self._clock.callLater(KEPT_SECONDS, self._drop_old)
-        kept_until = Instant(self._clock.seconds() + KEPT_SECONDS)
-        for text in handed.texts:
-            known = kept.pop(text.item, None)
-            # Texts may come twice, and the later ones are longer.
-            if known is not None and len(known[1].parts) > len(text.parts):
-                text = known[1]
-            kept[text.item] = (kept_until, text)
+        are_taken = [self._keep(handed, each) for each in handed.texts]
+        kept = self._texts_by_service[handed.service]
         while len(kept) > MAX_KEPT:
             del kept[next(iter(kept))]
-        log.info(
-            'Texts taken.', service=handed.service, count=len(handed.texts)
+        return Page(status=200 if all(are_taken) else 409)
+
+    def _keep(self, message: HandedTexts, handed: HandedText) -> bool:
+        """Tell whether a text is kept with all events before it."""
+        kept = self._texts_by_service.setdefault(message.service, {})
+        text = handed.text
+        known = kept.get(text.item)
+        is_same = known is not None and known.source == message.source
+        if known is not None and is_same and known.number > message.number:
+            # Overtaken by a later message.
+            return False
+        if handed.first:
+            if known is None or not is_same:
+                return False
+            before = known.text.parts[: handed.first]
+            if len(before) < handed.first:
+                return False
+            text = msgspec.structs.replace(text, parts=before + text.parts)
+        # Put last: the first ones are dropped where there are too many.
+        kept.pop(text.item, None)
+        kept[text.item] = _KeptText(
+            text,
+            message.source,
+            message.number,
+            Instant(self._clock.seconds() + KEPT_SECONDS),
         )
-        return Page(status=200)
+        return True
 
     def take(self, service: ServiceName) -> list[LeftText]:
         """Return a service's texts, which are then no longer kept."""
         now = self._clock.seconds()
         kept = self._texts_by_service.pop(service, {})
-        return [text for until, text in kept.values() if now < until]
+        return [each.text for each in kept.values() if now < each.until]
 
     def _drop_old(self) -> None:
         now = self._clock.seconds()
         for kept in self._texts_by_service.values():
-            for item, (until, _) in list(kept.items()):
-                if now >= until:
+            for item, each in list(kept.items()):
+                if now >= each.until:
                     del kept[item]
 
 
@@ -106,27 +149,27 @@
         self._state = state
         self._links = links
         self._clock = clock
+        self._source = uuid.uuid4().hex
+        self._number = 0
 
     async def hand_on(
         self, service: ServiceName, texts: Iterable[LeftText]
     ) -> None:
         """Send texts to the likely next holders of a service's duty."""
-        chosen = _bounded(texts)
-        if not chosen:
+        handed = [HandedText(text=text) for text in texts]
+        if not handed:
             return
-        body = msgspec.msgpack.encode(
-            HandedTexts(service=service, texts=chosen)
-        )
         await defer.gatherResults(
             [
                 defer.Deferred.fromCoroutine(
-                    self._send(peer, service, len(chosen), body)
+                    self._hand_on(peer, service, handed)
                 )
-                for peer in self._receivers(service)
+                for peer in self.receivers(service)
             ]
         )
 
-    def _receivers(self, service: ServiceName) -> list[InstanceRecord]:
+    def receivers(self, service: ServiceName) -> list[InstanceRecord]:
+        """Return the likely next holders of a service's duty."""
         me = self._state.settings.instance
         records_by_name = {
             record.instance: record
@@ -141,47 +184,73 @@
         ]
         return found[:RECEIVERS]
 
-    async def _send(
+    async def send(
         self,
         peer: InstanceRecord,
         service: ServiceName,
-        count: int,
-        body: bytes,
-    ) -> None:
+        handed: Iterable[HandedText],
+    ) -> tuple[HandedText, ...]:
+        """Send as many texts as may go at once, and return them.
+
+        Raises NotTaken.
+        """
+        chosen = _bounded(handed)
+        self._number += 1
         request = http_exchange.OutgoingRequest(
             method='POST',
             target=PATH,
             headers=(('Host', peer.peer_address),),
-            body=body,
+            body=msgspec.msgpack.encode(
+                HandedTexts(
+                    service=service,
+                    source=self._source,
+                    number=self._number,
+                    texts=chosen,
+                )
+            ),
         )
         deadline = Instant(self._clock.seconds() + ANSWER_SECONDS)
         try:
             reply = await self._links.exchange(
                 peer.peer_address, request, deadline
             )
-            outcome = f'status {reply.head.status}'
         except (
             http_exchange.NotConnected,
             http_exchange.ExchangeBroken,
         ) as error:
+            raise NotTaken(str(error)) from error
+        if reply.head.status != 200:
+            raise NotTaken(f'status {reply.head.status}')
+        return chosen
+
+    async def _hand_on(
+        self,
+        peer: InstanceRecord,
+        service: ServiceName,
+        handed: list[HandedText],
+    ) -> None:
+        count, cause = 0, ''
+        try:
+            count = len(await self.send(peer, service, handed))
+        except NotTaken as error:
             # The texts are generated anew, at the cost of engines' time.
-            outcome = str(error)
+            cause = str(error)
         log.info(
             'Texts handed on.',
             service=service,
             peer=peer.instance,
             count=count,
-            bytes=len(body),
-            outcome=outcome,
+            of=len(handed),
+            cause=cause,
         )
 
 
-def _bounded(texts: Iterable[LeftText]) -> tuple[LeftText, ...]:
+def _bounded(handed: Iterable[HandedText]) -> tuple[HandedText, ...]:
     chosen = []
     left = MAX_BYTES
-    for text in texts:
-        left -= sum(len(part) for part in text.parts)
+    for each in handed:
+        left -= sum(len(part) for part in each.text.parts)
         if left < 0:
             break
-        chosen.append(text)
+        chosen.append(each)
     return tuple(chosen)
