Bound the last call of a stopping instance

A store that falls silent after an instance has left holds its last call for 0.8 s directly and 1.0 s through a peer, and that call began 1.8 s before the end. Change: the lease is given 0.4 s to be ended, and ends by itself otherwise.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -57,6 +57,10 @@
 # what is idle, and at which it ends whatever is left.
 CLOSE_BEFORE_KILL = 1.8
 END_BEFORE_KILL = 0.7
+# Seconds that the last call of the store may take. Where the store falls
+# silent in that moment, the call and its tries through peers took 1.8 s, and
+# the platform killed the process; the lease ends by itself.
+END_CALL_SECONDS = 0.4
 # Seconds between looks at the requests under way during a stop.
 STOP_STEP = 0.05
 
@@ -212,9 +216,11 @@
     async def _end(self) -> None:
         for following in self._following:
             following.cancel()
+        ending = defer.Deferred.fromCoroutine(self._session.end())
+        ending.addTimeout(END_CALL_SECONDS, self._clock)
         try:
-            await self._session.end()
-        except _STORE_FAILURES as error:
+            await ending
+        except (*_STORE_FAILURES, defer.TimeoutError) as error:
             log.warning('Lease not ended.', cause=str(error))
 
     def _update(self) -> None:
