Fetch the last copy of one's texts after a crash

Cause: an instance whose process is killed and back before its lease ends takes its own duty back, with nothing of what it ran; the next candidate has a copy. A message without texts also raised a KeyError. Change: a new holder without texts asks the two next candidates for 0.3 s at most before it begins.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -47,6 +47,7 @@
     import pathlib
 
     from yuccarill.core.ids import ServiceName
+    from yuccarill.core.jobs.left_text import LeftText
     from yuccarill.platform.settings_file import InstanceSettings
 
 log = logs.for_part('instance')
@@ -173,7 +174,7 @@
         if request.path == feed.PATH:
             return await self._feeds.handle(request)
         if request.path == texts.PATH:
-            return await self._depot.receive(request)
+            return await self._depot.handle(request)
         return await self._way.pass_on(request)
 
     def reload(self) -> None:
@@ -273,7 +274,7 @@
             scoring.Scorer(self._state, self._sender, self._clock),
             self._engines,
             self._clock,
-            self._depot.take(service),
+            defer.Deferred.fromCoroutine(self._left_texts(service)),
         )
         self._runners_by_service[service] = started
         started.start()
@@ -283,6 +284,10 @@
         self._standbys_by_service[service] = copying
         copying.start()
 
+    async def _left_texts(self, service: ServiceName) -> list[LeftText]:
+        found = self._depot.take(service)
+        return found or await self._text_sender.fetch(service)
+
     def _stop_runner(self, service: ServiceName) -> None:
         known = self._runners_by_service.pop(service, None)
         if known is not None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -28,7 +28,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
-    from collections.abc import Iterable
 
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
@@ -69,15 +68,13 @@
         scorer: Scorer,
         engines: Engines,
         clock: Any,
-        handed: Iterable[LeftText] = (),
+        handed: defer.Deferred[list[LeftText]],
     ) -> None:
         self._state = state
         self._duty = duty
         self._jobs = jobs
         self._clock = clock
         self._board = board_module.JobBoard()
-        # What the holder before had made of the items.
-        self._board.leave(handed)
         self._fleet = engines_module.EngineFleet()
         self._requests = engine_requests.EngineRequests(
             store, self.survey, clock
@@ -119,10 +116,19 @@
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = clock
         self._following: list[defer.Deferred[None]] = []
+        # What the holder before had made of the items.
+        self._handed = handed
         self._is_stopped = False
 
     def start(self) -> None:
         """Begin with the jobs that stand in the store."""
+        starting = defer.Deferred.fromCoroutine(self._start())
+        starting.addErrback(self._crashed)
+        self._following.append(starting)
+
+    async def _start(self) -> None:
+        # Before any job: an item that runs already is not looked up again.
+        self._board.leave(await self._handed)
         for work in (self._follower.follow(), *self._requests.following()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
+import urllib.parse
 import uuid
 
 import msgspec
@@ -38,6 +39,8 @@
 RECEIVERS = 2
 # Seconds that one of them may take.
 ANSWER_SECONDS = 0.8
+# Seconds that a new holder waits for a copy. It runs nothing meanwhile.
+FETCH_SECONDS = 0.3
 # Seconds for which they are kept: a duty that was not given back changes
 # hands within its lease, and where the store is away some seconds later.
 KEPT_SECONDS = 30.0
@@ -86,8 +89,22 @@
         self._clock = clock
         self._texts_by_service: dict[ServiceName, dict[ItemId, _KeptText]] = {}
 
-    async def receive(self, request: SmallRequest) -> Page:
-        """Take texts from an instance that leaves."""
+    async def handle(self, request: SmallRequest) -> Page:
+        """Take texts that are handed on, or show those that are kept."""
+        if request.method == 'GET':
+            return self._show(request)
+        return self._receive(request)
+
+    def _show(self, request: SmallRequest) -> Page:
+        names = urllib.parse.parse_qs(request.query).get('service', [''])
+        service = ServiceName(names[0])
+        kept = self._texts_by_service.get(service, {})
+        body = msgspec.msgpack.encode(
+            tuple(each.text for each in kept.values())
+        )
+        return Page(status=200, content_type='application/msgpack', body=body)
+
+    def _receive(self, request: SmallRequest) -> Page:
         try:
             handed = msgspec.msgpack.decode(request.body, type=HandedTexts)
         except msgspec.MsgspecError as error:
@@ -95,7 +112,7 @@
             return Page(status=400)
         self._clock.callLater(KEPT_SECONDS, self._drop_old)
         are_taken = [self._keep(handed, each) for each in handed.texts]
-        kept = self._texts_by_service[handed.service]
+        kept = self._texts_by_service.get(handed.service, {})
         while len(kept) > MAX_KEPT:
             del kept[next(iter(kept))]
         return Page(status=200 if all(are_taken) else 409)
@@ -130,7 +147,10 @@
         """Return a service's texts, which are then no longer kept."""
         now = self._clock.seconds()
         kept = self._texts_by_service.pop(service, {})
-        return [each.text for each in kept.values() if now < each.until]
+        found = [each.text for each in kept.values() if now < each.until]
+        if found:
+            log.info('Texts taken over.', service=service, count=len(found))
+        return found
 
     def _drop_old(self) -> None:
         now = self._clock.seconds()
@@ -223,6 +243,56 @@
             raise NotTaken(f'status {reply.head.status}')
         return chosen
 
+    async def fetch(self, service: ServiceName) -> list[LeftText]:
+        """Return what the likely next holders keep of a service's texts.
+
+        An instance that crashed and is back holds its duty again, and has
+        nothing of what it ran; they have its last copy.
+        """
+        found = await defer.gatherResults(
+            [
+                defer.Deferred.fromCoroutine(self._fetch(peer, service))
+                for peer in self.receivers(service)
+            ]
+        )
+        texts_by_item: dict[ItemId, LeftText] = {}
+        for text in (text for each in found for text in each):
+            known = texts_by_item.get(text.item)
+            if known is None or len(known.parts) < len(text.parts):
+                texts_by_item[text.item] = text
+        if texts_by_item:
+            log.info(
+                'Texts fetched.', service=service, count=len(texts_by_item)
+            )
+        return list(texts_by_item.values())
+
+    async def _fetch(
+        self, peer: InstanceRecord, service: ServiceName
+    ) -> tuple[LeftText, ...]:
+        query = urllib.parse.urlencode({'service': service})
+        request = http_exchange.OutgoingRequest(
+            method='GET',
+            target=f'{PATH}?{query}',
+            headers=(('Host', peer.peer_address),),
+        )
+        deadline = Instant(self._clock.seconds() + FETCH_SECONDS)
+        try:
+            reply = await self._links.exchange(
+                peer.peer_address, request, deadline
+            )
+            return msgspec.msgpack.decode(
+                reply.body, type=tuple[LeftText, ...]
+            )
+        except (
+            http_exchange.NotConnected,
+            http_exchange.ExchangeBroken,
+            msgspec.MsgspecError,
+        ) as error:
+            log.info(
+                'Texts not fetched.', peer=peer.instance, cause=str(error)
+            )
+            return ()
+
     async def _hand_on(
         self,
         peer: InstanceRecord,
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
+from twisted.internet import defer
 from twisted.internet import task
 
 from yuccarill.core.gateway.requests import TargetAnswer
@@ -221,7 +222,7 @@
             Scorer(),
             self.engines,
             self.clock,
-            handed,
+            defer.succeed(list(handed)),
         )
         self.memory: memory_store.MemoryStore = memory
         found.start()
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -57,6 +57,7 @@
     depots_by_address: dict[str, texts.TextDepot]
     sent: list[str] = dataclasses.field(default_factory=list)
     bodies: list[bytes] = dataclasses.field(default_factory=list)
+    is_spoiled: bool = False
 
     async def exchange(
         self,
@@ -72,13 +73,16 @@
             left = deadline - self.clock.seconds()
             await task.deferLater(self.clock, left)
             raise http_exchange.ExchangeBroken('no whole answer in time')
-        page = await depot.receive(
+        page = await depot.handle(
             small_server.SmallRequest(
-                method='POST', target=request.target, body=request.body
+                method=request.method,
+                target=request.target,
+                body=request.body,
             )
         )
         head = http_exchange.ReplyHead(status=page.status, headers=())
-        return http_exchange.Reply(head=head, body=page.body)
+        body = b'spoiled' if self.is_spoiled else page.body
+        return http_exchange.Reply(head=head, body=body)
 
 
 def list_instances(state: state_module.GatewayState, names: str) -> None:
@@ -107,7 +111,7 @@
         request = small_server.SmallRequest(
             method='POST', target=texts.PATH, body=body
         )
-        return self.finish(self.depot.receive(request)).status
+        return self.finish(self.depot.handle(request)).status
 
     def test_texts_are_given_out_once(self) -> None:
         self.assertEqual(200, self.receive(text('a', 3)))
@@ -165,12 +169,15 @@
         found = self.depot.take(world.SERVICE)
         self.assertEqual(texts.MAX_KEPT, len(found))
 
+    def test_an_empty_message_is_taken(self) -> None:
+        self.assertEqual(200, self.receive())
+
     def test_what_is_no_text_is_refused(self) -> None:
         for body in (b'', b'\x00', b'{}', b'\x81\xa7service\xa1e'):
             request = small_server.SmallRequest(
                 method='POST', target=texts.PATH, body=body
             )
-            page = self.finish(self.depot.receive(request))
+            page = self.finish(self.depot.handle(request))
             self.assertEqual(400, page.status)
 
 
@@ -276,7 +283,7 @@
         self.released: list[float] = []
         depot = texts.TextDepot(self.clock)
         self.finish(
-            depot.receive(
+            depot.handle(
                 small_server.SmallRequest(
                     method='POST',
                     target=texts.PATH,
@@ -393,6 +400,39 @@
         self.assertEqual(4, len(found))
         self.assertGreater(min(len(each.parts) for each in found), 2)
 
+    def test_a_holder_that_crashed_fetches_its_own_texts(self) -> None:
+        """A process that was back after half a second began all anew.
+
+        1. The holder's process is killed and started again.
+        2. It takes its own duty back before its lease ends.
+        3. Its last copy is at the next candidate, and it goes on from there.
+        """
+        first = self.hold('a')
+        copying = self.copy_from(first)
+        self.submit()
+        self.run_for(1.5)
+        begun = len(self.engines.runs)
+        first.stop()
+        copying.stop()
+        again = texts.TextSender(self.me, self.links, self.clock)
+        self.hold('a', self.finish(again.fetch(world.SERVICE)))
+        self.run_for(4.0)
+        self.assertEqual(4, len(self.results()))
+        resumed = [first for _, first in self.engines.runs[begun:]]
+        self.assertGreaterEqual(min(resumed), 4)
+
+    def test_nothing_is_waited_for_long(self) -> None:
+        # Everybody lost power, or the peers are cut off.
+        self.links.depots_by_address.clear()
+        started_at = self.clock.seconds()
+        self.assertEqual([], self.finish(self.sender.fetch(world.SERVICE)))
+        took = self.clock.seconds() - started_at
+        self.assertLess(took, texts.FETCH_SECONDS + 0.1)
+
+    def test_what_is_no_copy_is_left_out(self) -> None:
+        self.links.is_spoiled = True
+        self.assertEqual([], self.finish(self.sender.fetch(world.SERVICE)))
+
     def test_a_dead_peer_is_asked_once_in_a_while(self) -> None:
         self.links.depots_by_address.clear()
         self.copy_from(self.hold('a'))
