--- a/packages/yuccarill-daemon/tests/gateway/test_feed.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -11,7 +11,6 @@
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import feed
 from yuccarill.daemon.gateway import follower
-from yuccarill.daemon.gateway import state as state_module
 from yuccarill.platform import store as store_module
 
 from . import world
@@ -53,14 +52,8 @@
         self.state_of_reader = self.state('r')
         for name in ('w', 'x', 'r'):
             # The two strongest instances watch.
-            record = state_module.InstanceRecord(
-                instance=name,
-                data_centre='d',
-                client_address=f'{name}:1',
-                peer_address=f'{name}:2',
-                cores=0.1 if name == 'r' else 4.0,
-            )
-            self.state_of_reader.instances_by_id[name] = record
+            cores = 0.1 if name == 'r' else 4.0
+            world.list_instance(self.state_of_reader, name, cores)
         self.heard: list[str] = []
         self.source = feed.FeedSource(
             self.state_of_reader, self.own, self.links, self.clock
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -9,7 +9,6 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
-from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway import store_way
 
 from . import world
@@ -45,13 +44,7 @@
         )
         state = self.state('a')
         for name in 'abc':
-            record = state_module.InstanceRecord(
-                instance=name,
-                data_centre='d',
-                client_address=f'{name}:1',
-                peer_address=f'{name}:2',
-            )
-            state.instances_by_id[name] = record
+            world.list_instance(state, name)
         self.way = store_way.StoreWay(state, self.links, self.clock)
 
     def send(self) -> int:
@@ -115,12 +108,7 @@
         2. It is back, and no probe of the direct way has shown it yet.
         3. No peer passes the call on, so nobody has tried the store.
         """
-        away = http_exchange.NotConnected('away')
-        self.links.statuses_by_address['store:3'] = away
-        for peer in ('b:2', 'c:2'):
-            self.links.statuses_by_address[peer] = store_way.STATUS_NOT_REACHED
-        with self.assertRaises(http_exchange.NotConnected):
-            self.send()
+        self.lose_everywhere()
         # Those that were out of order are asked again after a while.
         self.clock.advance(store_way.PEER_OUT_SECONDS + 0.1)
         self.links.statuses_by_address['store:3'] = 200
@@ -241,13 +229,7 @@
             statuses[f'{name}:2'] = (
                 store_way.STATUS_NOT_REACHED if is_cut else 200
             )
-            record = state_module.InstanceRecord(
-                instance=name,
-                data_centre='d',
-                client_address=f'{name}:1',
-                peer_address=f'{name}:2',
-            )
-            state.instances_by_id[name] = record
+            world.list_instance(state, name)
         self.links = Links(self.clock, statuses)
         self.way = store_way.StoreWay(state, self.links, self.clock)
 
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -17,7 +17,6 @@
 from yuccarill.daemon.gateway import runner as runner_module
 from yuccarill.daemon.gateway import session as session_module
 from yuccarill.daemon.gateway import standby
-from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway import texts
 
 from . import runner_world
@@ -85,16 +84,6 @@
         return http_exchange.Reply(head=head, body=body)
 
 
-def list_instances(state: state_module.GatewayState, names: str) -> None:
-    for name in names:
-        state.instances_by_id[name] = state_module.InstanceRecord(
-            instance=name,
-            data_centre='d',
-            client_address=f'{name}:1',
-            peer_address=f'{name}:2',
-        )
-
-
 class DepotTest(world.WorldTest):
     def setUp(self) -> None:
         super().setUp()
@@ -189,7 +178,8 @@
         }
         self.links = Links(self.clock, dict(self.depots))
         self.me = self.state('a')
-        list_instances(self.me, 'abcd')
+        for name in 'abcd':
+            world.list_instance(self.me, name)
         self.sender = texts.TextSender(self.me, self.links, self.clock)
 
     def hand_on(self, *found: LeftText) -> None:
@@ -274,7 +264,8 @@
         super().setUp()
         self.links = Links(self.clock, {'b:2': texts.TextDepot(self.clock)})
         self.me = self.state('a')
-        list_instances(self.me, 'ab')
+        for name in 'ab':
+            world.list_instance(self.me, name)
         self.own = self.store()
         session = session_module.Session(
             self.me, self.own, lambda: None, self.clock
@@ -339,7 +330,8 @@
         self.depot = texts.TextDepot(self.clock)
         self.links = Links(self.clock, {'b:2': self.depot})
         self.me = self.state('a')
-        list_instances(self.me, 'ab')
+        for name in 'ab':
+            world.list_instance(self.me, name)
         self.sender = texts.TextSender(self.me, self.links, self.clock)
 
     def copy_from(self, runner: runner_module.Runner) -> standby.StandbyCopy:
--- a/packages/yuccarill-daemon/tests/gateway/world.py
+++ b/packages/yuccarill-daemon/tests/gateway/world.py
@@ -72,6 +72,19 @@
     )
 
 
+def list_instance(
+    state: state_module.GatewayState, name: str, cores: float = 1.0
+) -> None:
+    """Let an instance know of one that serves."""
+    state.instances_by_id[InstanceId(name)] = state_module.InstanceRecord(
+        instance=name,
+        data_centre='d',
+        client_address=f'{name}:1',
+        peer_address=f'{name}:2',
+        cores=cores,
+    )
+
+
 class WorldTest(unittest.TestCase):
     """Hold the clock and the keys of one test."""
 
