Take no job for new that stood before

All machines lost power; the holder was back with its duty and, for 0.3 s, asked its peers for copies of texts before it read its jobs. The trainer sent its job again in that time; the job counted as new, without the 30 results that it had been read with, its readers were answered so, and its next position was found taken for ever. The gap was there before, as long as one read of the store. Change: a job is offered to its runner only by the call that wrote it; one that stood before is read with its results. A position that is taken although the duty is held has the job read again, and readers ask the store meanwhile.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
@@ -136,7 +136,7 @@
         if relay_module.is_relayed(request):
             try_for = RELAYED_TRY_SECONDS
         try_until = Instant(self._clock.seconds() + try_for)
-        await self._accept(job, request, try_until)
+        is_new = await self._accept(job, request, try_until)
         log.info(
             'Job accepted.',
             request=request.id,
@@ -146,7 +146,8 @@
             min_version=job.min_version,
             items=len(job.items),
         )
-        if runner is not None:
+        # One that stood before may have results: its runner reads them.
+        if runner is not None and is_new:
             runner.offer(job)
         return _ACCEPTED
 
@@ -232,12 +233,12 @@
 
     async def _accept(
         self, job: Job, request: ClientRequest, try_until: Instant
-    ) -> None:
+    ) -> bool:
+        """Tell whether the job was written by this call and is new."""
         may_stand = False
         while True:
             try:
-                await self._store.accept(job)
-                return
+                return await self._store.accept(job)
             except store_module.StoreRefused as error:
                 cause: Exception = error
             except store_module.StoreUnclear as error:
@@ -246,7 +247,7 @@
             if not relay_module.is_relayed(request):
                 answer = await self._pass_on(request)
                 if answer is not None and answer.status == 202:
-                    return
+                    return False
                 may_stand = may_stand or answer is None
             if self._clock.seconds() >= try_until:
                 break
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/job_store.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/job_store.py
@@ -63,6 +63,10 @@
     """Report a write under a duty that another instance holds."""
 
 
+class PositionTaken(Exception):
+    """Report a position at which other results are listed."""
+
+
 class JobStore:
     """Write and read jobs."""
 
@@ -70,11 +74,11 @@
         self._store = store
         self._clock = clock
 
-    async def accept(self, job: Job) -> None:
+    async def accept(self, job: Job) -> bool:
         """Write a job once; one that stands already is left as it is.
 
-        Raises StoreRefused if the store did nothing, StoreUnclear if the
-        job may stand.
+        Tells whether it was written now. Raises StoreRefused if the store
+        did nothing, StoreUnclear if the job may stand.
         """
         summary = Summary(
             service=job.service,
@@ -102,7 +106,8 @@
             )
         except store_module.StoreConflict:
             # An earlier try of the same submission was carried out.
-            return
+            return False
+        return True
 
     async def read_job(self, job: JobId) -> Job | None:
         """Return a job's content."""
@@ -145,8 +150,8 @@
         """Write results at their positions, under a duty.
 
         Retries until the outcome is known. Raises DutyLost if another
-        instance holds the duty by now, which may have listed other results
-        at these positions.
+        instance holds the duty by now, PositionTaken if other results are
+        listed there though the duty is held.
         """
         key = keys.chunk(job, first)
         value = msgspec.msgpack.encode(Chunk(results=results))
@@ -164,6 +169,9 @@
                 # A try without an answer was carried out after all.
                 if written is not None and written.value == value:
                     return
+                holding = conflict.entries_by_key.get(keys.duty(service))
+                if holding is not None and holding.revision == duty:
+                    raise PositionTaken from conflict
                 raise DutyLost from conflict
             except (store_module.StoreRefused, store_module.StoreUnclear):
                 await task.deferLater(self._clock, RETRY_SECONDS)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
@@ -14,6 +14,8 @@
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import JobId
     from yuccarill.daemon.gateway.duties import Duty
@@ -43,11 +45,14 @@
         jobs: JobStore,
         duty: Duty,
         clock: Any,
+        on_taken: Callable[[], None],
     ) -> None:
         self._job = job
         self._jobs = jobs
         self._duty = duty
         self._clock = clock
+        # Called when more is listed than this instance knows.
+        self._on_taken = on_taken
         self.total = total
         # What readers may be told of: it stands in the store.
         self.results = list(known)
@@ -156,6 +161,10 @@
                 self._duty.service,
                 revision,
             )
+        except job_store_module.PositionTaken:
+            log.error('Position taken; read again.', job=self._job)
+            self._on_taken()
+            return False
         except job_store_module.DutyLost:
             # Without the lease nothing is listed here. The same chunk is
             # tried again if this process gets the duty back; if another
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from typing import Any
 from typing import TYPE_CHECKING
@@ -228,7 +229,13 @@
 
     async def _begin(self, job: Job, known: list[ItemResult]) -> None:
         found = listing.Listing(
-            job.id, len(job.items), known, self._jobs, self._duty, self._clock
+            job.id,
+            len(job.items),
+            known,
+            self._jobs,
+            self._duty,
+            self._clock,
+            functools.partial(self._take_again, job.id),
         )
         # By the clocks of two machines, of which either may have been set
         # anew: it may put jobs in another order, but gives nothing up.
@@ -294,6 +301,14 @@
             log.info('Job ended.', job=job)
         self._forget(job)
 
+    def _take_again(self, job: JobId) -> None:
+        # The texts that were made stay on the board.
+        self.shelf.drop(job)
+        self._board.remove(job)
+        self._forget(job)
+        self._works_by_job[job] = set()
+        self.track(job, self._take(job))
+
     def _forget(self, job: JobId) -> None:
         found = self._listings_by_job.pop(job, None)
         if found is not None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/shelf.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/shelf.py
@@ -54,6 +54,10 @@
                 del self._kept_by_id[job_id]
                 return
 
+    def drop(self, job: JobId) -> None:
+        """Answer no more readers of a job from here."""
+        self._kept_by_id.pop(job, None)
+
     async def read_results(self, query: ResultsQuery) -> bytes | None:
         """Return a job's results, none if the store has to be asked."""
         kept = self._kept_by_id.get(query.job)
@@ -66,6 +70,9 @@
             if left <= 0.0 or found.is_stopped:
                 break
             await found.wait(left)
+        if self._kept_by_id.get(query.job) is not kept:
+            # More was listed than was known here.
+            return None
         # Without the duty, another instance may have listed more, which a
         # reader may have seen there.
         if not await self._duty.confirm(READ_AGE):
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import msgspec
 from twisted.internet import defer
 
@@ -94,6 +96,40 @@
         self.assertEqual(202, self.submit().status)
         self.assertEqual(before, self.keys.revision)
 
+    def test_a_job_that_stood_before_is_not_offered_as_new(self) -> None:
+        """Thirty results that a trainer had read were gone.
+
+        1. The holder of a job loses power and is back with its duty.
+        2. The trainer, which saw its connection break, sends the job again
+           before the holder has read what stands of it.
+        3. Taken for new, the job would have no results yet.
+        """
+        offered: list[JobId] = []
+        runner = mock.Mock(offer=lambda job: offered.append(job.id))
+        self.intake = intake.Intake(
+            job_store.JobStore(self.memory, self.clock),
+            self.peers,
+            {world.SERVICE: runner},
+            self.clock,
+        )
+        for _ in range(3):
+            self.assertEqual(202, self.submit().status)
+        self.assertEqual([JobId('j')], offered)
+
+    def test_a_job_of_an_unclear_try_is_not_offered_as_new(self) -> None:
+        # Another instance may have run it since: the store tells.
+        runner = mock.Mock()
+        self.intake = intake.Intake(
+            job_store.JobStore(self.memory, self.clock),
+            self.peers,
+            {world.SERVICE: runner},
+            self.clock,
+        )
+        self.memory.loses_replies = True
+        self.clock.callLater(0.5, setattr, self.memory, 'loses_replies', False)
+        self.assertEqual(202, self.submit().status)
+        runner.offer.assert_not_called()
+
     def test_a_store_that_did_nothing_is_a_refusal(self) -> None:
         self.memory.refuses = True
         with self.assertRaises(errors.NotRun) as caught:
--- a/packages/yuccarill-daemon/tests/gateway/test_listing.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_listing.py
@@ -52,13 +52,16 @@
         self.memory = self.store()
         self.keys.put(keys.duty(world.SERVICE), b'holder')
         self.duty = HeldDuty(Revision(self.keys.revision))
+        self.taken: list[None] = []
         self.listing = self.listing_of(self.memory, self.duty)
 
     def listing_of(
         self, memory: memory_store.MemoryStore, duty: HeldDuty
     ) -> listing.Listing:
         jobs = job_store.JobStore(memory, self.clock)
-        return listing.Listing(JOB, 4, [], jobs, duty, self.clock)
+        return listing.Listing(
+            JOB, 4, [], jobs, duty, self.clock, lambda: self.taken.append(None)
+        )
 
     def listed(self) -> list[str]:
         jobs = job_store.JobStore(self.store(), self.clock)
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -292,6 +292,27 @@
                 self.assertEqual(before, found[: len(before)])
                 second.stop()
 
+    def test_positions_that_were_taken_are_read_again(self) -> None:
+        """A job never ended: its next position was taken each time.
+
+        1. A job is taken for new although results of it are listed.
+        2. The first of its own results meets a position that is taken.
+        3. What stands is read again, and the rest goes behind it.
+        """
+        first = self.hold('a')
+        job = self.submit(groups=12)
+        while not self.results():
+            self.run_for(0.05)
+        before = self.results()
+        self.assertLess(len(before), 24)
+        first.stop()
+        second = self.hold('b')
+        second.offer(job)
+        self.run_for(6.0)
+        found = self.results()
+        self.assertEqual(24, len(found))
+        self.assertEqual(before, found[: len(before)])
+
     def test_a_holder_that_was_replaced_lists_nothing(self) -> None:
         """A sample would stand at two positions, with two texts.
 
