Correct what two comments say of costs

Cause: read again, the comment at the list of ready targets said that looking through 1,300 of them took longer than passing a request on (1.83 ms). The two runs of the measure differ by 0.4 ms: 1.19 ms with the look, 0.76 ms without. The figure of a poll of a watcher was that of an earlier state.

--- a/packages/yuccarill-core/src/yuccarill/core/calls/member.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/member.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+
 from yuccarill.core.calls.load import TargetLoad
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import TargetId
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
@@ -59,8 +59,8 @@
 
     def ready(self, service: ServiceName) -> Mapping[TargetId, ListedTarget]:
         """Return the targets of a service that take new work."""
-        # Kept until a change: asked for at each request, looking through
-        # 1,300 targets took longer than passing the request on.
+        # Kept until a change: it is asked for at each request, and looking
+        # through 1,300 targets takes 0.4 ms (300 times in a loop).
         found = self._ready_by_service.get(service)
         if found is None:
             found = self._ready_by_service[service] = {
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/watchers.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/watchers.py
@@ -11,8 +11,8 @@
     from collections.abc import Mapping
 
 # The store takes some thousand reads a second, and each watch that returns
-# is one. One watcher for 16 instances answers 30 polls a second, 1% of a
-# core at 0.29 ms each; two at least, so that one may fail.
+# is one. One watcher for 16 instances answers 30 polls a second, 0.6% of a
+# core at 0.19 ms each; two at least, so that one may fail.
 MIN_WATCHERS = 2
 INSTANCES_PER_WATCHER = 16
 _PURPOSE = 'watch'
