Keep long texts under way in the store

A holder that got no texts from its predecessor reads them. What a copy lacks is told in one place, for the store and for the next candidate (text_copies.py). Weighed: files on the three disk instances. They survive a loss of power, but one of them may be wiped, each write is a message to two of them and a sync, and the subsystem brings a format, a recovery and a retirement.

--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/text_copies.py
@@ -0,0 +1,92 @@
+"""Follow what a copy of unfinished texts lacks, and put copies together."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.jobs.left_text import LeftText
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccarill.core.jobs.job import ItemId
+
+
+class TextChange(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a text, or what has come to one that was copied before."""
+
+    text: LeftText
+    # Events before the first part here, which the copy has already.
+    first: int = 0
+
+    @property
+    def size(self) -> int:
+        """Count the characters of its events."""
+        return sum(len(part) for part in self.text.parts)
+
+
+class CopiedTexts:
+    """Know what one copy holds of each text."""
+
+    def __init__(self) -> None:
+        self._texts_by_item: dict[ItemId, LeftText] = {}
+
+    def changes(self, texts: Iterable[LeftText]) -> list[TextChange]:
+        """Return what the copy lacks; other texts are taken as gone."""
+        found = {text.item: text for text in texts}
+        for item in self._texts_by_item.keys() - found.keys():
+            del self._texts_by_item[item]
+        return [
+            self._change(text)
+            for text in found.values()
+            if self._texts_by_item.get(text.item) != text
+        ]
+
+    def copied(self, change: TextChange) -> None:
+        """Note that the copy holds a change."""
+        text = change.text
+        known = self._texts_by_item.get(text.item)
+        if change.first and known is not None:
+            parts = known.parts[: change.first] + text.parts
+            text = msgspec.structs.replace(text, parts=parts)
+        self._texts_by_item[text.item] = text
+
+    def forget(self, item: ItemId) -> None:
+        """Take one text as missing from the copy."""
+        self._texts_by_item.pop(item, None)
+
+    def clear(self) -> None:
+        """Take all texts as missing from the copy."""
+        self._texts_by_item.clear()
+
+    def _change(self, text: LeftText) -> TextChange:
+        known = self._texts_by_item.get(text.item)
+        first = 0 if known is None else len(known.parts)
+        if known is None or text.parts[:first] != known.parts:
+            # A text that was begun anew shares no part with the copy.
+            return TextChange(text=text)
+        rest = msgspec.structs.replace(text, parts=text.parts[first:])
+        return TextChange(text=rest, first=first)
+
+
+def continued(known: LeftText | None, change: TextChange) -> LeftText | None:
+    """Return a copied text with a change, none if parts are missing."""
+    if not change.first:
+        return change.text
+    if known is None or len(known.parts) < change.first:
+        return None
+    parts = known.parts[: change.first] + change.text.parts
+    return msgspec.structs.replace(change.text, parts=parts)
+
+
+def longest(*copies: Iterable[LeftText]) -> list[LeftText]:
+    """Return each text as the copy has it that has the most of it."""
+    texts_by_item: dict[ItemId, LeftText] = {}
+    for text in itertools.chain(*copies):
+        known = texts_by_item.get(text.item)
+        if known is None or len(known.parts) < len(text.parts):
+            texts_by_item[text.item] = text
+    return list(texts_by_item.values())
--- /dev/null
+++ b/packages/yuccarill-core/tests/jobs/test_text_copies.py
@@ -0,0 +1,118 @@
+"""Test that a copy holds what its texts have, whatever was lost on the way."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import WeightVersion
+from yuccarill.core.jobs.job import ItemId
+from yuccarill.core.jobs import left_text
+from yuccarill.core.jobs import text_copies
+
+
+def text(item: str, events: int, run: int = 0) -> left_text.LeftText:
+    return left_text.LeftText(
+        item=ItemId(item),
+        body_digest=b'b',
+        scoring_digest=b's',
+        parts=tuple(f'{run}.{number}' for number in range(events)),
+        versions=(WeightVersion(1),),
+    )
+
+
+class CopiedTextsTest(unittest.TestCase):
+    def setUp(self):
+        self.copied = text_copies.CopiedTexts()
+
+    def copy(self, *texts):
+        changes = self.copied.changes(texts)
+        for change in changes:
+            self.copied.copied(change)
+        return [(c.first, len(c.text.parts)) for c in changes]
+
+    def test_only_what_is_new_is_copied(self):
+        self.assertEqual([(0, 3)], self.copy(text('a', 3)))
+        self.assertEqual(
+            [(3, 2), (0, 1)], self.copy(text('a', 5), text('b', 1))
+        )
+        self.assertEqual([], self.copy(text('a', 5), text('b', 1)))
+
+    def test_a_text_that_was_begun_anew_is_copied_whole(self):
+        self.copy(text('a', 3))
+        self.assertEqual([(0, 4)], self.copy(text('a', 4, run=1)))
+
+    def test_a_text_that_went_away_is_copied_whole_when_it_is_back(self):
+        self.copy(text('a', 3))
+        self.copy()
+        self.assertEqual([(0, 4)], self.copy(text('a', 4)))
+
+    @params('forget', 'clear')
+    def test_what_is_taken_as_missing_is_copied_whole(self, how):
+        self.copy(text('a', 3))
+        if how == 'forget':
+            self.copied.forget(ItemId('a'))
+        else:
+            self.copied.clear()
+        self.assertEqual([(0, 4)], self.copy(text('a', 4)))
+
+
+class ContinuedTest(unittest.TestCase):
+    @params(
+        ('nothing is known', None, 2, None),
+        ('events between are missing', 1, 2, None),
+        ('it follows', 2, 2, 4),
+        ('it was copied twice', 4, 2, 4),
+        ('a whole text needs none before', None, 0, 4),
+    )
+    def test_continued(self, _, known, first, expected):
+        whole = text('a', 4)
+        rest = left_text.LeftText(
+            item=whole.item,
+            body_digest=whole.body_digest,
+            scoring_digest=whole.scoring_digest,
+            parts=whole.parts[first:],
+            versions=whole.versions,
+        )
+        change = text_copies.TextChange(text=rest, first=first)
+        before = None if known is None else text('a', known)
+        found = text_copies.continued(before, change)
+        self.assertEqual(expected, None if found is None else len(found.parts))
+        if found is not None:
+            self.assertEqual(whole.parts, found.parts)
+
+    def test_copies_with_writes_lost_hold_a_beginning(self):
+        # Whatever is lost between, a text is either missing or has its own
+        # first events, never those of two runs.
+        source = random.Random(3)
+        for _ in range(200):
+            self.play(source)
+
+    def play(self, source):
+        copied = text_copies.CopiedTexts()
+        held, events, run = None, 0, 0
+        for _ in range(20):
+            events += source.randrange(4)
+            if source.random() < 0.1:
+                run, events = run + 1, 1
+            for change in copied.changes([text('a', events, run)]):
+                if source.random() < 0.3:
+                    continue
+                copied.copied(change)
+                held = text_copies.continued(held, change)
+                self.assertIsNotNone(held)
+        if held is not None:
+            runs = {part.partition('.')[0] for part in held.parts}
+            numbers = [int(part.partition('.')[2]) for part in held.parts]
+            self.assertLessEqual(len(runs), 1)
+            self.assertEqual(list(range(len(numbers))), numbers)
+
+
+class LongestTest(unittest.TestCase):
+    def test_the_copy_with_most_of_a_text_counts(self):
+        found = text_copies.longest(
+            [text('a', 3), text('b', 1)], [text('a', 5)], [text('a', 4)]
+        )
+        self.assertEqual([5, 1], [len(each.parts) for each in found])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -12,6 +12,7 @@
 
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import departure
@@ -24,6 +25,7 @@
 from yuccarill.daemon.gateway import job_store
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import observer
+from yuccarill.daemon.gateway import progress
 from yuccarill.daemon.gateway import relay
 from yuccarill.daemon.gateway import runner
 from yuccarill.daemon.gateway import scoring
@@ -81,6 +83,9 @@
         self._duties_by_service: dict[ServiceName, duties.Duty] = {}
         self._runners_by_service: dict[ServiceName, runner.Runner] = {}
         self._standbys_by_service: dict[ServiceName, standby.StandbyCopy] = {}
+        self._writers_by_service: dict[
+            ServiceName, progress.ProgressWriter
+        ] = {}
         links = connections.Connections(clock, _count_connection)
         self._way = store_way.StoreWay(self._state, links, clock)
         self._store = store_module.Store(self._way, settings.store_address)
@@ -265,6 +270,7 @@
             known.resume()
             return
         self._stop_runner(service)
+        kept = progress.ProgressStore(service, self._store)
         started = runner.Runner(
             self._state,
             duty,
@@ -274,7 +280,7 @@
             scoring.Scorer(self._state, self._sender, self._clock),
             self._engines,
             self._clock,
-            defer.Deferred.fromCoroutine(self._left_texts(service)),
+            defer.Deferred.fromCoroutine(self._left_texts(service, kept)),
         )
         self._runners_by_service[service] = started
         started.start()
@@ -283,16 +289,32 @@
         )
         self._standbys_by_service[service] = copying
         copying.start()
+        writing = progress.ProgressWriter(
+            duty, kept, started.open_texts, self._store.pause, self._clock
+        )
+        self._writers_by_service[service] = writing
+        writing.start()
 
-    async def _left_texts(self, service: ServiceName) -> list[LeftText]:
+    async def _left_texts(
+        self, service: ServiceName, kept: progress.ProgressStore
+    ) -> list[LeftText]:
         found = self._depot.take(service)
-        return found or await self._text_sender.fetch(service)
+        if found:
+            return found
+        fetched, stored = await defer.gatherResults(
+            [
+                defer.Deferred.fromCoroutine(self._text_sender.fetch(service)),
+                defer.Deferred.fromCoroutine(kept.read()),
+            ]
+        )
+        return text_copies.longest(fetched, stored)
 
     def _stop_runner(self, service: ServiceName) -> None:
         known = self._runners_by_service.pop(service, None)
         if known is not None:
             known.stop()
             self._standbys_by_service.pop(service).stop()
+            self._writers_by_service.pop(service).stop()
 
     def _listen(self, address: str, factory: Any) -> Any:
         host, _, port = address.rpartition(':')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby.py
@@ -5,10 +5,10 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.gateway import texts
 from yuccarill.daemon import logs
 
@@ -17,7 +17,6 @@
     from collections.abc import Iterable
 
     from yuccarill.core.ids import ServiceName
-    from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.left_text import LeftText
     from yuccarill.daemon.gateway.texts import TextSender
 
@@ -47,7 +46,7 @@
         self._sender = sender
         self._peer = ''
         # What the peer has, by its answers.
-        self._copied_by_item: dict[ItemId, LeftText] = {}
+        self._copied = text_copies.CopiedTexts()
         self._copying: defer.Deferred[None] | None = None
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = clock
@@ -77,36 +76,19 @@
         peer = peers[0]
         if peer.instance != self._peer:
             self._peer = peer.instance
-            self._copied_by_item.clear()
-        found = {text.item: text for text in self._open_texts()}
-        for item in self._copied_by_item.keys() - found.keys():
-            del self._copied_by_item[item]
-        new = [
-            self._new(text)
-            for text in found.values()
-            if self._copied_by_item.get(text.item) != text
-        ]
+            self._copied.clear()
+        new = self._copied.changes(self._open_texts())
         if not new:
             return
         try:
             sent = await self._sender.send(peer, self._service, new)
         except texts.NotTaken as error:
             # It may have some of them: all are sent as a whole again.
-            self._copied_by_item.clear()
+            self._copied.clear()
             log.info('Texts not copied.', peer=self._peer, cause=str(error))
             return
-        for handed in sent:
-            item = handed.text.item
-            self._copied_by_item[item] = found[item]
-
-    def _new(self, text: LeftText) -> texts.HandedText:
-        known = self._copied_by_item.get(text.item)
-        first = 0 if known is None else len(known.parts)
-        if known is None or text.parts[:first] != known.parts:
-            # A text that was begun anew shares no part with the copy.
-            return texts.HandedText(text=text)
-        rest = msgspec.structs.replace(text, parts=text.parts[first:])
-        return texts.HandedText(text=rest, first=first)
+        for change in sent:
+            self._copied.copied(change)
 
     def _failed(self, failure: Any) -> None:
         if not failure.check(defer.CancelledError):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/texts.py
@@ -15,6 +15,8 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.jobs.left_text import LeftText
+from yuccarill.core.jobs import text_copies
+from yuccarill.core.jobs.text_copies import TextChange
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon import logs
@@ -52,14 +54,6 @@
     """Report texts that a peer does not have."""
 
 
-class HandedText(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold a text, or what has come to one that was handed on before."""
-
-    text: LeftText
-    # Events before the first part here, which the receiver has already.
-    first: int = 0
-
-
 class HandedTexts(msgspec.Struct, frozen=True, kw_only=True):
     """Hold texts of one service that an instance hands on."""
 
@@ -70,7 +64,7 @@
     source: str
     number: int
     # The most useful first.
-    texts: tuple[HandedText, ...]
+    texts: tuple[TextChange, ...]
 
 
 class _KeptText(NamedTuple):
@@ -117,7 +111,7 @@
             del kept[next(iter(kept))]
         return Page(status=200 if all(are_taken) else 409)
 
-    def _keep(self, message: HandedTexts, handed: HandedText) -> bool:
+    def _keep(self, message: HandedTexts, handed: TextChange) -> bool:
         """Tell whether a text is kept with all events before it."""
         kept = self._texts_by_service.setdefault(message.service, {})
         text = handed.text
@@ -126,17 +120,14 @@
         if known is not None and is_same and known.number > message.number:
             # Overtaken by a later message.
             return False
-        if handed.first:
-            if known is None or not is_same:
-                return False
-            before = known.text.parts[: handed.first]
-            if len(before) < handed.first:
-                return False
-            text = msgspec.structs.replace(text, parts=before + text.parts)
+        before = known.text if known is not None and is_same else None
+        whole = text_copies.continued(before, handed)
+        if whole is None:
+            return False
         # Put last: the first ones are dropped where there are too many.
         kept.pop(text.item, None)
         kept[text.item] = _KeptText(
-            text,
+            whole,
             message.source,
             message.number,
             Instant(self._clock.seconds() + KEPT_SECONDS),
@@ -176,7 +167,7 @@
         self, service: ServiceName, texts: Iterable[LeftText]
     ) -> None:
         """Send texts to the likely next holders of a service's duty."""
-        handed = [HandedText(text=text) for text in texts]
+        handed = [TextChange(text=text) for text in texts]
         if not handed:
             return
         await defer.gatherResults(
@@ -208,8 +199,8 @@
         self,
         peer: InstanceRecord,
         service: ServiceName,
-        handed: Iterable[HandedText],
-    ) -> tuple[HandedText, ...]:
+        handed: Iterable[TextChange],
+    ) -> tuple[TextChange, ...]:
         """Send as many texts as may go at once, and return them.
 
         Raises NotTaken.
@@ -255,16 +246,10 @@
                 for peer in self.receivers(service)
             ]
         )
-        texts_by_item: dict[ItemId, LeftText] = {}
-        for text in (text for each in found for text in each):
-            known = texts_by_item.get(text.item)
-            if known is None or len(known.parts) < len(text.parts):
-                texts_by_item[text.item] = text
-        if texts_by_item:
-            log.info(
-                'Texts fetched.', service=service, count=len(texts_by_item)
-            )
-        return list(texts_by_item.values())
+        texts = text_copies.longest(*found)
+        if texts:
+            log.info('Texts fetched.', service=service, count=len(texts))
+        return texts
 
     async def _fetch(
         self, peer: InstanceRecord, service: ServiceName
@@ -297,7 +282,7 @@
         self,
         peer: InstanceRecord,
         service: ServiceName,
-        handed: list[HandedText],
+        handed: list[TextChange],
     ) -> None:
         count, cause = 0, ''
         try:
@@ -315,11 +300,11 @@
         )
 
 
-def _bounded(handed: Iterable[HandedText]) -> tuple[HandedText, ...]:
+def _bounded(handed: Iterable[TextChange]) -> tuple[TextChange, ...]:
     chosen = []
     left = MAX_BYTES
     for each in handed:
-        left -= sum(len(part) for part in each.text.parts)
+        left -= each.size
         if left < 0:
             break
         chosen.append(each)
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -11,6 +11,7 @@
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.job import ItemId
 from yuccarill.core.jobs.left_text import LeftText
+from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import departure
@@ -42,7 +43,8 @@
             source=source,
             number=number,
             texts=tuple(
-                texts.HandedText(text=each, first=first) for each in found
+                text_copies.TextChange(text=each, first=first)
+                for each in found
             ),
         )
     )
