Run the text first that has the least time to spare

Hypothesis: the longest text decides when a step ends, so it has to be begun first; what is left of a text can be told from its client's hint and from how far it is. Waiting items go in the order of due time less what an engine still needs for them. Tried and reverted: long texts to the emptiest engine and short ones to the fullest.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -8,6 +8,7 @@
 from yuccarill.core.jobs.job import ItemResult
 from yuccarill.core.jobs.job import ResultState
 from yuccarill.core.jobs import left_text
+from yuccarill.core.jobs import lengths as lengths_module
 from yuccarill.core.jobs import text as text_module
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
 
 # Texts kept of ended jobs: the items of some steps, some 10 kB each.
 MAX_LEFT = 500
+# Seconds an event that stand until the first engine was seen at work.
+DEFAULT_PACE = 0.04
 
 
 class RunState(enum.Enum):
@@ -181,6 +184,7 @@
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[JobId, JobState] = {}
+        self.lengths = lengths_module.TextLengths()
         # What was made of items whose jobs have ended here, or are run by
         # another instance so far; the oldest first.
         self._left_by_id: dict[ItemId, left_text.LeftText] = {}
@@ -237,11 +241,30 @@
             if run.text.events and run.item.id not in listed
         ]
 
-    def waiting(self) -> Iterator[ItemRun]:
-        """Yield the items to run, the most urgent first."""
-        states = sorted(self.jobs_by_id.values(), key=lambda s: s.due_at)
-        for state in states:
-            yield from sorted(state.waiting(), key=state.rank)
+    def waiting(self, pace: float = DEFAULT_PACE) -> list[ItemRun]:
+        """Return the items to run, the most urgent first.
+
+        An engine takes some seconds for an event, the pace. The longest
+        text decides when a step ends, so the text goes first whose engine
+        has the least time to spare until its job is due.
+        """
+        found = [
+            (state.due_at - self.seconds_left(run, pace), state.rank(run), run)
+            for state in self.jobs_by_id.values()
+            for run in state.waiting()
+        ]
+        found.sort(key=lambda each: each[:2])
+        return [run for _, _, run in found]
+
+    def count_waiting(self) -> int:
+        """Count the items that have no place."""
+        states = self.jobs_by_id.values()
+        return sum(1 for state in states for _ in state.waiting())
+
+    def seconds_left(self, run: ItemRun, pace: float) -> float:
+        """Return how long an engine will still need for a text."""
+        left = self.lengths.remaining(run.job.model, run.item, run.text.events)
+        return pace * left
 
     def expired(self, now: Instant) -> list[ItemRun]:
         """Return the unfinished items whose time is over."""
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/job.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/job.py
@@ -37,6 +37,8 @@
     # Prompt tokens and the most that may be generated.
     tokens: int
     group: GroupId
+    # Tokens that the client expects to be generated, if it says so.
+    hinted_tokens: int | None = None
     score_request: ScoreRequest | None = None
 
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/item_runs.py
@@ -123,7 +123,8 @@
         now = self._now()
         # Items of one model and age of weights find the same engines.
         full: set[tuple[ModelName | None, WeightVersion]] = set()
-        for run in list(self._board.waiting()):
+        pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
+        for run in self._board.waiting(pace):
             needs = (run.job.model, run.job.min_version)
             if needs in full:
                 continue
@@ -166,7 +167,7 @@
         # Free places go to waiting items first. Moving all runs of a slow
         # engine for each place that came free moved 85 runs in a second,
         # most of them back to where they were.
-        waiting = sum(1 for _ in self._board.waiting())
+        waiting = self._board.count_waiting()
         for run, generating in list(self._generating_by_run.items()):
             engine = generating.engine
             if not self._fleet.is_held_up(
@@ -217,6 +218,9 @@
         match outcome:
             case generation.Outcome.WHOLE:
                 run.text.is_whole = True
+                self._board.lengths.learn(
+                    run.job.model, run.item, run.text.events
+                )
                 await self.score(run)
             case generation.Outcome.FAILED:
                 self._failed(run, run.fail())
