Tell from the logs where the time of steps went

Cause: what a step spends its time on could be told only by hand, line by line. Change: 'yuccarill explain-steps LOG...' reads the logs of any number of instances and splits each step, by the text that ended last, into waiting for a place, generation, moves, score, listing and reading; the parts add up to the step. The line of a run's end says how long the run took.

--- a/packages/yuccarill-cli/src/yuccarill/cli/application.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/application.py
@@ -10,6 +10,7 @@
 from yuccarill.cli.commands import check
 from yuccarill.cli.commands import diff
 from yuccarill.cli.commands import explain
+from yuccarill.cli.commands import explain_steps
 from yuccarill.cli.commands import show
 from yuccarill.cli.commands import status
 from yuccarill.cli import session
@@ -49,5 +50,15 @@
         context.obj = session.connect(address)
 
 
-for _module in (addresses, apply, audit, check, diff, explain, show, status):
+for _module in (
+    addresses,
+    apply,
+    audit,
+    check,
+    diff,
+    explain,
+    explain_steps,
+    show,
+    status,
+):
     main.add_command(_module.command)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/generation.py
@@ -61,6 +61,7 @@
         """Run an item, from its last whole event on."""
         sink = _TextSink(run, engine, on_progress, self._clock)
         before = run.text.events
+        started_at = self._now()
         outcome, cause = Outcome.BROKEN, 'cancelled'
         try:
             answer = await self._calls.generate(
@@ -87,6 +88,7 @@
                 first=before,
                 events=run.text.events,
                 versions=run.text.versions,
+                seconds=round(self._now() - started_at, 3),
             )
         return outcome
 
