--- a/tools/paired_days.py
+++ b/tools/paired_days.py
@@ -28,6 +28,11 @@
 
 # Rules are named in capitals where one is broken.
 RULE = re.compile(r'^\s*[A-Z]{3,10}\b.*: ')
+BEHIND = re.compile(
+    r': (?P<steps>\d+) steps asked, the last (?P<seconds>[\d.]+) s behind'
+)
+# Trainers of all deployments ask for a step each four seconds.
+STEP_SECONDS = 4.0
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 
 
@@ -39,6 +44,9 @@
         self.day = day
         self.seed = seed
         self.worth = math.nan
+        # Seconds that all trainers are behind their time at the end, less
+        # what the steps they came to take; only differences mean anything.
+        self.behind = math.nan
         self.rules: dict[str, object] = {}
         self.note = ''
 
@@ -66,6 +74,10 @@
         play.note = (done.stdout + done.stderr).strip()[-300:]
         return
     play.worth = float(found[0])
+    play.behind = sum(
+        float(match['seconds']) - STEP_SECONDS * int(match['steps'])
+        for match in BEHIND.finditer(done.stdout)
+    )
     for line in done.stdout.splitlines():
         if RULE.match(line):
             play.rules[line.strip()] = True
@@ -84,20 +96,22 @@
     return copied
 
 
-def _read(results: pathlib.Path | None) -> dict[str, float]:
+def _read(results: pathlib.Path | None) -> dict[str, list[float]]:
     if results is None or not results.exists():
         return {}
     return json.loads(results.read_text())
 
 
 def _write(
-    results: pathlib.Path | None, known: dict[str, float], plays: list[Play]
+    results: pathlib.Path | None,
+    known: dict[str, list[float]],
+    plays: list[Play],
 ) -> None:
     if results is None:
         return
     for play in plays:
         if not math.isnan(play.worth):
-            known[play.name] = play.worth
+            known[play.name] = [play.worth, play.behind]
     results.write_text(json.dumps(known, indent=1))
 
 
@@ -115,20 +129,27 @@
         if not math.isnan(play.worth):
             by_state.setdefault(play.state, {})[play.key] = play
     first = by_state.get(names[0], {})
-    click.echo('| state | plays | worth | least | against the first |')
-    click.echo('|---|---|---|---|---|')
+    click.echo(
+        '| state | plays | worth | least | against the first '
+        '| seconds behind, against the first |'
+    )
+    click.echo('|---|---|---|---|---|---|')
     for name in names:
         found = by_state.get(name, {})
         if not found:
-            click.echo(f'| {name} | 0 | | | |')
+            click.echo(f'| {name} | 0 | | | | |')
             continue
         worths = [play.worth for play in found.values()]
         shared = sorted(first.keys() & found.keys())
         differences = [found[k].worth - first[k].worth for k in shared]
         mean, width = _interval(differences)
+        late, late_width = _interval(
+            [found[k].behind - first[k].behind for k in shared]
+        )
         click.echo(
             f'| {name} | {len(worths)} | {statistics.fmean(worths):.4f} '
-            f'| {min(worths):.3f} | {mean:+.4f} ± {width:.4f} |'
+            f'| {min(worths):.3f} | {mean:+.4f} ± {width:.4f} '
+            f'| {late:+.2f} ± {late_width:.2f} |'
         )
     for day in sorted({play.day for play in plays}):
         parts = []
@@ -195,7 +216,7 @@
     ]
     known = _read(results)
     for play in plays:
-        play.worth = known.get(play.name, math.nan)
+        play.worth, play.behind = known.get(play.name, [math.nan] * 2)
     left = [play for play in plays if math.isnan(play.worth)]
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         running = [
