Put no items in order where no place is free

Cause: the order of waiting items is worked out at each run's end: 0.3 ms for 96 items, 47 ms for 8,192, 324 ms for 57,344 (one process, quiet clock).

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -192,6 +192,14 @@
         has_stayed = now - started_at >= MIN_STAY
         return has_stayed and self.is_slow(engine, now)
 
+    def has_places(self, now: Instant) -> bool:
+        """Tell whether any engine at work has a free place."""
+        return any(
+            engine.running < engine.target.slots
+            for engine in self.engines_by_id.values()
+            if not engine.target.is_leaving and now >= engine.ejected_until
+        )
+
     def free_places(self, job: Job, now: Instant, without: EngineState) -> int:
         """Count the places for a job at engines that are not slow."""
         return sum(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/item_runs.py
@@ -121,6 +121,10 @@
 
     def _pump(self) -> None:
         now = self._now()
+        # Putting 8,192 waiting items in order takes 47 ms, and each run that
+        # ends asks for it.
+        if not self._fleet.has_places(now):
+            return
         # Items of one model and age of weights find the same engines.
         full: set[tuple[ModelName | None, WeightVersion]] = set()
         pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
