Order the gateway's modules by concern

Cause: 37 modules stood in one folder, and neither the way of a request nor that of a batch job could be told from its listing; forwarding, intake and shelf imported each other in a ring. Change: requests/, jobs/, weights/, duty/ and store/, as the core has them; a request's time limit goes to the core's requests, pages of results have a module of their own. Nothing else is changed. Measured: all tests of the gateway pass; types and lint are clean.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.routes import Route
+
 
 class ClientRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one attempt of a client."""
@@ -60,3 +65,11 @@
     addresses: tuple[str, ...]
     # Seconds for which the answer may be kept.
     validity: float
+
+
+def time_limit(route: Route, request: ClientRequest) -> Instant:
+    """Return when a request gets its last answer at the latest."""
+    limit = Instant(request.arrived_at + route.timeout)
+    if request.deadline is None:
+        return limit
+    return min(limit, request.deadline)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/__init__.py
@@ -0,0 +1,1 @@
+"""Hold leases: which instances live, and who holds a duty."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/departure.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/departure.py
@@ -15,11 +15,11 @@
     from collections.abc import Mapping
 
     from yuccarill.core.ids import ServiceName
-    from yuccarill.daemon.gateway.duties import Duty
-    from yuccarill.daemon.gateway.runner import Runner
-    from yuccarill.daemon.gateway.session import Session
-    from yuccarill.daemon.gateway.texts import TextDepot
-    from yuccarill.daemon.gateway.texts import TextSender
+    from yuccarill.daemon.gateway.duty.duties import Duty
+    from yuccarill.daemon.gateway.duty.session import Session
+    from yuccarill.daemon.gateway.jobs.runner import Runner
+    from yuccarill.daemon.gateway.jobs.texts import TextDepot
+    from yuccarill.daemon.gateway.jobs.texts import TextSender
 
 log = logs.for_part('departure')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
@@ -16,8 +16,8 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
-from yuccarill.daemon.gateway import duty_keys
-from yuccarill.daemon.gateway import lease as lease_module
+from yuccarill.daemon.gateway.duty import duty_keys
+from yuccarill.daemon.gateway.duty import lease as lease_module
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/session.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/session.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from yuccarill.daemon.gateway import lease as lease_module
+from yuccarill.daemon.gateway.duty import lease as lease_module
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Run batch jobs for trainers."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/cleaner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/cleaner.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import JobId
-    from yuccarill.daemon.gateway.job_store import JobStore
+    from yuccarill.daemon.gateway.jobs.job_store import JobStore
 
 log = logs.for_part('cleaner')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
@@ -11,13 +11,14 @@
 from twisted.internet import task
 
 from yuccarill.core import errors
+from yuccarill.core.gateway import requests
 from yuccarill.core.gateway.requests import TargetAnswer
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import WallTime
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
-from yuccarill.daemon.gateway import forwarding
-from yuccarill.daemon.gateway import relay as relay_module
+from yuccarill.daemon.gateway.jobs import result_page
+from yuccarill.daemon.gateway.requests import relay as relay_module
 from yuccarill.daemon import logs
 from yuccarill.platform import jobs as wire_jobs
 from yuccarill.platform import keys
@@ -32,11 +33,11 @@
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import ItemResult
-    from yuccarill.daemon.gateway.job_store import JobStore
-    from yuccarill.daemon.gateway.job_store import StoredResults
-    from yuccarill.daemon.gateway.job_store import Summary
-    from yuccarill.daemon.gateway.relay import Relay
-    from yuccarill.daemon.gateway.runner import Runner
+    from yuccarill.daemon.gateway.jobs.job_store import JobStore
+    from yuccarill.daemon.gateway.jobs.job_store import StoredResults
+    from yuccarill.daemon.gateway.jobs.job_store import Summary
+    from yuccarill.daemon.gateway.jobs.runner import Runner
+    from yuccarill.daemon.gateway.requests.relay import Relay
     from yuccarill.platform.ports import ResultsQuery
 
 log = logs.for_part('jobs')
@@ -52,8 +53,6 @@
 RELAYED_TRY_SECONDS = 1.0
 # Seconds after which a trainer may come back when the store is away.
 RETRY_AFTER = 1.0
-# Bytes of results in one answer, under the megabyte that readers take.
-PAGE_BYTES = 800 * 1024
 # Jobs whose results are kept in memory for readers.
 CACHED_JOBS = 24
 CACHED_BODIES = 3
@@ -130,7 +129,7 @@
                 answer = await self._relay.send(holder, request, RELAY_SECONDS)
                 if answer is not None and answer.status == 202:
                     return _ACCEPTED
-        give_up_at = forwarding.time_limit(route, request)
+        give_up_at = requests.time_limit(route, request)
         left = give_up_at - self._clock.seconds()
         try_for = ACCEPT_PART * left
         if relay_module.is_relayed(request):
@@ -179,7 +178,7 @@
             raise errors.StoreUnavailable(
                 f'The results can not be read now: {error}.', RETRY_AFTER
             ) from error
-        return page(view.summary.total, view.results, query.first)
+        return result_page.page(view.summary.total, view.results, query.first)
 
     async def read_item(self, job_id: JobId, item_id: ItemId) -> bytes:
         """Return the body of one item.
@@ -321,16 +320,3 @@
         retained_until=WallTime(now + retention),
         items=submitted.items,
     )
-
-
-def page(total: int, results: list[ItemResult], first: int) -> bytes:
-    """Return one page of results from a position on."""
-    taken = 0
-    following = first
-    for result in results[first:]:
-        taken += len(result.text)
-        if following > first and taken > PAGE_BYTES:
-            break
-        following += 1
-    found = tuple(results[first:following])
-    return wire_jobs.results_page(total, following, found)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -12,7 +12,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
-from yuccarill.daemon.gateway import generation
+from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -23,8 +23,8 @@
     from yuccarill.core.ids import WeightVersion
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import JobId
-    from yuccarill.daemon.gateway.generation import Generator
-    from yuccarill.daemon.gateway.scoring import Scorer
+    from yuccarill.daemon.gateway.jobs.generation import Generator
+    from yuccarill.daemon.gateway.jobs.scoring import Scorer
     from yuccarill.daemon.gateway.state import GatewayState
 
 log = logs.for_part('runner')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
@@ -9,8 +9,8 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from yuccarill.daemon.gateway import job_store as job_store_module
-from yuccarill.daemon.gateway import lease
+from yuccarill.daemon.gateway.duty import lease
+from yuccarill.daemon.gateway.jobs import job_store as job_store_module
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -18,8 +18,8 @@
 
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import JobId
-    from yuccarill.daemon.gateway.duties import Duty
-    from yuccarill.daemon.gateway.job_store import JobStore
+    from yuccarill.daemon.gateway.duty.duties import Duty
+    from yuccarill.daemon.gateway.jobs.job_store import JobStore
 
 log = logs.for_part('listing')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/progress.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
@@ -21,7 +21,7 @@
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.left_text import LeftText
-    from yuccarill.daemon.gateway.duties import Duty
+    from yuccarill.daemon.gateway.duty.duties import Duty
     from yuccarill.platform.store import Store
 
 log = logs.for_part('progress')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -14,15 +14,15 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
-from yuccarill.daemon.gateway import cleaner
-from yuccarill.daemon.gateway import engine_requests
-from yuccarill.daemon.gateway import follower
-from yuccarill.daemon.gateway import item_runs
-from yuccarill.daemon.gateway import job_store as job_store_module
-from yuccarill.daemon.gateway import listing
+from yuccarill.daemon.gateway.jobs import cleaner
+from yuccarill.daemon.gateway.jobs import item_runs
+from yuccarill.daemon.gateway.jobs import job_store as job_store_module
+from yuccarill.daemon.gateway.jobs import listing
+from yuccarill.daemon.gateway.jobs import shelf
 from yuccarill.daemon.gateway import meters
-from yuccarill.daemon.gateway import shelf
-from yuccarill.daemon.gateway import weight_switcher
+from yuccarill.daemon.gateway.store import follower
+from yuccarill.daemon.gateway.weights import engine_requests
+from yuccarill.daemon.gateway.weights import weight_switcher
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
 from yuccarill.platform import store as store_module
@@ -36,10 +36,10 @@
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
     from yuccarill.core.jobs.left_text import LeftText
-    from yuccarill.daemon.gateway.duties import Duty
-    from yuccarill.daemon.gateway.generation import Generator
-    from yuccarill.daemon.gateway.job_store import JobStore
-    from yuccarill.daemon.gateway.scoring import Scorer
+    from yuccarill.daemon.gateway.duty.duties import Duty
+    from yuccarill.daemon.gateway.jobs.generation import Generator
+    from yuccarill.daemon.gateway.jobs.job_store import JobStore
+    from yuccarill.daemon.gateway.jobs.scoring import Scorer
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.engines import Engines
     from yuccarill.platform.store import Entry
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -12,7 +12,7 @@
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.gateway import sender as sender_module
+from yuccarill.daemon.gateway.requests import sender as sender_module
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
@@ -21,7 +21,7 @@
     from yuccarill.core.gateway.routes import Route
     from yuccarill.core.jobs.board import ItemRun
     from yuccarill.core.jobs.job import ScoreRequest
-    from yuccarill.daemon.gateway.sender import Sender
+    from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.daemon.gateway.state import GatewayState
 
 log = logs.for_part('scoring')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/shelf.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/shelf.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.gateway import intake
+from yuccarill.daemon.gateway.jobs import result_page
 
 if TYPE_CHECKING:
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
-    from yuccarill.daemon.gateway.duties import Duty
-    from yuccarill.daemon.gateway.listing import Listing
+    from yuccarill.daemon.gateway.duty.duties import Duty
+    from yuccarill.daemon.gateway.jobs.listing import Listing
     from yuccarill.platform.ports import ResultsQuery
 
 # Seconds within which the store has to have known the duty for readers to
@@ -81,7 +81,7 @@
         # may have had it elsewhere.
         if found.write_age() > READ_AGE:
             return None
-        return intake.page(found.total, found.results, query.first)
+        return result_page.page(found.total, found.results, query.first)
 
     def read_item(self, job_id: JobId, item_id: ItemId) -> bytes | None:
         """Return an item's body, none if the store has to be asked."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/standby.py
@@ -9,7 +9,7 @@
 from twisted.internet import task
 
 from yuccarill.core.jobs import text_copies
-from yuccarill.daemon.gateway import texts
+from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
 
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.left_text import LeftText
-    from yuccarill.daemon.gateway.texts import TextSender
+    from yuccarill.daemon.gateway.jobs.texts import TextSender
 
 log = logs.for_part('standby')
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/trainers.py
@@ -6,8 +6,8 @@
 
 from yuccarill.core import errors
 from yuccarill.core.gateway.requests import TargetAnswer
-from yuccarill.daemon.gateway import intake as intake_module
-from yuccarill.daemon.gateway import relay as relay_module
+from yuccarill.daemon.gateway.jobs import intake as intake_module
+from yuccarill.daemon.gateway.requests import relay as relay_module
 from yuccarill.platform import ports
 
 if TYPE_CHECKING:
@@ -15,9 +15,9 @@
     from collections.abc import Iterable
 
     from yuccarill.core.gateway.requests import ClientRequest
-    from yuccarill.daemon.gateway.intake import Intake
-    from yuccarill.daemon.gateway.relay import Relay
-    from yuccarill.daemon.gateway.runner import Runner
+    from yuccarill.daemon.gateway.jobs.intake import Intake
+    from yuccarill.daemon.gateway.jobs.runner import Runner
+    from yuccarill.daemon.gateway.requests.relay import Relay
     from yuccarill.platform.ports import TrainerCall
 
 _JSON = (('Content-Type', 'application/json'),)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Pass clients' requests on to targets."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -8,11 +8,12 @@
 
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway import requests
 from yuccarill.core.gateway.routes import Route
 from yuccarill.core.gateway.routes import RouteKind
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.gateway import meters
-from yuccarill.daemon.gateway import sender as sender_module
+from yuccarill.daemon.gateway.requests import sender as sender_module
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
@@ -21,10 +22,10 @@
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
-    from yuccarill.daemon.gateway.intake import Intake
-    from yuccarill.daemon.gateway.sender import Sender
+    from yuccarill.daemon.gateway.jobs.intake import Intake
+    from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.daemon.gateway.requests.streams import StreamForwarder
     from yuccarill.daemon.gateway.state import GatewayState
-    from yuccarill.daemon.gateway.streams import StreamForwarder
     from yuccarill.platform.calls import Calls
     from yuccarill.platform.ports import Answerer
 
@@ -112,7 +113,7 @@
     async def _idempotent(
         self, route: Route, request: ClientRequest
     ) -> TargetAnswer:
-        deadline = time_limit(route, request)
+        deadline = requests.time_limit(route, request)
         plan = attempts.AttemptPlan(
             deadline=deadline,
             max_attempts=route.max_attempts,
@@ -128,7 +129,7 @@
     async def _at_most_once(
         self, route: Route, request: ClientRequest
     ) -> TargetAnswer:
-        deadline = time_limit(route, request)
+        deadline = requests.time_limit(route, request)
         service = self._service(route)
         call = call_of(request, deadline)
         tried: set[TargetId] = set()
@@ -164,14 +165,6 @@
         return service
 
 
-def time_limit(route: Route, request: ClientRequest) -> Instant:
-    """Return when a request gets its last answer at the latest."""
-    limit = Instant(request.arrived_at + route.timeout)
-    if request.deadline is None:
-        return limit
-    return min(limit, request.deadline)
-
-
 def call_of(
     request: ClientRequest, deadline: Instant | None
 ) -> calls_module.TargetCall:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -15,9 +15,9 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import DataCentreId
-    from yuccarill.daemon.gateway.forwarding import Forwarder
+    from yuccarill.daemon.gateway.jobs.trainers import TrainerDesk
+    from yuccarill.daemon.gateway.requests.forwarding import Forwarder
     from yuccarill.daemon.gateway.state import GatewayState
-    from yuccarill.daemon.gateway.trainers import TrainerDesk
     from yuccarill.platform.ports import Answerer
     from yuccarill.platform.ports import TrainerCall
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/relay.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
@@ -13,7 +13,7 @@
 from yuccarill.core.gateway.routes import RouteKind
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
-from yuccarill.daemon.gateway import peer_choice
+from yuccarill.daemon.gateway.store import peer_choice
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -9,7 +9,7 @@
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
-from yuccarill.daemon.gateway import sender as sender_module
+from yuccarill.daemon.gateway.requests import sender as sender_module
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from yuccarill.core.gateway.routes import Route
     from yuccarill.core.ids import TargetId
     from yuccarill.core.jobs.text import StreamEvent
-    from yuccarill.daemon.gateway.sender import Sender
+    from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.platform.calls import Calls
     from yuccarill.platform.ports import Answerer
 
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's store, and follow what it holds."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
@@ -14,7 +14,7 @@
 from yuccarill.core.ids import Revision
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page as HttpPage
-from yuccarill.daemon.gateway import peer_choice
+from yuccarill.daemon.gateway.store import peer_choice
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
@@ -23,9 +23,9 @@
 
     from yuccarill.daemon.adapters.connections import Connections
     from yuccarill.daemon.adapters.small_server import SmallRequest
-    from yuccarill.daemon.gateway.follower import PrefixFollower
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.daemon.gateway.state import InstanceRecord
+    from yuccarill.daemon.gateway.store.follower import PrefixFollower
     from yuccarill.platform.store import Store
 
 log = logs.for_part('feed')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
@@ -10,7 +10,7 @@
 from twisted.internet import task
 
 from yuccarill.core.ids import Revision
-from yuccarill.daemon.gateway import history
+from yuccarill.daemon.gateway.store import history
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -11,8 +11,8 @@
 from yuccarill.core.gateway.leadership import LastHolder
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ServiceName
-from yuccarill.daemon.gateway import follower
 from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon.gateway.store import follower
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
 from yuccarill.platform import operators
@@ -23,8 +23,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from yuccarill.daemon.gateway.follower import Source
     from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.store.follower import Source
     from yuccarill.platform.store import Entry
     from yuccarill.platform.store import Removal
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_way.py
@@ -12,7 +12,7 @@
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import meters
-from yuccarill.daemon.gateway import peer_choice
+from yuccarill.daemon.gateway.store import peer_choice
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Order engines to change weights."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/engine_requests.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/engine_requests.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from yuccarill.core import errors
-from yuccarill.daemon.gateway import follower
-from yuccarill.daemon.gateway import retirement
+from yuccarill.daemon.gateway.store import follower
+from yuccarill.daemon.gateway.weights import retirement
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
 from yuccarill.platform import operators
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
@@ -22,9 +22,9 @@
     from yuccarill.core.jobs.board import JobBoard
     from yuccarill.core.jobs.engines import EngineFleet
     from yuccarill.core.jobs.engines import EngineState
-    from yuccarill.daemon.gateway.duties import Duty
-    from yuccarill.daemon.gateway.engine_requests import EngineRequests
+    from yuccarill.daemon.gateway.duty.duties import Duty
     from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.weights.engine_requests import EngineRequests
     from yuccarill.platform.engines import Engines
 
 log = logs.for_part('weights')
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -27,9 +27,9 @@
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
-from yuccarill.daemon.gateway import generation
-from yuccarill.daemon.gateway import job_store
-from yuccarill.daemon.gateway import runner as runner_module
+from yuccarill.daemon.gateway.jobs import generation
+from yuccarill.daemon.gateway.jobs import job_store
+from yuccarill.daemon.gateway.jobs import runner as runner_module
 from yuccarill.platform import calls
 from yuccarill.platform import engines as wire_engines
 from yuccarill.platform import keys
--- a/packages/yuccarill-daemon/tests/gateway/test_duties.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_duties.py
@@ -6,9 +6,9 @@
 
 from twisted.internet import defer
 
-from yuccarill.daemon.gateway import duties
-from yuccarill.daemon.gateway import observer
+from yuccarill.daemon.gateway.duty import duties
 from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon.gateway.store import observer
 from yuccarill.platform import keys
 
 from . import memory_store
--- a/packages/yuccarill-daemon/tests/gateway/test_feed.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -9,8 +9,8 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
-from yuccarill.daemon.gateway import feed
-from yuccarill.daemon.gateway import follower
+from yuccarill.daemon.gateway.store import feed
+from yuccarill.daemon.gateway.store import follower
 from yuccarill.platform import store as store_module
 
 from . import world
--- a/packages/yuccarill-daemon/tests/gateway/test_follower.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_follower.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from yuccarill.daemon.gateway import follower
+from yuccarill.daemon.gateway.store import follower
 from yuccarill.platform import store as store_module
 
 from . import memory_store
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -14,8 +14,8 @@
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import Revision
 from yuccarill.core.jobs.job import JobId
-from yuccarill.daemon.gateway import intake
-from yuccarill.daemon.gateway import job_store
+from yuccarill.daemon.gateway.jobs import intake
+from yuccarill.daemon.gateway.jobs import job_store
 from yuccarill.platform import keys
 from yuccarill.platform import ports
 
--- a/packages/yuccarill-daemon/tests/gateway/test_listing.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_listing.py
@@ -10,8 +10,8 @@
 from yuccarill.core.jobs.job import ItemResult
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.job import ResultState
-from yuccarill.daemon.gateway import job_store
-from yuccarill.daemon.gateway import listing
+from yuccarill.daemon.gateway.jobs import job_store
+from yuccarill.daemon.gateway.jobs import listing
 from yuccarill.platform import keys
 
 from . import memory_store
--- a/packages/yuccarill-daemon/tests/gateway/test_progress.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_progress.py
@@ -12,8 +12,8 @@
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.job import ItemId
 from yuccarill.core.jobs import left_text
-from yuccarill.daemon.gateway import progress
-from yuccarill.daemon.gateway import runner as runner_module
+from yuccarill.daemon.gateway.jobs import progress
+from yuccarill.daemon.gateway.jobs import runner as runner_module
 from yuccarill.platform import keys
 from yuccarill.platform import store as store_module
 
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -13,7 +13,7 @@
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.job import ResultState
-from yuccarill.daemon.gateway import job_store
+from yuccarill.daemon.gateway.jobs import job_store
 from yuccarill.platform import keys
 from yuccarill.platform import operators
 from yuccarill.platform import ports
--- a/packages/yuccarill-daemon/tests/gateway/test_sender.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -16,7 +16,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
-from yuccarill.daemon.gateway import sender
+from yuccarill.daemon.gateway.requests import sender
 from yuccarill.platform import calls
 
 from . import world
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -9,7 +9,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
-from yuccarill.daemon.gateway import store_way
+from yuccarill.daemon.gateway.store import store_way
 
 from . import world
 
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -15,8 +15,8 @@
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
-from yuccarill.daemon.gateway import sender
-from yuccarill.daemon.gateway import streams
+from yuccarill.daemon.gateway.requests import sender
+from yuccarill.daemon.gateway.requests import streams
 from yuccarill.platform import calls
 
 from . import world
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -14,11 +14,11 @@
 from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
-from yuccarill.daemon.gateway import departure
-from yuccarill.daemon.gateway import runner as runner_module
-from yuccarill.daemon.gateway import session as session_module
-from yuccarill.daemon.gateway import standby
-from yuccarill.daemon.gateway import texts
+from yuccarill.daemon.gateway.duty import departure
+from yuccarill.daemon.gateway.duty import session as session_module
+from yuccarill.daemon.gateway.jobs import runner as runner_module
+from yuccarill.daemon.gateway.jobs import standby
+from yuccarill.daemon.gateway.jobs import texts
 
 from . import runner_world
 from . import world
--- a/packages/yuccarill-daemon/tests/gateway/test_trainers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_trainers.py
@@ -11,8 +11,8 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.core.jobs.job import JobId
-from yuccarill.daemon.gateway import relay
-from yuccarill.daemon.gateway import trainers
+from yuccarill.daemon.gateway.jobs import trainers
+from yuccarill.daemon.gateway.requests import relay
 from yuccarill.platform import ports
 
 from . import world
--- a/packages/yuccarill-daemon/tests/gateway/world.py
+++ b/packages/yuccarill-daemon/tests/gateway/world.py
@@ -17,7 +17,7 @@
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import WeightVersion
-from yuccarill.daemon.gateway import lease
+from yuccarill.daemon.gateway.duty import lease
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.platform import settings_file
 
