Bound copies of texts in one place

Cause: the copies for the store and for the next candidate cut off what is too much with the same lines. Change: text_copies.bounded serves both.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/text_copies.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/text_copies.py
@@ -82,6 +82,20 @@
     return msgspec.structs.replace(change.text, parts=parts)
 
 
+def bounded(
+    changes: Iterable[TextChange], most: int
+) -> tuple[TextChange, ...]:
+    """Return the first changes that have so many characters together."""
+    chosen = []
+    left = most
+    for change in changes:
+        left -= change.size
+        if left < 0:
+            break
+        chosen.append(change)
+    return tuple(chosen)
+
+
 def longest(*copies: Iterable[LeftText]) -> list[LeftText]:
     """Return each text as the copy has it that has the most of it."""
     texts_by_item: dict[ItemId, LeftText] = {}
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
@@ -186,7 +186,7 @@
             if number + 1 - begun >= SLOTS:
                 self._copied.forget(item)
         texts.sort(key=lambda text: len(text.parts), reverse=True)
-        return _bounded(self._copied.changes(texts))
+        return text_copies.bounded(self._copied.changes(texts), MAX_SIZE)
 
     def _note(self, changes: tuple[text_copies.TextChange, ...]) -> None:
         for change in changes:
@@ -221,16 +221,3 @@
     except msgspec.MsgspecError as error:
         log.error('Record left out.', key=entry.key, cause=str(error))
         return []
-
-
-def _bounded(
-    changes: list[text_copies.TextChange],
-) -> tuple[text_copies.TextChange, ...]:
-    chosen = []
-    left = MAX_SIZE
-    for change in changes:
-        left -= change.size
-        if left < 0:
-            break
-        chosen.append(change)
-    return tuple(chosen)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
@@ -205,7 +205,7 @@
 
         Raises NotTaken.
         """
-        chosen = _bounded(handed)
+        chosen = text_copies.bounded(handed, MAX_BYTES)
         self._number += 1
         request = http_exchange.OutgoingRequest(
             method='POST',
@@ -298,14 +298,3 @@
             of=len(handed),
             cause=cause,
         )
-
-
-def _bounded(handed: Iterable[TextChange]) -> tuple[TextChange, ...]:
-    chosen = []
-    left = MAX_BYTES
-    for each in handed:
-        left -= each.size
-        if left < 0:
-            break
-        chosen.append(each)
-    return tuple(chosen)
