--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -26,8 +26,6 @@
 
 # Texts kept of ended jobs: the items of some steps, some 10 kB each.
 MAX_LEFT = 500
-# Groups kept that were cut off, some steps of each trainer.
-MAX_CUT = 200
 # Seconds an event that stand until the first engine was seen at work.
 DEFAULT_PACE = 0.04
 
@@ -128,8 +126,6 @@
         self.runs_by_id: dict[ItemId, ItemRun] = {}
         self._left_by_group: dict[GroupId, int] = {}
         self._begun: set[GroupId] = set()
-        # Groups that came again from an earlier step.
-        self.repeated: set[GroupId] = set()
         for position, item in enumerate(job.items):
             self.runs_by_id[item.id] = ItemRun(job, item, position)
             left = self._left_by_group.get(item.group, 0)
@@ -165,18 +161,6 @@
     def is_finished(self) -> bool:
         return not any(self._left_by_group.values())
 
-    def count_whole(self) -> int:
-        """Count the groups whose items all have their results."""
-        return sum(1 for left in self._left_by_group.values() if not left)
-
-    def unfinished(self) -> list[ItemRun]:
-        """Return the items without a result."""
-        return [
-            run
-            for run in self.runs_by_id.values()
-            if run.state is not RunState.ENDED
-        ]
-
     def waiting(self) -> Iterator[ItemRun]:
         for run in self.runs_by_id.values():
             if run.state is RunState.WAITING:
@@ -204,8 +188,6 @@
         # What was made of items whose jobs have ended here, or are run by
         # another instance so far; the oldest first.
         self._left_by_id: dict[ItemId, left_text.LeftText] = {}
-        # Groups that were not whole when their jobs ended, oldest first.
-        self._cut_groups: dict[GroupId, None] = {}
 
     def add(
         self, state: JobState, listed: Iterable[ItemResult] = ()
@@ -215,8 +197,6 @@
         Returns the runs whose text is whole, from an earlier job.
         """
         self.jobs_by_id[state.job.id] = state
-        groups = {run.item.group for run in state.runs_by_id.values()}
-        state.repeated = groups & self._cut_groups.keys()
         for result in listed:
             state.take(result)
         whole = []
@@ -231,10 +211,6 @@
         state = self.jobs_by_id.pop(job, None)
         if state is None:
             return None
-        for run in state.unfinished():
-            self._cut_groups[run.item.group] = None
-        while len(self._cut_groups) > MAX_CUT:
-            del self._cut_groups[next(iter(self._cut_groups))]
         # The trainer asks again for groups that were not whole, and what
         # is made of them is work saved in the next step.
         self.leave(
@@ -249,14 +225,6 @@
         while len(self._left_by_id) > MAX_LEFT:
             del self._left_by_id[next(iter(self._left_by_id))]
 
-    def leave_for(self, job: Job, text: left_text.LeftText) -> None:
-        """Keep a text for a job unless there is a better one of the item."""
-        known = self._left_by_id.get(text.item)
-        if known is not None and len(known.parts) >= len(text.parts):
-            if all(version >= job.min_version for version in known.versions):
-                return
-        self.leave([text])
-
     def left(self, listed: Container[ItemId]) -> list[left_text.LeftText]:
         """Return what another instance would go on with, open jobs first.
 
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -192,16 +192,13 @@
         has_stayed = now - started_at >= MIN_STAY
         return has_stayed and self.is_slow(engine, now)
 
-    def free_part(self, now: Instant) -> float:
-        """Return the part of all places at engines at work that is free."""
-        engines = [
-            engine
+    def has_places(self, now: Instant) -> bool:
+        """Tell whether any engine at work has a free place."""
+        return any(
+            engine.running < engine.target.slots
             for engine in self.engines_by_id.values()
             if not engine.target.is_leaving and now >= engine.ejected_until
-        ]
-        places = sum(engine.target.slots for engine in engines)
-        running = sum(engine.running for engine in engines)
-        return 1.0 - running / places if places else 0.0
+        )
 
     def free_places(self, job: Job, now: Instant, without: EngineState) -> int:
         """Count the places for a job at engines that are not slow."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -123,7 +123,7 @@
         now = self._now()
         # Putting 8,192 waiting items in order takes 47 ms, and each run that
         # ends asks for it.
-        if self._fleet.free_part(now) <= 0.0:
+        if not self._fleet.has_places(now):
             return
         # Items of one model and age of weights find the same engines.
         full: set[tuple[ModelName | None, WeightVersion]] = set()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -14,7 +14,6 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
-from yuccarill.daemon.gateway.jobs import ahead_runs
 from yuccarill.daemon.gateway.jobs import cleaner
 from yuccarill.daemon.gateway.jobs import item_runs
 from yuccarill.daemon.gateway.jobs import job_store as job_store_module
@@ -105,9 +104,6 @@
             self,
             clock,
         )
-        self._ahead = ahead_runs.AheadRuns(
-            self._board, self._fleet, generator, clock
-        )
         self._follower = follower.PrefixFollower(
             store,
             keys.work_of_service(duty.service),
@@ -144,7 +140,6 @@
         """Give up everything; another instance goes on from the store."""
         self._is_stopped = True
         self._runs.stop()
-        self._ahead.stop()
         if self._ticker.running:
             self._ticker.stop()
         for following in self._following:
@@ -203,7 +198,6 @@
         self._switcher.update()
         self._runs.move()
         self._runs.pump()
-        self._ahead.update()
 
     def _tick(self) -> None:
         self.survey()
@@ -257,7 +251,6 @@
             # that a trainer still waits for, and a later end costs nothing.
             Instant(self._now() + retained),
         )
-        self._ahead.hand_over(job)
         reused = self._board.add(state, known)
         self._listings_by_job[job.id] = found
         if job.model is not None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
@@ -173,27 +173,10 @@
         # not go on elsewhere over a new connection.
         until = self._now() + EMPTY_SECONDS
         while engine.runs_by_model[switch.model] and self._now() < until:
-            if self._is_waited_for(engine, switch):
-                break
             await self._pause(EMPTY_STEP)
         engine.emptying.add(switch.model)
         self._on_switched()
 
-    def _is_waited_for(
-        self, engine: EngineState, switch: weights.Switch
-    ) -> bool:
-        """Tell whether items have no place for want of these weights."""
-        # A trainer that is behind its time names two versions within a
-        # second or two, and asks for the second step where no engine has
-        # its weights: each run that is waited for holds up a whole step.
-        known = engine.version(switch.model) or 0
-        return any(
-            known < run.job.min_version <= switch.version
-            for state in self._board.jobs_by_id.values()
-            if state.job.model == switch.model
-            for run in state.waiting()
-        )
-
     async def _order(
         self,
         engine: EngineState,
