--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
@@ -29,11 +29,11 @@
 # Seconds between two writes, each paid for as one call. A loss of all
 # instances takes as much of each text.
 WRITE_SECONDS = 1.0
-# Events from which on a text is kept. It costs about a second to make them
-# again, and nine in ten texts end before they have as many more.
+# Events from which on a text is kept: about a second of an engine, which is
+# what the time between two writes may lose of each text anyway.
 MIN_EVENTS = 24
-# Characters of text in one write: a second of 100 runs is 0.9 MB, of which
-# the longest texts are a third.
+# Characters of text in one write, so that one fits a value of the store with
+# room to spare; 100 runs make 0.9 MB a second, and the longest texts go first.
 MAX_SIZE = 400_000
 # Writes that are kept. A text whose first events were overwritten is written
 # whole again.
