--- a/packages/yuccarill-core/src/yuccarill/core/jobs/text_copies.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/text_copies.py
@@ -47,12 +47,10 @@
 
     def copied(self, change: TextChange) -> None:
         """Note that the copy holds a change."""
-        text = change.text
-        known = self._texts_by_item.get(text.item)
-        if change.first and known is not None:
-            parts = known.parts[: change.first] + text.parts
-            text = msgspec.structs.replace(text, parts=parts)
-        self._texts_by_item[text.item] = text
+        item = change.text.item
+        text = continued(self._texts_by_item.get(item), change)
+        if text is not None:
+            self._texts_by_item[item] = text
 
     def forget(self, item: ItemId) -> None:
         """Take one text as missing from the copy."""
