--- a/packages/yuccarill-core/src/yuccarill/core/addresses.py
+++ b/packages/yuccarill-core/src/yuccarill/core/addresses.py
@@ -5,6 +5,7 @@
 import ipaddress
 
 MAX_PORT = 65535
+MAX_DIGITS = len(str(MAX_PORT))
 
 
 def is_host(text: str) -> bool:
@@ -21,4 +22,7 @@
 def is_address(text: str) -> bool:
     """Tell whether a text is an IP number and a port."""
     host, _, port = text.rpartition(':')
-    return is_host(host) and port.isdecimal() and 0 < int(port) <= MAX_PORT
+    # Digits of other scripts are decimal too, but nobody connects to them.
+    if not (port.isascii() and port.isdecimal() and len(port) <= MAX_DIGITS):
+        return False
+    return is_host(host) and 0 < int(port) <= MAX_PORT
--- a/packages/yuccarill-core/src/yuccarill/core/calls/pool.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/pool.py
@@ -128,6 +128,12 @@
         near = [m.id for m in self._near]
         self._ring.update(near or list(self._members_by_id))
 
+    def forget(self, target: TargetId) -> None:
+        """Forget a target, so that it is new at the next update."""
+        member = self._members_by_id.pop(target, None)
+        if member is not None:
+            self._take_out(member)
+
     def choose(
         self,
         now: Instant,
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
@@ -16,6 +16,23 @@
     from collections.abc import Mapping
 
 
+class TargetStart(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell one start of a target from another under the same id."""
+
+    # Unix milliseconds, by the target's clock; none where it does not tell.
+    started_at: int | None = None
+    # Heartbeats since the start.
+    heartbeats: int = 0
+
+    def is_same(self, later: TargetStart) -> bool:
+        """Tell whether something said later comes from the same process."""
+        if self.started_at is not None and later.started_at is not None:
+            return self.started_at == later.started_at
+        # A process that does not tell when it started counts its heartbeats
+        # from its start on.
+        return later.heartbeats >= self.heartbeats
+
+
 class ListedTarget(msgspec.Struct, frozen=True, kw_only=True):
     """Describe one start of a target."""
 
@@ -25,8 +42,17 @@
     data_centre: DataCentreId
     slots: int
     is_leaving: bool = False
+    start: TargetStart = TargetStart()
     versions_by_model: dict[ModelName, WeightVersion] = {}
 
+    def is_same_start(self, later: ListedTarget) -> bool:
+        """Tell whether a later entry is of the same process."""
+        is_there = (self.service, self.address) == (
+            later.service,
+            later.address,
+        )
+        return is_there and self.start.is_same(later.start)
+
 
 class TargetList:
     """Hold the listed targets by service."""
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -113,6 +113,10 @@
         self._usual: float | None = None
         self._usual_at = Instant(-1.0)
 
+    def is_current(self, engine: EngineState) -> bool:
+        """Tell whether an engine still is the process that is listed."""
+        return self.engines_by_id.get(engine.target.id) is engine
+
     def update(self, targets: Iterable[ListedTarget]) -> None:
         """Take the listed engines; those that left are forgotten."""
         listed_by_id = {target.id: target for target in targets}
@@ -120,10 +124,15 @@
             del self.engines_by_id[gone]
         for target in listed_by_id.values():
             known = self.engines_by_id.get(target.id)
-            if known is None:
-                self.engines_by_id[target.id] = EngineState(target=target)
-            else:
+            if known is not None and known.target.is_same_start(target):
                 known.target = target
+                continue
+            # A process that started again under its id knows nothing of
+            # before: with the versions that the old one was seen with, an
+            # engine that came back with older weights would be given items
+            # that it can't run, and no order to change. What runs there
+            # keeps the old state, and ends with its connection.
+            self.engines_by_id[target.id] = EngineState(target=target)
 
     def choose(
         self, job: Job, now: Instant, without: EngineState | None = None
@@ -188,10 +197,20 @@
         """Tell whether a run is better off at another engine."""
         if self.is_silent(last_at, now) or job.model in engine.emptying:
             return True
+        if self._has_started_again(engine):
+            # Its text goes on no more: the run would only wait for the
+            # silence that shows it.
+            return True
         # A pace from before the run came says little of the engine now.
         has_stayed = now - started_at >= MIN_STAY
         return has_stayed and self.is_slow(engine, now)
 
+    def _has_started_again(self, engine: EngineState) -> bool:
+        listed = self.engines_by_id.get(engine.target.id)
+        if listed is None or listed is engine:
+            return False
+        return not engine.target.is_same_start(listed.target)
+
     def has_places(self, now: Instant) -> bool:
         """Tell whether any engine at work has a free place."""
         return any(
--- a/packages/yuccarill-core/tests/gateway/test_targets.py
+++ b/packages/yuccarill-core/tests/gateway/test_targets.py
@@ -5,6 +5,7 @@
 import unittest
 
 import msgspec
+from nose2.tools import params
 
 from yuccarill.core.gateway import targets
 from yuccarill.core.ids import DataCentreId
@@ -62,3 +63,39 @@
         self.assertEqual(before, self.list.changes(PLAIN))
         self.list.remove(TargetId('a'))
         self.assertNotEqual(before, self.list.changes(PLAIN))
+
+
+def start(started_at: int | None, heartbeats: int) -> targets.TargetStart:
+    return targets.TargetStart(started_at=started_at, heartbeats=heartbeats)
+
+
+class StartTest(unittest.TestCase):
+    """A process may start again under the id of the one before."""
+
+    @params(
+        ('told, the same', start(1, 9), start(1, 10), True),
+        ('told, another', start(1, 9), start(2, 10), False),
+        (
+            'told, another that has beaten more often',
+            start(1, 9),
+            start(2, 99),
+            False,
+        ),
+        ('not told, one goes on', start(None, 9), start(None, 9), True),
+        ('not told, counted anew', start(None, 9), start(None, 1), False),
+        ('told only later', start(None, 9), start(2, 10), True),
+        ('told only later, counted anew', start(None, 9), start(2, 1), False),
+    )
+    def test_starts(
+        self,
+        _: str,
+        known: targets.TargetStart,
+        later: targets.TargetStart,
+        is_same: bool,
+    ) -> None:
+        self.assertIs(is_same, known.is_same(later))
+
+    @params({'address': 'x:80'}, {'service': OTHER})
+    def test_one_elsewhere_is_another(self, changes: dict) -> None:
+        moved = msgspec.structs.replace(target('a'), **changes)
+        self.assertFalse(target('a').is_same_start(moved))
--- a/packages/yuccarill-core/tests/jobs/items.py
+++ b/packages/yuccarill-core/tests/jobs/items.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.gateway.targets import TargetStart
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ModelName
@@ -86,6 +89,14 @@
     )
 
 
+def started(name: str, started_at: int, **versions: int) -> ListedTarget:
+    """Return one start of an engine."""
+    return msgspec.structs.replace(
+        make_target(name, **versions),
+        start=TargetStart(started_at=started_at),
+    )
+
+
 def make_fleet(*targets: ListedTarget) -> engines.EngineFleet:
     fleet = engines.EngineFleet()
     fleet.update(targets)
--- a/packages/yuccarill-core/tests/jobs/test_engines.py
+++ b/packages/yuccarill-core/tests/jobs/test_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 
 from nose2.tools import params
@@ -180,3 +181,53 @@
             items.make_job(), NOW, by_id[TargetId('from')]
         )
         self.assertEqual(2, found)
+
+
+class StartedAgainTest(unittest.TestCase):
+    """An engine's process ends, and starts again under the same id.
+
+    1. The engine was seen with new weights, was slow, failed, and runs texts.
+    2. Its process ends; another one starts with the weights of long ago.
+    3. The list shows the new start.
+    """
+
+    def setUp(self) -> None:
+        self.fleet = items.make_fleet(items.started('a', 1, m=2))
+        self.old = self.fleet.engines_by_id[TargetId('a')]
+        self.old.saw_version(items.MODEL, WeightVersion(5))
+        self.old.runs_by_model[items.MODEL] = 4
+        self.old.switching.add(items.MODEL)
+        for _ in range(3):
+            self.old.fail(NOW)
+        pace(self.fleet, a=0.4)
+
+    def start_again(self) -> engines.EngineState:
+        self.fleet.update([items.started('a', 2, m=1)])
+        return self.fleet.engines_by_id[TargetId('a')]
+
+    def test_what_was_known_of_the_process_before_is_forgotten(self) -> None:
+        found = self.start_again()
+        self.assertEqual(1, found.version(items.MODEL))
+        self.assertEqual((0, set()), (found.running, found.switching))
+        self.assertIsNone(found.known_pace(NOW))
+        self.assertEqual((0, 0.0), (found.failures, found.ejected_until))
+
+    def test_it_gets_items_that_its_weights_fit(self) -> None:
+        found = self.start_again()
+        job = items.make_job(min_version=1)
+        self.assertIs(found, self.fleet.choose(job, NOW))
+        newer = items.make_job(min_version=2)
+        self.assertIsNone(self.fleet.choose(newer, NOW))
+
+    def test_runs_of_the_process_before_go_on_elsewhere(self) -> None:
+        held_up = functools.partial(
+            self.fleet.is_held_up, self.old, items.make_job(), NOW, NOW, NOW
+        )
+        self.assertFalse(held_up())
+        self.start_again()
+        self.assertTrue(held_up())
+
+    def test_the_same_process_keeps_what_is_known_of_it(self) -> None:
+        self.fleet.update([items.started('a', 1, m=2)])
+        self.assertTrue(self.fleet.is_current(self.old))
+        self.assertEqual(5, self.old.version(items.MODEL))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -52,6 +52,11 @@
     buckets=_SECONDS,
     registry=REGISTRY,
 )
+ENTRIES_LEFT_OUT = prometheus_client.Counter(
+    'yuccarill_entries_left_out',
+    'Entries under the targets keys that no target wrote',
+    registry=REGISTRY,
+)
 ITEMS = prometheus_client.Counter(
     'yuccarill_items',
     'Items of batch jobs by how they ended',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -161,6 +161,8 @@
         peers = small_server.SmallServer(self._clock, self._answer_peer)
         self._listen(settings.peer_address, peers)
         self._observer.listen(self._update)
+        # Requests would go out on connections that end in a reset.
+        self._observer.on_restart = self._calls.forget
         self._session.lease.on_return = self._observer.refresh
         self._way.on_lost = self._way_lost
         for work in (*self._observer.following(), self._session.follow()):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.targets import ListedTarget
@@ -43,6 +44,10 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._pools_by_service: dict[ServiceName, pool_module.Pool] = {}
+        # The targets as each pool took them last.
+        self._taken_by_service: dict[
+            ServiceName, Mapping[TargetId, ListedTarget]
+        ] = {}
         # What each pool was last brought up to.
         self._seen_by_service: dict[ServiceName, tuple[int, DataCentreId]] = {}
 
@@ -60,10 +65,19 @@
         if self._seen_by_service.get(service) != seen:
             # At each request, it took 90 ms with 1,300 targets.
             self._seen_by_service[service] = seen
-            ready = targets.ready(service).values()
-            pool.update({t.id: t.data_centre for t in ready}, here, now)
+            ready = targets.ready(service)
+            taken = self._taken_by_service.get(service, {})
+            self._taken_by_service[service] = ready
+            _forget_started_again(pool, taken, ready)
+            centres_by_id = {t.id: t.data_centre for t in ready.values()}
+            pool.update(centres_by_id, here, now)
         return pool
 
+    def is_current(self, target: ListedTarget) -> bool:
+        """Tell whether a target is still the process that is listed."""
+        listed = self.target(target.id)
+        return listed is None or target.is_same_start(listed)
+
     def targets(self, service: ServiceName) -> Iterable[ListedTarget]:
         """Return the targets of a service that are ready."""
         return self._state.targets.ready(service).values()
@@ -72,6 +86,19 @@
         return self._state.targets.targets_by_id.get(target_id)
 
 
+def _forget_started_again(
+    pool: pool_module.Pool,
+    taken_by_id: Mapping[TargetId, ListedTarget],
+    ready_by_id: Mapping[TargetId, ListedTarget],
+) -> None:
+    # A process that started again under its id would be left out, or chosen,
+    # for what the one before it did.
+    for target_id in taken_by_id.keys() & ready_by_id.keys():
+        target = ready_by_id[target_id]
+        if not taken_by_id[target_id].is_same_start(target):
+            pool.forget(target_id)
+
+
 class SendRecord(msgspec.Struct, kw_only=True):
     """Count what became of one request's attempts."""
 
@@ -146,7 +173,8 @@
             return answer
         except calls_module.CallFailed as error:
             end, cause = error.end.value, str(error)
-            pool.fail(target.id, _failure(error), self.now())
+            if self._pools.is_current(target):
+                pool.fail(target.id, _failure(error), self.now())
             raise
         except defer.CancelledError:
             pool.give_up(target.id)
@@ -175,10 +203,12 @@
         answer: TargetAnswer,
         started_at: Instant,
     ) -> str:
-        if answer.not_run:
+        if answer.not_run and self._pools.is_current(target):
             pool.fail(target.id, pool_module.Failure.REFUSED, self.now())
             return 'refused'
         seconds = self.now() - started_at
+        if not self._pools.is_current(target):
+            return f'status {answer.status}'
         pool.answer(target.id, seconds, None, self.now())
         return f'status {answer.status}'
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -11,6 +11,7 @@
 from yuccarill.core.gateway.leadership import LastHolder
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ServiceName
+from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway.store import follower
 from yuccarill.daemon import logs
@@ -23,6 +24,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.daemon.gateway.store.follower import Source
     from yuccarill.platform.store import Entry
@@ -50,6 +52,8 @@
     ) -> None:
         self._state = state
         self._listeners: list[Callable[[], None]] = []
+        # Called with the process that ended where one started again.
+        self.on_restart: Callable[[ListedTarget], None] = lambda target: None
         self.followers_by_prefix = {
             prefix: follower.PrefixFollower(
                 sources(), prefix, on_change, clock, self._read, settle
@@ -114,15 +118,34 @@
         try:
             target = targets.listed_target(target_id, change.value)
         except errors.InventoryInvalid as error:
-            log.error('Entry left out.', key=change.key, cause=error.message)
+            # The entry before is no reason to go on with its target: what
+            # stands there now says nothing of where it is, or whether.
+            self._state.targets.remove(target_id)
+            meters.ENTRIES_LEFT_OUT.inc()
+            log.error(
+                'Entry left out.',
+                key=change.key,
+                revision=change.revision,
+                cause=error.message,
+            )
+            self._tell()
             return
         known = self._state.targets.targets_by_id.get(target_id)
         self._state.targets.put(target)
-        if known is None or known.is_leaving != target.is_leaving:
+        is_restarted = known is not None and not known.is_same_start(target)
+        if known is not None and is_restarted:
+            self.on_restart(known)
+        if (
+            known is None
+            or is_restarted
+            or known.is_leaving != target.is_leaving
+        ):
             log.info(
                 'Target listed.',
                 target=target_id,
                 service=target.service,
+                start=target.start.started_at,
+                is_restarted=is_restarted,
                 is_leaving=target.is_leaving,
                 revision=change.revision,
             )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
@@ -152,7 +152,7 @@
             ):
                 await self._pause(RETRY_SECONDS)
                 return
-        while self._now() < give_up_at:
+        while self._now() < give_up_at and self._fleet.is_current(engine):
             await self._pause(REPORT_SECONDS)
             seen = await self._report(engine)
             if seen is None:
@@ -184,6 +184,10 @@
         report: wire_engines.EngineReport,
     ) -> wire_engines.OrderOutcome:
         is_known = await self._duty.confirm(ORDER_AGE)
+        if not self._fleet.is_current(engine):
+            # The count of orders is that of the process before: the one that
+            # started again is looked at anew, as another engine.
+            return wire_engines.OrderOutcome.GONE
         tenure = self._duty.tenure
         now = self._now()
         # Checked right before the order: the question before it may have
@@ -222,10 +226,22 @@
     ) -> wire_engines.EngineReport | None:
         deadline = Instant(self._now() + ORDER_SECONDS)
         try:
-            return await self._engines.report(engine.target, deadline)
+            report = await self._engines.report(engine.target, deadline)
         except wire_engines.ReportUnavailable as error:
             log.info('No report.', engine=engine.target.id, cause=str(error))
             return None
+        if report.is_of(engine.target):
+            return report
+        # Its entry is still that of the process before, with the versions
+        # that it had: items sent by those would all be broken off.
+        engine.fail(self._now())
+        log.info(
+            'Engine started again.',
+            engine=engine.target.id,
+            listed_start=engine.target.start.started_at,
+            start=report.started_at,
+        )
+        return None
 
     async def _pause(self, seconds: float) -> None:
         await task.deferLater(self._clock, seconds)
--- a/packages/yuccarill-daemon/tests/gateway/test_sender.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -9,10 +9,12 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.calls import pool as pool_module
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.gateway.requests import TargetAnswer
 from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.gateway.targets import TargetList
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
@@ -21,6 +23,7 @@
 
 from . import world
 
+NOW = Instant(1.0)
 CALL = calls.TargetCall(id=RequestId('r'), method='POST', target='/p')
 
 
@@ -180,3 +183,33 @@
             pools.pool(world.SERVICE, Instant(1.0))
             update.assert_called_once()
         self.assertEqual(1300, len(pool))
+
+
+class StartedAgainTest(world.WorldTest):
+    """A plain target's process ends and starts again under the same id.
+
+    1. The target failed twice and is left out.
+    2. Another process starts under its id; the list shows it.
+    3. A request to the process before ends only now.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        state = self.state('a')
+        self.listed = state.targets = TargetList()
+        self.pools = sender.Pools(state)
+        self.old = world.started('t0', 1)
+        for target in (self.old, world.started('t1', 1)):
+            self.listed.put(target)
+        self.pool = self.pools.pool(world.SERVICE, NOW)
+        self.pool.fail(self.old.id, pool_module.Failure.CUT, NOW)
+
+    def test_it_is_not_left_out_for_its_predecessor(self) -> None:
+        self.assertEqual(1, self.pool.usable)
+        self.listed.put(world.started('t0', 2))
+        self.assertEqual(2, self.pools.pool(world.SERVICE, NOW).usable)
+
+    def test_what_was_sent_to_its_predecessor_says_nothing_of_it(self) -> None:
+        self.assertTrue(self.pools.is_current(self.old))
+        self.listed.put(world.started('t0', 2))
+        self.assertFalse(self.pools.is_current(self.old))
--- a/packages/yuccarill-daemon/tests/gateway/world.py
+++ b/packages/yuccarill-daemon/tests/gateway/world.py
@@ -5,11 +5,13 @@
 import unittest
 from unittest import mock
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
 from yuccarill.core.gateway import routes
 from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.gateway.targets import TargetStart
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
@@ -57,6 +59,13 @@
     )
 
 
+def started(name: str, started_at: int) -> ListedTarget:
+    """Return one start of a target."""
+    return msgspec.structs.replace(
+        engine(name), start=TargetStart(started_at=started_at)
+    )
+
+
 def batch_route() -> routes.Route:
     return routes.Route(
         name='train',
