--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/session.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/session.py
@@ -24,7 +24,9 @@
 # Seconds for which an instance that died stays in the directory. Clients
 # leave an address out that failed them; renewals of all instances are paid.
 LEASE_SECONDS = 4.5
-RENEWAL_SECONDS = 1.4
+# Seconds between renewals: once a renewal fails, tries go on for half of the
+# lease. 165 instances make 83 renewals a second, 118 at 1.4 s.
+RENEWAL_SECONDS = 2.0
 # Seconds after which an own entry that nobody sees is written again.
 UNSEEN_SECONDS = 2.0
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from yuccarill.core.gateway.targets import TargetList
+from yuccarill.core.ids import DataCentreId
 
 if TYPE_CHECKING:
     from yuccarill.core.gateway.leadership import LastHolder
@@ -69,6 +70,15 @@
             if not record.is_leaving
         ]
 
+    def centres_by_name(self) -> dict[str, DataCentreId]:
+        """Return where instances are that serve, this one included."""
+        centres = {
+            record.instance: DataCentreId(record.data_centre)
+            for record in self.serving_instances()
+        }
+        centres[self.settings.instance] = self.settings.data_centre
+        return centres
+
     def cores_by_name(self) -> dict[str, float]:
         """Return the cores of instances that serve, this one included."""
         cores = {
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
@@ -40,6 +40,14 @@
 MAX_AGE = 2.2
 # Seconds for which a watcher that failed is left out.
 OUT_SECONDS = 3.0
+# Seconds for which one is left out that refused at once, or has read nothing
+# yet: it is starting. After a loss of all instances each reader that gave up
+# its watchers for longer read everything at the store.
+STARTING_SECONDS = 0.3
+# Seconds within which an answer counts as given at once.
+AT_ONCE = 0.1
+# Seconds that a reader that knows everything gives watchers that start.
+START_WAIT = 1.0
 # Seconds that a reader gives watchers once the store is back: they hear of
 # it within a probe's 0.6 s. Otherwise each reader reads everything itself,
 # and stays at the store for as long as a watch waits.
@@ -60,6 +68,10 @@
     """Report a watcher whose answer is of no use."""
 
 
+class WatcherStarting(WatcherUnusable):
+    """Report a watcher that has read nothing yet."""
+
+
 class FeedServer:
     """Tell other instances what this one's followers know."""
 
@@ -114,17 +126,24 @@
         # Where to go on, and in whose copy.
         self._cursor = ''
         self._cursor_of = ''
+        # The copy of another watcher, which the next read returns.
+        self._copy: store_module.Page | None = None
+        self._started_at = clock.seconds()
+        self._has_read = False
 
     async def page(
         self, prefix: str, after: str | None = None, is_stale: bool = False
     ) -> store_module.Page:
         """Return the keys under a prefix, as the store does."""
-        watcher = None if after or is_stale else self._watcher()
-        if watcher is not None:
-            self._cursor = ''
-            found = await self._ask(watcher, prefix)
-            if found is not None:
-                return found
+        # A look for what a watch missed is meant for the store itself; the
+        # first read of all may be answered by anyone.
+        is_check = is_stale and self._has_read
+        self._has_read = True
+        if not after and not is_check:
+            copied, self._copy = self._copy, None
+            copied = copied or await self._copied(prefix)
+            if copied is not None:
+                return copied
         try:
             page = await self._store.page(prefix, after, is_stale)
         except (store_module.StoreRefused, store_module.StoreUnclear):
@@ -139,17 +158,39 @@
     ) -> store_module.Page:
         """Wait for changes under a prefix, as the store does."""
         watcher = self._watcher()
-        if watcher is not None:
-            if watcher.instance != self._cursor_of:
-                # Another one's copy: what differs has to be found out.
-                raise store_module.HistoryGone
+        if watcher is not None and watcher.instance == self._cursor_of:
             found = await self._ask(watcher, prefix)
             if found is not None:
                 return found
+        self._copy = await self._copied(prefix)
+        if self._copy is not None:
+            # Another one's copy: what differs has to be found out.
+            raise store_module.HistoryGone
         self.is_direct = True
         self._cursor_of = ''
         return await self._store.watch(prefix, after, seconds)
 
+    async def _copied(self, prefix: str) -> store_module.Page | None:
+        """Return the copy of the first watcher that gives one."""
+        while True:
+            watcher = self._watcher()
+            if watcher is None:
+                if not self._may_wait():
+                    return None
+                await task.deferLater(self._clock, STARTING_SECONDS)
+                continue
+            self._cursor = ''
+            found = await self._ask(watcher, prefix)
+            if found is not None:
+                return found
+
+    def _may_wait(self) -> bool:
+        # Only at the start: later a watcher that is gone has others beside
+        # it, and what it did not tell is wanted at once.
+        if self._is_watcher():
+            return False
+        return self._clock.seconds() < self._started_at + START_WAIT
+
     async def pause(self, seconds: float) -> None:
         """Wait before the store is tried again, longer than watchers do."""
         await self._store.pause(seconds)
@@ -157,18 +198,21 @@
             await task.deferLater(self._clock, RETURN_SECONDS)
 
     def _is_watcher(self) -> bool:
-        names = watchers.watchers(self._state.cores_by_name())
-        return self._state.settings.instance in names
+        return self._state.settings.instance in self._names()
 
     def _watcher(self) -> InstanceRecord | None:
         if self._is_watcher():
             return None
-        names = watchers.watchers(self._state.cores_by_name())
-        chosen = self._peers.choose(names)
+        chosen = self._peers.choose(self._names(), is_near=True)
         if chosen is not None:
             self._peers.keep(chosen.instance)
         return chosen
 
+    def _names(self) -> tuple[str, ...]:
+        return watchers.watchers(
+            self._state.cores_by_name(), self._state.centres_by_name()
+        )
+
     async def _ask(
         self, watcher: InstanceRecord, prefix: str
     ) -> store_module.Page | None:
@@ -181,7 +225,8 @@
             headers=(('Host', watcher.peer_address),),
         )
         wait = POLL_SECONDS if self._cursor else 0.0
-        deadline = Instant(self._clock.seconds() + wait + ANSWER_SECONDS)
+        asked_at = self._clock.seconds()
+        deadline = Instant(asked_at + wait + ANSWER_SECONDS)
         try:
             reply = await self._links.exchange(
                 watcher.peer_address, request, deadline
@@ -192,22 +237,36 @@
             http_exchange.ExchangeBroken,
             WatcherUnusable,
         ) as error:
-            self._leave_out(watcher, str(error))
+            took = self._clock.seconds() - asked_at
+            self._leave_out(watcher, error, took)
             return None
         self.is_direct = False
         self._cursor = feed.cursor
         self._cursor_of = watcher.instance
         return feed.page
 
-    def _leave_out(self, watcher: InstanceRecord, cause: str) -> None:
-        log.info('Watcher left out.', watcher=watcher.instance, cause=cause)
-        self._peers.leave_out(watcher.instance, OUT_SECONDS)
+    def _leave_out(
+        self, watcher: InstanceRecord, error: Exception, took: float
+    ) -> None:
+        is_starting = isinstance(error, WatcherStarting) or (
+            isinstance(error, http_exchange.NotConnected) and took < AT_ONCE
+        )
+        seconds = STARTING_SECONDS if is_starting else OUT_SECONDS
+        log.info(
+            'Watcher left out.',
+            watcher=watcher.instance,
+            cause=str(error),
+            seconds=seconds,
+        )
+        self._peers.leave_out(watcher.instance, seconds)
         self._cursor_of = ''
 
 
 def _feed(reply: http_exchange.Reply) -> Feed:
     if reply.head.status == 410:
         raise store_module.HistoryGone
+    if reply.head.status == 404:
+        raise WatcherStarting('it has read nothing yet')
     if reply.head.status != 200:
         raise WatcherUnusable(f'status {reply.head.status}')
     try:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from yuccarill.platform.store import Entry
     from yuccarill.platform.store import Page
@@ -26,6 +27,9 @@
 # Seconds that one watch waits. Each return is a paid call, so waits are
 # long; a watch that no longer hears anything is found by the checks.
 WATCH_SECONDS = 15.0
+# Seconds in which a watch may still tell of what a check has found: both
+# answers are sent at one moment, over connections of their own.
+WATCH_DELAY = 0.2
 # Seconds between checks. A configuration has to be in force 2 s after it
 # was acknowledged, and a check costs a tenth of a read.
 CHECK_SECONDS = 1.0
@@ -78,6 +82,9 @@
         self._clock = clock
         self._history = history.History(clock)
         self._heard_at = 0.0
+        # What the last check found. A watch that is sent again and again,
+        # and is told of other keys only, is found by what stays behind.
+        self._found: Mapping[str, Revision] = {}
         # Keys that the last check did not find.
         self._missing: set[str] = set()
         self._watching: defer.Deferred[None] | None = None
@@ -97,8 +104,20 @@
             checking.cancel()
 
     def refresh(self) -> None:
-        """Read again, after a time in which a watch may have gone deaf."""
+        """Watch again, after a time in which a watch may have gone deaf.
+
+        What changed since is told at once, or known to be lost: nothing has
+        to be read. Who follows a watcher's copy asks anew every second or
+        two, over a way that was not touched.
+        """
+        if self._store.is_direct:
+            self._end_watch()
+
+    def _read_again(self) -> None:
         self._must_read = True
+        self._end_watch()
+
+    def _end_watch(self) -> None:
         watching, self._watching = self._watching, None
         if watching is not None:
             watching.cancel()
@@ -165,8 +184,12 @@
         after: str | None = None
         seen: set[str] = set()
         has_more = True
+        # The first read may be some seconds old: the watch that follows
+        # tells at once what changed since. It costs a tenth, which counts
+        # when a whole fleet starts.
+        is_stale = not self.is_current
         while has_more:
-            page = await self._store.page(self._prefix, after)
+            page = await self._store.page(self._prefix, after, is_stale)
             # Pages are not one snapshot: the watch starts at the first
             # page, so that a change between pages is seen again.
             first = page.revision if first is None else first
@@ -197,6 +220,8 @@
             return
         finally:
             watching.cancel()
+            if self._watching is watching:
+                self._watching = None
         for change in page.changes:
             self._take(change)
         self._advance(page.revision)
@@ -237,9 +262,6 @@
         # come. A cheap, possibly old page shows what the watch missed.
         page = await self._store.page(self._prefix, is_stale=True)
         found = {change.key: change.revision for change in page.changes}
-        is_newer = any(
-            revision > self._standing(key) for key, revision in found.items()
-        )
         missing: set[str] = set()
         if not page.has_more:
             missing = self._history.entries_by_key.keys() - found.keys()
@@ -247,16 +269,35 @@
         # missing key was removed.
         is_removed = bool(missing & self._missing)
         self._missing = missing
-        if is_newer or is_removed:
-            log.warning(
-                'Watch heard nothing; read again.',
-                prefix=self._prefix,
-                revision=self._revision,
-            )
-            self._missing = set()
-            self.refresh()
-        else:
+        if not is_removed and not await self._is_deaf(found):
             self._heard_at = self._clock.seconds()
+            return
+        log.warning(
+            'Watch heard nothing; read again.',
+            prefix=self._prefix,
+            revision=self._revision,
+        )
+        self._missing = set()
+        self._read_again()
+
+    async def _is_deaf(self, found: Mapping[str, Revision]) -> bool:
+        """Tell whether the watch does not hear of keys that were found."""
+        was_found, self._found = self._found, found
+        if self._is_behind(was_found):
+            return True
+        watching = self._watching
+        if watching is None or not self._is_behind(found):
+            # Between two watches nothing is heard, and the next one tells.
+            # Taken for deaf, each of eleven watchers read all targets anew
+            # every 3 s: engines' entries change all the time.
+            return False
+        await task.deferLater(self._clock, WATCH_DELAY)
+        return self._watching is watching and self._is_behind(found)
+
+    def _is_behind(self, found: Mapping[str, Revision]) -> bool:
+        return any(
+            revision > self._standing(key) for key, revision in found.items()
+        )
 
     def _take(self, change: Entry | Removal) -> None:
         if change.revision <= self._standing(change.key):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/peer_choice.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/peer_choice.py
@@ -26,11 +26,12 @@
         self._kept = ''
 
     def choose(
-        self, among: Collection[str] | None = None
+        self, among: Collection[str] | None = None, is_near: bool = False
     ) -> InstanceRecord | None:
         """Return another instance that serves and is not left out.
 
-        The one that was kept last is returned as long as it is among them.
+        The one that was kept last is returned as long as it is among them;
+        else one of this data centre, if a near one is wanted and found.
         """
         me = self._state.settings.instance
         found_by_name = {
@@ -44,7 +45,10 @@
             return found_by_name[self._kept]
         if not found_by_name:
             return None
-        return self._random.choice(list(found_by_name.values()))
+        found = list(found_by_name.values())
+        here = self._state.settings.data_centre
+        near = [record for record in found if record.data_centre == here]
+        return self._random.choice(near if is_near and near else found)
 
     def is_out(self, instance: str) -> bool:
         """Tell whether a peer is left out now."""
--- a/packages/yuccarill-daemon/tests/gateway/test_follower.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_follower.py
@@ -102,6 +102,39 @@
         self.assertEqual(sorted(set(values)), values)
         self.assertEqual(19, values[-1])
 
+    def test_a_busy_prefix_is_read_once(self) -> None:
+        """Eleven watchers read all targets anew every 3 s, and paid for it.
+
+        1. Engines' entries change all the time; a watch waits a moment
+           before it is sent again, so that one call tells of several.
+        2. A check in that moment finds what the next watch will tell.
+        """
+        store = self.store()
+        found = follower.PrefixFollower(
+            store, 'p/', lambda _: None, self.clock, settle_seconds=0.9
+        )
+        following = defer.Deferred.fromCoroutine(found.follow())
+        following.addErrback(lambda failure: failure.trap(Exception))
+        self.addCleanup(following.cancel)
+        for number in range(300):
+            self.keys.put(f'p/{number % 7}', b'%d' % number)
+            self.run_for(0.1)
+        self.assertEqual(0, store.calls.count('page'))
+        self.assertLess(store.calls.count('watch'), 36)
+
+    def test_a_return_costs_no_read(self) -> None:
+        store = self.store()
+        found = self.follow(store)
+        self.run_for(0.1)
+        store.refuses = True
+        self.run_for(3.0)
+        self.keys.put('p/a', b'1')
+        store.refuses = False
+        found.refresh()
+        self.run_for(1.0)
+        self.assertEqual(['+p/a'], self.heard())
+        self.assertEqual(0, store.calls.count('page'))
+
 
 class CopyTest(FollowerTest):
     """Others may follow a copy as they follow the store."""
