--- /dev/null
+++ b/packages/yuccarill-core/tests/gateway/test_directory.py
@@ -0,0 +1,111 @@
+"""Test which instances callers are sent to.
+
+The pattern is that of a large fleet under plain requests: 165 instances in
+five data centres, three of each with 2.15 cores and the others with 0.5; 19
+callers in each, which pick one of the named addresses at random for each new
+connection. The names begin with the data centre, as operators choose them:
+the first 64 of all by text would be those of two data centres.
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.gateway import directory
+from yuccarill.core.ids import DataCentreId
+
+CENTRES = [DataCentreId(name) for name in 'abcde']
+PER_CENTRE = 33
+STRONG = 3
+CALLERS = 19
+
+
+def fleet(
+    per_centre: int = PER_CENTRE, centres: int = len(CENTRES)
+) -> dict[str, directory.Place]:
+    return {
+        f'{centre}{number:02}:80': directory.Place(
+            cores=2.15 if number < STRONG else 0.516, data_centre=centre
+        )
+        for centre in CENTRES[:centres]
+        for number in range(per_centre)
+    }
+
+
+class NamedTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.places = fleet()
+
+    def centres(self, addresses: list[str]) -> collections.Counter[str]:
+        return collections.Counter(
+            self.places[address].data_centre for address in addresses
+        )
+
+    @params(*CENTRES)
+    def test_most_are_near_and_all_data_centres_are_named(
+        self, centre: DataCentreId
+    ) -> None:
+        found = self.centres(directory.named(self.places, centre))
+        self.assertEqual(directory.NEAR, found[centre])
+        self.assertEqual({1}, {found[c] for c in CENTRES if c != centre})
+
+    def test_strong_ones_come_first(self) -> None:
+        found = directory.named(self.places, CENTRES[0])
+        self.assertEqual(
+            {2.15}, {self.places[address].cores for address in found[:STRONG]}
+        )
+
+    @params(('nowhere', 16), ('', 16))
+    def test_a_caller_elsewhere_gets_all_data_centres(
+        self, centre: str, expected: int
+    ) -> None:
+        found = directory.named(self.places, DataCentreId(centre))
+        self.assertEqual(expected, len(found))
+        self.assertEqual(len(CENTRES), len(self.centres(found)))
+
+    @params((1, 1), (2, 3), (3, 3))
+    def test_few_instances_are_all_named(
+        self, per_centre: int, centres: int
+    ) -> None:
+        places = fleet(per_centre, centres)
+        found = directory.named(places, CENTRES[0])
+        self.assertEqual(sorted(places), sorted(found))
+
+    def test_a_lost_one_is_replaced_and_the_others_stay(self) -> None:
+        before = directory.named(self.places, CENTRES[0])
+        del self.places[before[5]]
+        after = directory.named(self.places, CENTRES[0])
+        self.assertEqual(len(before), len(after))
+        self.assertEqual(1, len(set(before) - set(after)))
+
+    def test_a_lost_data_centre_leaves_callers_the_others(self) -> None:
+        lost = CENTRES[0]
+        left = {a: p for a, p in self.places.items() if p.data_centre != lost}
+        found = directory.named(left, lost)
+        self.assertEqual(directory.NEAR + directory.FAR, len(found))
+        self.assertEqual(4, len(self.centres(found)))
+
+    def test_load_is_spread(self) -> None:
+        """All callers met in two data centres, most of them far away.
+
+        By text order no caller of three data centres had a near instance.
+        What counts is the load of a core: strong instances are named in
+        other data centres as well.
+        """
+        generator = random.Random(5)
+        picks = collections.Counter(
+            generator.choice(directory.named(self.places, centre))
+            for centre in CENTRES
+            for _ in range(CALLERS * 50)
+        )
+        by_core = [
+            count / self.places[address].cores
+            for address, count in picks.items()
+        ]
+        mean = sum(by_core) / len(by_core)
+        self.assertLess(max(by_core) / mean, 1.5)
+        self.assertGreaterEqual(len(picks), 5 * directory.NEAR)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 from yuccarill.core import errors
+from yuccarill.core.gateway import directory
 from yuccarill.core.gateway.requests import AddressList
 from yuccarill.core.gateway.routes import ClientLimits
+from yuccarill.core.ids import DataCentreId
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -14,7 +16,6 @@
 
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
-    from yuccarill.core.ids import DataCentreId
     from yuccarill.daemon.gateway.jobs.trainers import TrainerDesk
     from yuccarill.daemon.gateway.requests.forwarding import Forwarder
     from yuccarill.daemon.gateway.state import GatewayState
@@ -26,8 +27,6 @@
 # Seconds for which clients may keep the addresses. A stopping instance
 # serves on for longer; a killed one is left out within its lease.
 ADDRESS_VALIDITY = 2.0
-# Addresses in one answer; clients take up to 64.
-MAX_ADDRESSES = 64
 
 
 class Front:
@@ -63,19 +62,26 @@
 
         Raises NotRun if no instance is known that takes requests.
         """
-        found = {
-            record.client_address for record in self._state.serving_instances()
+        places_by_address = {
+            record.client_address: directory.Place(
+                cores=record.cores,
+                data_centre=DataCentreId(record.data_centre),
+            )
+            for record in self._state.serving_instances()
         }
         me = self._state.settings
         if self.is_ready():
-            found.add(me.client_address)
+            places_by_address[me.client_address] = directory.Place(
+                cores=me.cores, data_centre=me.data_centre
+            )
         else:
-            found.discard(me.client_address)
-        if not found:
+            places_by_address.pop(me.client_address, None)
+        if not places_by_address:
             raise errors.NotRun('No instance is ready.', 1.0)
         validity = min(ADDRESS_VALIDITY, me.max_address_validity)
         return AddressList(
-            addresses=tuple(sorted(found)[:MAX_ADDRESSES]), validity=validity
+            addresses=tuple(directory.named(places_by_address, data_centre)),
+            validity=validity,
         )
 
     async def forward(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
@@ -46,8 +46,10 @@
 STARTING_SECONDS = 0.3
 # Seconds within which an answer counts as given at once.
 AT_ONCE = 0.1
-# Seconds that a reader that knows everything gives watchers that start.
-START_WAIT = 1.0
+# Seconds after its start in which an instance does not watch the store: it
+# may not know the others yet, and would take itself for a watcher. A fleet
+# that starts then makes no watch but those of its watchers.
+START_WAIT = 0.8
 # Seconds that a reader gives watchers once the store is back: they hear of
 # it within a probe's 0.6 s. Otherwise each reader reads everything itself,
 # and stays at the store for as long as a watch waits.
@@ -168,28 +170,31 @@
             raise store_module.HistoryGone
         self.is_direct = True
         self._cursor_of = ''
+        if self._is_starting():
+            return await self._look_again(prefix, after)
         return await self._store.watch(prefix, after, seconds)
 
+    async def _look_again(
+        self, prefix: str, after: Revision
+    ) -> store_module.Page:
+        """Return the keys after a moment, as changes since a revision."""
+        await task.deferLater(self._clock, STARTING_SECONDS)
+        page = await self._store.page(prefix, is_stale=True)
+        # What was removed is not told: a watch from the same revision on
+        # will, or another one's copy.
+        return msgspec.structs.replace(page, revision=after)
+
     async def _copied(self, prefix: str) -> store_module.Page | None:
         """Return the copy of the first watcher that gives one."""
-        while True:
-            watcher = self._watcher()
-            if watcher is None:
-                if not self._may_wait():
-                    return None
-                await task.deferLater(self._clock, STARTING_SECONDS)
-                continue
+        while (watcher := self._watcher()) is not None:
             self._cursor = ''
             found = await self._ask(watcher, prefix)
             if found is not None:
                 return found
+        return None
 
-    def _may_wait(self) -> bool:
-        # Only at the start: later a watcher that is gone has others beside
-        # it, and what it did not tell is wanted at once.
-        if self._is_watcher():
-            return False
-        return self._clock.seconds() < self._started_at + START_WAIT
+    def _is_starting(self) -> bool:
+        return bool(self._clock.seconds() < self._started_at + START_WAIT)
 
     async def pause(self, seconds: float) -> None:
         """Wait before the store is tried again, longer than watchers do."""
