--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -26,6 +26,9 @@
 
 # Texts kept of ended jobs: the items of some steps, some 10 kB each.
 MAX_LEFT = 500
+# Seconds before a job is due from which each whole group is awaited: a read
+# of the trainer and two writes of results fit.
+AWAITED_SECONDS = 1.5
 # Seconds an event that stand until the first engine was seen at work.
 DEFAULT_PACE = 0.04
 
@@ -126,6 +129,7 @@
         self.runs_by_id: dict[ItemId, ItemRun] = {}
         self._left_by_group: dict[GroupId, int] = {}
         self._begun: set[GroupId] = set()
+        self._whole_groups = 0
         for position, item in enumerate(job.items):
             self.runs_by_id[item.id] = ItemRun(job, item, position)
             left = self._left_by_group.get(item.group, 0)
@@ -141,7 +145,19 @@
             return False
         run.state = RunState.ENDED
         self._left_by_group[run.item.group] -= 1
-        return self._left_by_group[run.item.group] == 0
+        is_whole = self._left_by_group[run.item.group] == 0
+        self._whole_groups += is_whole
+        return is_whole
+
+    def is_awaited(self, now: Instant) -> bool:
+        """Tell whether a trainer may act on one more whole group now.
+
+        It trains once it has as many as it wants, and counts those that it
+        has when the job is due; until then it only collects them.
+        """
+        if self._whole_groups >= self.job.wanted_groups:
+            return True
+        return now >= self.due_at - AWAITED_SECONDS
 
     def take(self, result: ItemResult) -> None:
         """Take a result that another instance listed."""
--- a/packages/yuccarill-core/tests/jobs/test_board.py
+++ b/packages/yuccarill-core/tests/jobs/test_board.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+from nose2.tools import params
+
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs import board as board_module
@@ -208,3 +210,28 @@
         write(state.runs_by_id[ItemId('k-0-0')], version=1, count=1)
         found = self.before.left(listed=())
         self.assertEqual(['k-0-0', 'j-0-0'], [text.item for text in found])
+
+
+class AwaitedTest(unittest.TestCase):
+    """A trainer trains on some of its groups, once they are whole.
+
+    The step has 4 groups of 2 items and is due after 7.5 s.
+    """
+
+    @params(
+        ('none is whole', 3, 0, 1.0, False),
+        ('fewer than wanted', 3, 2, 1.0, False),
+        ('as many as wanted', 3, 3, 1.0, True),
+        ('more than wanted', 3, 4, 1.0, True),
+        ('it does not say how many', 0, 1, 1.0, True),
+        ('the step is about to be due', 3, 1, 6.0, True),
+        ('the step is late', 3, 1, 9.0, True),
+    )
+    def test_when_a_whole_group_is_awaited(
+        self, _: str, wanted: int, whole: int, now: float, expected: bool
+    ) -> None:
+        job = items.make_job(groups=4, wanted_groups=wanted)
+        state = items.make_state(job)
+        for item in job.items[: 2 * whole]:
+            state.end(item.id)
+        self.assertIs(expected, state.is_awaited(Instant(now)))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
@@ -24,10 +24,12 @@
 log = logs.for_part('listing')
 
 # Seconds that results are collected before they are written together, when
-# one of them makes a group whole and when none does. A trainer counts whole
-# groups and trains as soon as it has enough; each write is paid for.
-GROUP_SECONDS = 0.05
-COLLECT_SECONDS = 0.6
+# a trainer waits for one of them and when it does not. Each write is paid
+# for; a step of 224 items that was written with each whole group made 17,
+# of which its trainer needed the last. What is not written yet is copied
+# to the next holder as texts are.
+AWAITED_SECONDS = 0.05
+COLLECT_SECONDS = 1.5
 # Seconds between two writes of one job at least.
 WRITE_SECONDS = 0.25
 # Bytes of text in one chunk; a value of the store holds a megabyte.
@@ -66,14 +68,17 @@
         self._began_at = 0.0
         self.is_stopped = False
 
-    def add(self, result: ItemResult, makes_group_whole: bool) -> None:
-        """List a result soon; an item is listed once."""
+    def add(self, result: ItemResult, is_awaited: bool) -> None:
+        """List a result, at once if its trainer waits for it.
+
+        An item is listed once.
+        """
         if result.id in self._ids:
             return
         self._ids.add(result.id)
         self._pending.append(result)
         now = self._clock.seconds()
-        seconds = GROUP_SECONDS if makes_group_whole else COLLECT_SECONDS
+        seconds = AWAITED_SECONDS if is_awaited else COLLECT_SECONDS
         self._write_at = min(self._write_at, now + seconds)
         if self._is_writing:
             return
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -339,7 +339,7 @@
             score_failures=run.score_failures,
             seconds=round(seconds, 2),
         )
-        found.add(result, is_group_whole)
+        found.add(result, is_group_whole and state.is_awaited(self._now()))
 
     def track(
         self, job: JobId, work: Coroutine[Any, Any, None]
--- a/packages/yuccarill-daemon/tests/gateway/test_listing.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_listing.py
@@ -146,3 +146,17 @@
         self.listing.add(result('a'), True)
         self.run_for(2.0)
         self.assertEqual(['b'], self.listed())
+
+    def test_a_large_step_costs_few_writes(self) -> None:
+        """A step of 224 items made 17 writes, of which one was awaited.
+
+        Texts end evenly over 5 s; the last one makes the group whole that
+        the trainer waits for, and is read a moment after.
+        """
+        for number in range(224):
+            self.listing.add(result(f'{number}'), number == 223)
+            self.run_for(5.0 / 224)
+        writes = self.memory.calls.count('transact')
+        self.assertLessEqual(writes, 5)
+        self.run_for(listing.WRITE_SECONDS + 0.1)
+        self.assertEqual(224, len(self.listed()))
