--- a/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
@@ -26,10 +26,13 @@
 
     def is_same(self, later: TargetStart) -> bool:
         """Tell whether something said later comes from the same process."""
-        if self.started_at is not None and later.started_at is not None:
-            return self.started_at == later.started_at
-        # A process that does not tell when it started counts its heartbeats
-        # from its start on.
+        if self.started_at != later.started_at:
+            # One that tells is not one that did not: a process tells always
+            # or never.
+            return False
+        if self.started_at is not None:
+            return True
+        # One that does not tell counts its heartbeats from its start on.
         return later.heartbeats >= self.heartbeats
 
 
--- a/packages/yuccarill-core/tests/gateway/test_targets.py
+++ b/packages/yuccarill-core/tests/gateway/test_targets.py
@@ -83,8 +83,8 @@
         ),
         ('not told, one goes on', start(None, 9), start(None, 9), True),
         ('not told, counted anew', start(None, 9), start(None, 1), False),
-        ('told only later', start(None, 9), start(2, 10), True),
-        ('told only later, counted anew', start(None, 9), start(2, 1), False),
+        ('told only by the later one', start(None, 9), start(2, 10), False),
+        ('told only by the one before', start(2, 9), start(None, 10), False),
     )
     def test_starts(
         self,
