--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -89,7 +89,7 @@
     for report in REPORTS.glob('*.xml'):
         report.unlink()
     folders = sorted(ROOT.glob('packages/*/tests'))
-    folders.append(ROOT / 'platform' / 'tests')
+    folders += [ROOT / name / 'tests' for name in ('platform', 'tools')]
     runs = [PackageRun(folder) for folder in folders]
     with concurrent.futures.ThreadPoolExecutor() as pool:
         finished = list(pool.map(PackageRun.run, runs))
