--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_way.py
@@ -182,6 +182,11 @@
             return Page(status=STATUS_NOT_REACHED)
         except http_exchange.ExchangeBroken:
             return Page(status=STATUS_UNCLEAR)
+        if store_module.is_turned_away(reply.head.status):
+            # The next peer that asks is told at once, and the one that asked
+            # goes on to another: both would be refused here.
+            self._lose(f'status {reply.head.status}')
+            return Page(status=STATUS_NOT_REACHED)
         return Page(status=reply.head.status, body=reply.body)
 
     async def pause(self, seconds: float) -> None:
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -214,6 +214,22 @@
         self.assertEqual(store_way.STATUS_NOT_REACHED, page.status)
 
 
+class TurnedAwayPeerTest(world.WorldTest):
+    def test_a_peer_that_is_turned_away_is_asked_once(self) -> None:
+        """Peers that had not noticed an outage made refused calls for others.
+
+        1. The store turns this instance away, which it does not know yet.
+        2. Two others ask it to pass a call on.
+        """
+        links = Links(self.clock, {'store:3': 503})
+        way = store_way.StoreWay(self.state('a'), links, self.clock)
+        request = small_server.SmallRequest(method='GET', target='/x')
+        for _ in range(2):
+            page = self.finish(way.pass_on(request))
+            self.assertEqual(store_way.STATUS_NOT_REACHED, page.status)
+        self.assertEqual(1, len(links.sent))
+
+
 class BackgroundTest(world.WorldTest):
     """The store is away from a fleet of 40; refused calls are paid in full.
 
