--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
@@ -30,6 +30,9 @@
 # Seconds in which a watch may still tell of what a check has found: both
 # answers are sent at one moment, over connections of their own.
 WATCH_DELAY = 0.2
+# Removals that are remembered: those of some seconds, of a fleet that is
+# restarted within a minute.
+MAX_REMOVALS = 1000
 # Seconds between checks. A configuration has to be in force 2 s after it
 # was acknowledged, and a check costs a tenth of a read.
 CHECK_SECONDS = 1.0
@@ -82,9 +85,13 @@
         self._clock = clock
         self._history = history.History(clock)
         self._heard_at = 0.0
-        # What the last check found. A watch that is sent again and again,
-        # and is told of other keys only, is found by what stays behind.
-        self._found: Mapping[str, Revision] = {}
+        # What the last check found and was not known here. A watch that is
+        # sent again and again, and told of other keys only, is found by what
+        # stays behind.
+        self._ahead: Mapping[str, Revision] = {}
+        # Changes that removed keys. A page that is some seconds old still
+        # has them, and would be taken for newer than what is known.
+        self._removals_by_key: dict[str, Revision] = {}
         # Keys that the last check did not find.
         self._missing: set[str] = set()
         self._watching: defer.Deferred[None] | None = None
@@ -282,22 +289,25 @@
 
     async def _is_deaf(self, found: Mapping[str, Revision]) -> bool:
         """Tell whether the watch does not hear of keys that were found."""
-        was_found, self._found = self._found, found
-        if self._is_behind(was_found):
+        was_ahead, self._ahead = self._ahead, self._newer(found)
+        if self._newer(was_ahead):
             return True
         watching = self._watching
-        if watching is None or not self._is_behind(found):
+        if watching is None or not self._ahead:
             # Between two watches nothing is heard, and the next one tells.
             # Taken for deaf, each of eleven watchers read all targets anew
             # every 3 s: engines' entries change all the time.
             return False
         await task.deferLater(self._clock, WATCH_DELAY)
-        return self._watching is watching and self._is_behind(found)
+        return self._watching is watching and bool(self._newer(self._ahead))
 
-    def _is_behind(self, found: Mapping[str, Revision]) -> bool:
-        return any(
-            revision > self._standing(key) for key, revision in found.items()
-        )
+    def _newer(self, found: Mapping[str, Revision]) -> dict[str, Revision]:
+        """Return what was found of keys and is not known here yet."""
+        return {
+            key: revision
+            for key, revision in found.items()
+            if revision > self._standing(key)
+        }
 
     def _take(self, change: Entry | Removal) -> None:
         if change.revision <= self._standing(change.key):
@@ -305,12 +315,21 @@
         is_known = change.key in self._history.entries_by_key
         if isinstance(change, store_module.Removal) and not is_known:
             return
+        if isinstance(change, store_module.Removal):
+            self._note_removal(change)
         self._history.take(change)
         self._on_change(change)
 
+    def _note_removal(self, removal: Removal) -> None:
+        self._removals_by_key[removal.key] = removal.revision
+        if len(self._removals_by_key) > MAX_REMOVALS:
+            del self._removals_by_key[next(iter(self._removals_by_key))]
+
     def _standing(self, key: str) -> Revision:
         entry = self._history.entries_by_key.get(key)
-        return Revision(0) if entry is None else entry.revision
+        if entry is not None:
+            return entry.revision
+        return self._removals_by_key.get(key, Revision(0))
 
     async def _wait(self, error: Exception) -> None:
         if not self._is_lost:
--- a/packages/yuccarill-daemon/tests/gateway/test_follower.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_follower.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+from unittest import mock
+
+import msgspec
 from twisted.internet import defer
 
 from yuccarill.daemon.gateway.store import follower
@@ -11,6 +15,20 @@
 from . import world
 
 
+def _old_page(read: Any, entry: store_module.Entry) -> Any:
+    """Read cheap pages that still have an entry."""
+
+    async def page(
+        prefix: str, after: str | None = None, is_stale: bool = False
+    ) -> store_module.Page:
+        found = await read(prefix, after, is_stale)
+        if not is_stale:
+            return found
+        return msgspec.structs.replace(found, changes=(*found.changes, entry))
+
+    return page
+
+
 class FollowerTest(world.WorldTest):
     def follow(
         self, store: memory_store.MemoryStore
@@ -122,6 +140,26 @@
         self.assertEqual(0, store.calls.count('page'))
         self.assertLess(store.calls.count('watch'), 36)
 
+    def test_an_old_page_brings_no_removed_key_back(self) -> None:
+        """Watchers read everything anew after each instance that stopped.
+
+        1. A key is removed; the watch tells.
+        2. The next check's page is some seconds old, and still has it.
+        """
+        self.keys.put('p/a', b'1')
+        store = self.store()
+        self.follow(store)
+        self.run_for(0.1)
+        old = self.keys.entries_by_key['p/a']
+        self.keys.remove('p/a')
+        self.run_for(0.1)
+        with mock.patch.object(
+            store, 'page', wraps=_old_page(store.page, old)
+        ):
+            self.run_for(3 * follower.CHECK_SECONDS)
+        self.assertEqual(['+p/a', '-p/a'], self.heard())
+        self.assertEqual(0, store.calls.count('page'))
+
     def test_a_return_costs_no_read(self) -> None:
         store = self.store()
         found = self.follow(store)
