--- a/packages/yuccarill-daemon/src/yuccarill/daemon/peers/local.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/peers/local.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from yuccarill.core.membership import stream_health
@@ -17,9 +18,27 @@
 
     from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import Instant
     from yuccarill.core.membership.instances import Instance
     from yuccarill.daemon.peers.ends import StreamEnd
-    from yuccarill.daemon.peers.stream import PeerStream
+
+
+class OpenStream(Protocol):
+    """Show what the owner of all streams needs of each."""
+
+    transport: Any
+    # The peer's requests that are being answered.
+    in_hand: int
+    used_at: Instant
+
+    @property
+    def is_busy(self) -> bool: ...
+
+    def check(self) -> None: ...
+
+    def forgive(self) -> None: ...
+
+    def close(self, end: StreamEnd) -> None: ...
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -34,7 +53,7 @@
         default_factory=stream_health.HealthPolicy
     )
     traffic: Traffic = dataclasses.field(default_factory=Traffic)
-    streams: set[PeerStream] = dataclasses.field(default_factory=set)
+    streams: set[OpenStream] = dataclasses.field(default_factory=set)
     ends_by_cause: collections.Counter[StreamEnd] = dataclasses.field(
         default_factory=collections.Counter
     )
