--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -58,6 +58,8 @@
     breaks_after: int = 0
     status: int = 200
     version: int = 1
+    # When its process started, as it tells itself; none if it does not.
+    born: int | None = None
     # Orders that were accepted, and those that came.
     orders: int = 0
     orders_received: int = 0
@@ -132,6 +134,7 @@
             orders_accepted=found.orders,
             running=0,
             waiting=0,
+            started_at=found.born,
         )
 
     async def order(
@@ -212,6 +215,7 @@
         state.table = self.table
         for engine in self.engines.engines_by_id.values():
             state.targets.put(engine.target)
+        self.known = state
         memory = self.store()
         found = runner_module.Runner(
             state,
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -381,6 +381,53 @@
         ]
         self.assertEqual([1] * len(received), received)
 
+    def start_engines(self, born: int) -> None:
+        for name in ('e1', 'e2'):
+            engine = self.engine(name)
+            engine.target = world.started(name, born)
+            engine.version, engine.born, engine.orders = 1, born, 0
+
+    def list_engines(self) -> None:
+        for engine in self.engines.engines_by_id.values():
+            self.known.targets.put(engine.target)
+
+    def test_engines_that_start_again_are_ordered_anew(self) -> None:
+        """Engines with old weights were taken for those that had new ones.
+
+        1. Two engines have changed to the named version.
+        2. Their processes start again under their ids, with the first one.
+        3. Their entries show the start.
+        """
+        self.start_engines(1)
+        self.hold('a')
+        self.name_version(2)
+        self.run_for(6.0)
+        self.assertEqual(2, self.engine('e1').version)
+        self.start_engines(2)
+        self.list_engines()
+        self.run_for(6.0)
+        self.assertEqual(
+            [2, 2], [self.engine(e).version for e in ('e1', 'e2')]
+        )
+
+    def test_no_order_by_the_entry_of_the_process_before(self) -> None:
+        """An engine was ordered by what the process before had said.
+
+        1. Engines start again; their entries are still the old ones.
+        2. A version is named. Reports tell of another start.
+        3. The entries show the start; the orders follow.
+        """
+        self.start_engines(1)
+        self.hold('a')
+        self.run_for(0.5)
+        self.start_engines(2)
+        self.name_version(2)
+        self.run_for(4.0)
+        self.assertEqual(0, self.engine('e1').orders_received)
+        self.list_engines()
+        self.run_for(6.0)
+        self.assertEqual(2, self.engine('e1').version)
+
     def test_results_name_the_versions_that_made_them(self) -> None:
         """A sample that names the wrong weights spoils its training step.
 
