--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
@@ -26,10 +26,11 @@
 # Seconds that results are collected before they are written together, when
 # a trainer waits for one of them and when it does not. Each write is paid
 # for; a step of 224 items that was written with each whole group made 17,
-# of which its trainer needed the last. What is not written yet is copied
-# to the next holder as texts are.
+# of which its trainer needed the last. What is not written yet is copied to
+# the next holder as texts are; a loss of all instances takes it, so it must
+# not be much.
 AWAITED_SECONDS = 0.05
-COLLECT_SECONDS = 1.5
+COLLECT_SECONDS = 0.6
 # Seconds between two writes of one job at least.
 WRITE_SECONDS = 0.25
 # Bytes of text in one chunk; a value of the store holds a megabyte.
