Name what a request asks in the log, and tell ended targets from cut connections

Cause: an attempt's line named neither what was sent nor whether the target ended, so three hypotheses looked alike in the log: repeats of one content, too many attempts of one request, targets that end of something else. Change: a digest of host, path, caller and body in each attempt's line; a look whether a process still listens where a connection was lost, with a line and a counter; no decision depends on either yet.

--- a/packages/yuccarill-core/src/yuccarill/core/ids.py
+++ b/packages/yuccarill-core/src/yuccarill/core/ids.py
@@ -18,6 +18,8 @@
 GroupNumber = NewType('GroupNumber', int)
 SampleId = NewType('SampleId', str)
 RequestId = NewType('RequestId', str)
+# What a request asks, the same for each of its repeats.
+ContentDigest = NewType('ContentDigest', str)
 ChangeId = NewType('ChangeId', str)
 ShardNumber = NewType('ShardNumber', int)
 # Grows at each change of a shard's holder; the fencing number of its orders.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
+from twisted.internet import error as net_error
 from twisted.internet import protocol
 
 from yuccarill.core.ids import Instant
@@ -19,6 +20,9 @@
 # lost opening packet is sent again after a second, when another target is
 # the better choice.
 CONNECT_SECONDS = 0.6
+# Seconds to find out whether a process listens. One that ended refuses within
+# the way there and back; the next try of a request waits for this.
+LOOK_SECONDS = 0.2
 # Idle connections kept to one address: as many as an engine has places.
 MAX_IDLE = 16
 
@@ -66,6 +70,22 @@
         assert sink.head is not None
         return http_exchange.Reply(head=sink.head, body=sink.body)
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether no process listens at an address.
+
+        A connection that opens is kept for the next request.
+        """
+        deadline = Instant(self._clock.seconds() + LOOK_SECONDS)
+        try:
+            connection = await self._open(address, deadline)
+        except http_exchange.ConnectionRefused:
+            return True
+        except http_exchange.NotConnected:
+            # A way that is cut says nothing of the process at its end.
+            return False
+        self._keep(address, connection)
+        return False
+
     def has_idle(self, address: str) -> bool:
         """Tell whether a request to an address needs no new connection."""
         now = self._clock.seconds()
@@ -139,4 +159,10 @@
     ) -> None:
         if not self._opened.called:
             cause = reason.getErrorMessage()
-            self._opened.errback(http_exchange.NotConnected(cause))
+            is_refused = reason.check(net_error.ConnectionRefusedError)
+            kind = (
+                http_exchange.ConnectionRefused
+                if is_refused
+                else http_exchange.NotConnected
+            )
+            self._opened.errback(kind(cause))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -38,10 +38,18 @@
     """Report that no byte of a request was sent."""
 
 
+class ConnectionRefused(NotConnected):
+    """Report an address at which no process listens."""
+
+
 class ExchangeBroken(Exception):
     """Report a request that was sent and has no whole answer."""
 
 
+class ConnectionLost(ExchangeBroken):
+    """Report a connection that ended before the answer did."""
+
+
 class SinkRefused(Exception):
     """Raised by a sink for an answer that it can not take."""
 
@@ -175,7 +183,7 @@
         # whole.
         if reason.check(net_error.ConnectionDone):
             self._read(b'')
-        self.fail(ExchangeBroken(f'connection lost: {reason.value}'))
+        self.fail(ConnectionLost(f'connection lost: {reason.value}'))
 
     def fail(self, error: Exception) -> None:
         """End the exchange with an error and close."""
@@ -217,6 +225,9 @@
                     return
                 self._take(event)
         except h11.RemoteProtocolError as error:
+            if not self._is_open:
+                # h11 names its own state there, not that the answer ended.
+                return
             self.fail(ExchangeBroken(f'the answer is not valid: {error}'))
         except SinkRefused as error:
             self.fail(ExchangeBroken(str(error)))
@@ -231,7 +242,7 @@
             case h11.EndOfMessage():
                 self._end()
             case h11.ConnectionClosed():
-                self.fail(ExchangeBroken('closed without an answer'))
+                self.fail(ConnectionLost('closed without an answer'))
             case _:
                 pass
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
@@ -21,7 +21,7 @@
     from yuccarill.core.jobs.board import ItemRun
     from yuccarill.core.jobs.engines import EngineState
     from yuccarill.core.jobs.text import StreamEvent
-    from yuccarill.platform.calls import Calls
+    from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
 
 log = logs.for_part('generation')
 
@@ -48,7 +48,7 @@
 class Generator:
     """Run items at engines."""
 
-    def __init__(self, calls: Calls, clock: Any) -> None:
+    def __init__(self, calls: WatchedCalls, clock: Any) -> None:
         self._calls = calls
         self._clock = clock
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -34,6 +34,12 @@
     buckets=_SECONDS,
     registry=REGISTRY,
 )
+LOSSES = prometheus_client.Counter(
+    'yuccarill_losses',
+    'Lost connections of calls, one a target and moment, by whether it ended',
+    ('service', 'has_ended'),
+    registry=REGISTRY,
+)
 CONNECTIONS = prometheus_client.Counter(
     'yuccarill_connections',
     'Connections opened',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -28,6 +28,8 @@
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway.jobs import trainers
 from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway.quarantine import target_ends
+from yuccarill.daemon.gateway.quarantine import watched_calls
 from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import front
 from yuccarill.daemon.gateway.requests import relay
@@ -92,7 +94,10 @@
         background = store_module.Store(
             store_way.BackgroundWay(self._way), settings.store_address
         )
-        self._calls = calls_module.Calls(links, self._now)
+        calls = calls_module.Calls(links, self._now)
+        self._calls = watched_calls.WatchedCalls(
+            calls, target_ends.TargetEnds(calls)
+        )
         self._engines = engines.Engines(links)
         self._observer = observer.Observer(
             self._state,
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keep requests that crash their targets away from them."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -0,0 +1,73 @@
+"""Find out whether a target ended under the calls that it had."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+
+from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.ids import ContentDigest
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import TargetId
+    from yuccarill.platform.calls import Calls
+
+log = logs.for_part('ends')
+
+
+@dataclasses.dataclass
+class _Loss:
+    """Gather the calls of one target whose connections were lost."""
+
+    target: ListedTarget
+    contents: list[ContentDigest] = dataclasses.field(default_factory=list)
+    waiting: list[defer.Deferred[bool]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class TargetEnds:
+    """Tell a process that ended from a connection that was cut.
+
+    A network that cuts connections leaves the process listening; one that
+    crashed refuses the next connection.
+    """
+
+    def __init__(self, calls: Calls) -> None:
+        self._calls = calls
+        self._losses_by_target: dict[TargetId, _Loss] = {}
+
+    async def lost(self, target: ListedTarget, content: ContentDigest) -> bool:
+        """Note a call whose connection was lost; tell if its target ended."""
+        loss = self._losses_by_target.get(target.id)
+        if loss is not None and loss.target.is_same_start(target):
+            # All connections of a process end within one moment, and one
+            # look is enough.
+            loss.contents.append(content)
+            ended: defer.Deferred[bool] = defer.Deferred()
+            loss.waiting.append(ended)
+            return await ended
+        return await self._look(_Loss(target, [content]))
+
+    async def _look(self, loss: _Loss) -> bool:
+        target = loss.target
+        self._losses_by_target[target.id] = loss
+        has_ended = False
+        try:
+            has_ended = await self._calls.has_ended(target)
+        finally:
+            del self._losses_by_target[target.id]
+            meters.LOSSES.labels(target.service, has_ended).inc()
+            log.info(
+                'Target ended.' if has_ended else 'Connection lost.',
+                target=target.id,
+                service=target.service,
+                contents=loss.contents,
+            )
+            for waiting in loss.waiting:
+                waiting.callback(has_ended)
+        return has_ended
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -23,10 +23,10 @@
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.jobs.intake import Intake
+    from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.daemon.gateway.requests.streams import StreamForwarder
     from yuccarill.daemon.gateway.state import GatewayState
-    from yuccarill.platform.calls import Calls
     from yuccarill.platform.ports import Answerer
 
 log = logs.for_part('request')
@@ -43,7 +43,7 @@
         self,
         state: GatewayState,
         sender: Sender,
-        calls: Calls,
+        calls: WatchedCalls,
         streams: StreamForwarder,
         intake: Intake,
         clock: Any,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
@@ -27,8 +27,8 @@
     from yuccarill.core.ids import DataCentreId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
+    from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.state import GatewayState
-    from yuccarill.platform.calls import Calls
     from yuccarill.platform.calls import TargetCall
 
 log = logs.for_part('sender')
@@ -115,7 +115,7 @@
 class Sender:
     """Send requests that may be repeated."""
 
-    def __init__(self, pools: Pools, calls: Calls, clock: Any) -> None:
+    def __init__(self, pools: Pools, calls: WatchedCalls, clock: Any) -> None:
         self._pools = pools
         self._calls = calls
         self._clock = clock
@@ -186,6 +186,7 @@
             log.info(
                 'Attempt ended.',
                 request=call.id,
+                content=call.content,
                 target=target.id,
                 end=end,
                 cause=cause,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -18,8 +18,8 @@
     from yuccarill.core.gateway.routes import Route
     from yuccarill.core.ids import TargetId
     from yuccarill.core.jobs.text import StreamEvent
+    from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
-    from yuccarill.platform.calls import Calls
     from yuccarill.platform.ports import Answerer
 
 # Seconds without an event after which a run is taken for silent. Clients
@@ -30,7 +30,9 @@
 class StreamForwarder:
     """Forward streams, resuming those that may be resumed."""
 
-    def __init__(self, sender: Sender, calls: Calls, clock: Any) -> None:
+    def __init__(
+        self, sender: Sender, calls: WatchedCalls, clock: Any
+    ) -> None:
         self._sender = sender
         self._calls = calls
         self._clock = clock
