--- a/packages/yuccarill-core/src/yuccarill/core/errors.py
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -24,6 +24,7 @@
     OVERLOADED = 1202
     DEADLINE_PASSED = 1203
     NO_TARGET = 1204
+    REQUEST_QUARANTINED = 1205
     OUTCOME_UNKNOWN = 1301
     ANSWER_CUT = 1302
     INVENTORY_INVALID = 2001
@@ -157,6 +158,12 @@
     code = ResultCode.NO_TARGET
 
 
+class RequestQuarantined(NotRun):
+    """Refuse a request whose like ended the targets that ran it."""
+
+    code = ResultCode.REQUEST_QUARANTINED
+
+
 class OutcomeUnknown(YuccarillError):
     """Tell a caller that its request may or may not have run."""
 
--- a/packages/yuccarill-core/src/yuccarill/core/explanations.py
+++ b/packages/yuccarill-core/src/yuccarill/core/explanations.py
@@ -42,6 +42,10 @@
         'Send the request again after the time given; look at the targets '
         'with "yuccarill status" if it goes on.'
     ),
+    ResultCode.REQUEST_QUARANTINED: (
+        'Mend what ends the targets, then take the request out of quarantine; '
+        'look it up by the content that the message names.'
+    ),
     ResultCode.OUTCOME_UNKNOWN: (
         'Ask for the outcome with the same ticket and request id, or look '
         'it up at the service; a new request may run it twice.'
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/attempts.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/attempts.py
@@ -30,6 +30,8 @@
     deadline: Instant
     max_attempts: int
     hedge_delay: float
+    # A further attempt may start beside one that is under way.
+    may_hedge: bool = True
     started: int = 0
     in_flight: int = 0
     last_start: Instant = Instant(0.0)
@@ -44,19 +46,26 @@
         """Note that an attempt ended without a success."""
         self.in_flight -= 1
 
+    def withdraw(self) -> None:
+        """Note that an attempt reached no target, and does not count."""
+        self.started -= 1
+        self.in_flight -= 1
+
     def next(self, now: Instant) -> Next:
         """Return what to do; `wakes_at` tells until when to wait."""
         if now >= self.deadline:
             return Next.GIVE_UP
         if self.started >= self.max_attempts:
             return Next.WAIT if self.in_flight else Next.GIVE_UP
+        if self.in_flight and not self.may_hedge:
+            return Next.WAIT
         if self.in_flight and now < self.last_start + self.hedge_delay:
             return Next.WAIT
         return Next.START
 
     def wakes_at(self) -> Instant:
         """Return when the plan has something new to say by itself."""
-        if self.started >= self.max_attempts:
+        if self.started >= self.max_attempts or not self.may_hedge:
             return self.deadline
         hedge_at = Instant(self.last_start + self.hedge_delay)
         return min(self.deadline, hedge_at)
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
@@ -0,0 +1,204 @@
+"""Remember under which requests targets ended, and what became of these."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.gateway import suspicion
+from yuccarill.core.gateway.suspicion import Verdict
+from yuccarill.core.ids import ContentDigest
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import TargetId
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+# Ends that are kept, and contents of one end. An engine of 16 places ends
+# under 16 items; 256 ends are more than a fleet of 1,300 targets has in the
+# time for which they count.
+MAX_ENDS = 256
+MAX_CONTENTS = 64
+# Seconds for which an end counts: a caller that sends such a request every
+# few minutes is found, one whose target ends twice a day is not.
+END_SECONDS = 1800.0
+# Contents of finished runs that are kept, some 200 bytes each.
+MAX_COMPLETED = 1024
+# Seconds after a finished run in which its content is no cause of an end. A
+# request that many callers send is finished more often; one that began to
+# end targets with a new version of its service is found after this time.
+COMPLETED_SECONDS = 30.0
+# Seconds within which reports tell of one end of a target, which is back
+# after some seconds at the earliest, perhaps under the same id.
+SAME_END_SECONDS = 1.5
+# Contents in quarantine, and seconds that each stays there: a target's
+# operators need time to mend it, and a caller that goes on meanwhile ends
+# three targets an hour at most.
+MAX_QUARANTINED = 512
+QUARANTINE_SECONDS = 3600.0
+
+
+class EndReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell of a target that ended, and of the contents it was at work on."""
+
+    target: TargetId
+    contents: tuple[ContentDigest, ...]
+    # Seconds since then, as instances share no clock.
+    age: float = 0.0
+
+
+class _End(msgspec.Struct, kw_only=True):
+    """Keep one end of a target."""
+
+    target: TargetId
+    at: Instant
+    # A set, with the order in which they came.
+    contents: dict[ContentDigest, None]
+
+
+class EndLedger:
+    """Hold what this instance has seen and heard of ends."""
+
+    def __init__(self) -> None:
+        self._ends: collections.deque[_End] = collections.deque(
+            maxlen=MAX_ENDS
+        )
+        self._completed_at: collections.OrderedDict[ContentDigest, Instant] = (
+            collections.OrderedDict()
+        )
+        self._until_by_content: dict[ContentDigest, Instant] = {}
+        self._judgement = suspicion.Judgement()
+
+    @property
+    def is_clear(self) -> bool:
+        """Tell whether every request may be sent on."""
+        return not self._judgement.verdicts_by_content
+
+    def verdict(self, content: ContentDigest) -> Verdict:
+        return self._judgement.verdict(content)
+
+    def report(self, report: EndReport, now: Instant) -> None:
+        """Take a report of an end, of which another one may have told."""
+        at = Instant(now - report.age)
+        end = self._find(report.target, at)
+        if end is None:
+            end = _End(target=report.target, at=at, contents={})
+            self._ends.append(end)
+        for content in report.contents[:MAX_CONTENTS]:
+            if not self._was_completed(content, end.at):
+                end.contents[content] = None
+        self._judge(now)
+
+    def completed(self, content: ContentDigest, now: Instant) -> bool:
+        """Note that a target finished a run; tell if it was suspected."""
+        self._completed_at[content] = now
+        self._completed_at.move_to_end(content)
+        if len(self._completed_at) > MAX_COMPLETED:
+            self._completed_at.popitem(last=False)
+        was_suspected = self.verdict(content) in (
+            Verdict.WATCHED,
+            Verdict.SUSPECT,
+        )
+        if was_suspected:
+            for end in self._ends:
+                end.contents.pop(content, None)
+            self._judge(now)
+        return was_suspected
+
+    def known_completed(
+        self, contents: Iterable[ContentDigest], now: Instant
+    ) -> tuple[ContentDigest, ...]:
+        """Return the contents of which a target finished a run lately."""
+        return tuple(
+            content
+            for content in contents
+            if self._was_completed(content, now)
+        )
+
+    def quarantine(
+        self, content: ContentDigest, seconds: float, now: Instant
+    ) -> None:
+        """Refuse a content for a time, as another instance found."""
+        self._until_by_content[content] = Instant(now + seconds)
+        while len(self._until_by_content) > MAX_QUARANTINED:
+            del self._until_by_content[next(iter(self._until_by_content))]
+        self._judge(now)
+
+    def release(self, content: ContentDigest, now: Instant) -> None:
+        """Forget what a content did, as an operator wants it."""
+        self._until_by_content.pop(content, None)
+        for end in self._ends:
+            end.contents.pop(content, None)
+        self._judge(now)
+
+    def expire(self, now: Instant) -> list[ContentDigest]:
+        """Drop what no longer counts; return what left the quarantine."""
+        ended = [
+            content
+            for content, until in self._until_by_content.items()
+            if now >= until
+        ]
+        for content in ended:
+            self.release(content, now)
+        while self._ends and now >= self._ends[0].at + END_SECONDS:
+            self._ends.popleft()
+            self._judge(now)
+        return ended
+
+    def seconds_left(self, content: ContentDigest, now: Instant) -> float:
+        """Return how long a content will be refused."""
+        until = self._until_by_content.get(content, now)
+        return max(0.0, until - now)
+
+    def last_end(self, content: ContentDigest) -> Instant | None:
+        """Return when a target last ended under a content."""
+        found = [end.at for end in self._ends if content in end.contents]
+        return max(found, default=None)
+
+    def ended_since(self, since: Instant) -> set[TargetId]:
+        """Return the targets that ended at an instant or later."""
+        return {end.target for end in self._ends if end.at >= since}
+
+    def targets(self, content: ContentDigest) -> tuple[TargetId, ...]:
+        """Return the targets that ended under a content."""
+        return tuple(
+            end.target for end in self._ends if content in end.contents
+        )
+
+    def quarantined(self) -> Collection[ContentDigest]:
+        return self._until_by_content.keys()
+
+    def reports(self, now: Instant) -> tuple[EndReport, ...]:
+        """Return what an instance has to know that has just started."""
+        return tuple(
+            EndReport(
+                target=end.target,
+                contents=tuple(end.contents),
+                age=now - end.at,
+            )
+            for end in self._ends
+            if end.contents
+        )
+
+    def _find(self, target: TargetId, at: Instant) -> _End | None:
+        for end in self._ends:
+            if end.target == target and abs(end.at - at) < SAME_END_SECONDS:
+                return end
+        return None
+
+    def _was_completed(self, content: ContentDigest, at: Instant) -> bool:
+        completed_at = self._completed_at.get(content)
+        return (
+            completed_at is not None and at < completed_at + COMPLETED_SECONDS
+        )
+
+    def _judge(self, now: Instant) -> None:
+        ends = [frozenset(end.contents) for end in self._ends if end.contents]
+        self._judgement = suspicion.judge(ends, self._until_by_content)
+        for content, verdict in self._judgement.verdicts_by_content.items():
+            if verdict is Verdict.QUARANTINED:
+                until = Instant(now + QUARANTINE_SECONDS)
+                self._until_by_content.setdefault(content, until)
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import Instant
     from yuccarill.core.jobs.job import GroupId
     from yuccarill.core.jobs.job import Item
@@ -37,6 +39,8 @@
     """Say how far an item is."""
 
     WAITING = 'waiting'
+    # Not to be run for now, since engines ended under it.
+    HELD = 'held'
     RUNNING = 'running'
     SCORING = 'scoring'
     ENDED = 'ended'
@@ -52,6 +56,8 @@
         self.position = position
         self.state = RunState.WAITING
         self.text = text_module.ItemText()
+        # What the item asks, once that was needed.
+        self.content: ContentDigest | None = None
         # Set once the text is scored.
         self.score: str | None = None
         # Answers that said the item failed at an engine, or at its scorer.
@@ -129,6 +135,7 @@
         self.runs_by_id: dict[ItemId, ItemRun] = {}
         self._left_by_group: dict[GroupId, int] = {}
         self._begun: set[GroupId] = set()
+        self._held: collections.Counter[GroupId] = collections.Counter()
         self._whole_groups = 0
         for position, item in enumerate(job.items):
             self.runs_by_id[item.id] = ItemRun(job, item, position)
@@ -138,6 +145,17 @@
     def begin(self, run: ItemRun) -> None:
         self._begun.add(run.item.group)
 
+    def hold(self, run: ItemRun) -> None:
+        """Keep an item from being run."""
+        run.state = RunState.HELD
+        self._held[run.item.group] += 1
+
+    def resume(self, run: ItemRun) -> None:
+        """Let an item that was held wait for an engine again."""
+        if run.state is RunState.HELD:
+            run.state = RunState.WAITING
+            self._held[run.item.group] -= 1
+
     def end(self, item_id: ItemId) -> bool:
         """Note that an item has its result; tell if its group is whole."""
         run = self.runs_by_id.get(item_id)
@@ -182,13 +200,15 @@
             if run.state is RunState.WAITING:
                 yield run
 
-    def rank(self, run: ItemRun) -> tuple[bool, int, int]:
+    def rank(self, run: ItemRun) -> tuple[bool, bool, int, int]:
         """Order the job's items; the lowest goes first."""
         # A trainer counts whole groups: one that was begun is finished
         # before the next, those with the fewest items left first. Groups
         # carried over from an earlier step stand first in the job.
         group = run.item.group
+        # A group that can't be whole goes last.
         return (
+            self._held[group] > 0,
             group not in self._begun,
             self._left_by_group[group] if group in self._begun else 0,
             run.position,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.ids import ContentDigest
     from yuccarill.core.jobs.board import ItemRun
     from yuccarill.core.jobs.engines import EngineState
     from yuccarill.core.jobs.text import StreamEvent
@@ -159,6 +160,11 @@
             self._engine.saw_version(self._run.job.model, version)
 
 
+def content_of(run: ItemRun) -> ContentDigest:
+    """Return what tells an item from those that ask other things."""
+    return _call(run).content
+
+
 def _call(run: ItemRun) -> calls_module.TargetCall:
     item = run.item
     return calls_module.TargetCall(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -9,6 +9,7 @@
 
 from twisted.internet import defer
 
+from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import WeightVersion
@@ -25,6 +27,7 @@
     from yuccarill.core.jobs.job import JobId
     from yuccarill.daemon.gateway.jobs.generation import Generator
     from yuccarill.daemon.gateway.jobs.scoring import Scorer
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.daemon.gateway.state import GatewayState
 
 log = logs.for_part('runner')
@@ -83,6 +86,7 @@
         board: board_module.JobBoard,
         fleet: engines_module.EngineFleet,
         generator: Generator,
+        guard: ContentGuard,
         scorer: Scorer,
         desk: ResultDesk,
         clock: Any,
@@ -92,9 +96,11 @@
         self._board = board
         self._fleet = fleet
         self._generator = generator
+        self._guard = guard
         self._scorer = scorer
         self._desk = desk
         self._clock = clock
+        self._held: list[board_module.ItemRun] = []
         self._generating_by_run: dict[board_module.ItemRun, Generating] = {}
         self._is_stopped = False
         self._is_pumping = False
@@ -128,9 +134,10 @@
         # Items of one model and age of weights find the same engines.
         full: set[tuple[ModelName | None, WeightVersion]] = set()
         pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
+        self._resume_held()
         for run in self._board.waiting(pace):
             needs = (run.job.model, run.job.min_version)
-            if needs in full:
+            if needs in full or self._is_held_back(run):
                 continue
             match self._permission(run):
                 case Permission.GRANTED:
@@ -144,6 +151,45 @@
                 case Permission.ELSEWHERE:
                     continue
 
+    def _is_held_back(self, run: board_module.ItemRun) -> bool:
+        """Tell whether an item may not be run now for what it did.
+
+        Nobody may give it up before its job's time is over, or has its
+        result; until then it waits, and its job is whole without its group.
+        """
+        if self._guard.ledger.is_clear:
+            return False
+        content = self._content(run)
+        if self._guard.is_admitted(content, self._service):
+            return False
+        if self._guard.ledger.verdict(content) is Verdict.QUARANTINED:
+            # Its group can't be whole, and goes after those that can.
+            self._board.jobs_by_id[run.job.id].hold(run)
+            self._held.append(run)
+            log.info(
+                'Item held back.',
+                item=run.item.id,
+                job=run.job.id,
+                content=content,
+            )
+        return True
+
+    def _resume_held(self) -> None:
+        """Let items wait for an engine again that are quarantined no more."""
+        for run in list(self._held):
+            verdict = self._guard.ledger.verdict(self._content(run))
+            state = self._board.jobs_by_id.get(run.job.id)
+            if state is not None and verdict is Verdict.QUARANTINED:
+                continue
+            self._held.remove(run)
+            if state is not None:
+                state.resume(run)
+
+    def _content(self, run: board_module.ItemRun) -> ContentDigest:
+        if run.content is None:
+            run.content = generation.content_of(run)
+        return run.content
+
     def _permission(self, run: board_module.ItemRun) -> Permission:
         # Items are bound by the configuration in force as requests are: an
         # item must not reach a service that its route no longer names.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -40,6 +40,7 @@
     from yuccarill.daemon.gateway.jobs.generation import Generator
     from yuccarill.daemon.gateway.jobs.job_store import JobStore
     from yuccarill.daemon.gateway.jobs.scoring import Scorer
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.engines import Engines
     from yuccarill.platform.store import Entry
@@ -66,6 +67,7 @@
         store: Store,
         jobs: JobStore,
         generator: Generator,
+        guard: ContentGuard,
         scorer: Scorer,
         engines: Engines,
         clock: Any,
@@ -100,6 +102,7 @@
             self._board,
             self._fleet,
             generator,
+            guard,
             scorer,
             self,
             clock,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -28,6 +28,9 @@
 
 # Seconds between tries of a score that could not be had.
 RETRY_SECONDS = 0.2
+# Seconds between looks whether a call that ended its targets may be sent
+# again. Each is a log line of each item that waits for such a call.
+HELD_RETRY_SECONDS = 2.0
 # Part of a scoring target's places that scores may take, so that requests
 # of people find a free one.
 PLACES_PART = 0.7
@@ -52,16 +55,21 @@
         if request is None:
             return ''
         while True:
+            pause = RETRY_SECONDS
             route = self._route(request)
             if route is None:
                 log.warning('No route for a score.', item=run.item.id)
             else:
-                answer = await self._try(run, request, route)
+                try:
+                    answer = await self._try(run, request, route)
+                except errors.RequestQuarantined as error:
+                    log.info('Not scored.', item=run.item.id, cause=str(error))
+                    answer, pause = None, HELD_RETRY_SECONDS
                 if answer is not None and answer.is_success:
                     return answer.stamp
                 if run.fail_scores(0, route.max_attempts):
                     return None
-            await task.deferLater(self._clock, RETRY_SECONDS)
+            await task.deferLater(self._clock, pause)
 
     def _route(self, request: ScoreRequest) -> Route | None:
         table = self._state.table
@@ -101,6 +109,8 @@
         )
         try:
             answer = await self._sender.send(service, call, plan, record)
+        except errors.RequestQuarantined:
+            raise
         except errors.YuccarillError as error:
             answer = None
             record.last_cause = error.message
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -40,6 +40,17 @@
     ('service', 'has_ended'),
     registry=REGISTRY,
 )
+HELD_BACK = prometheus_client.Counter(
+    'yuccarill_held_back',
+    'Requests refused since targets ended under their like, by verdict',
+    ('verdict',),
+    registry=REGISTRY,
+)
+QUARANTINED = prometheus_client.Gauge(
+    'yuccarill_quarantined',
+    'Contents of requests that are refused now',
+    registry=REGISTRY,
+)
 CONNECTIONS = prometheus_client.Counter(
     'yuccarill_connections',
     'Connections opened',
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_call.py
@@ -0,0 +1,57 @@
+"""Call another instance over its peer port."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import http_exchange
+
+if TYPE_CHECKING:
+    from yuccarill.daemon.adapters.connections import Connections
+    from yuccarill.daemon.gateway.state import InstanceRecord
+
+
+class PeerFailed(Exception):
+    """Report a peer that did not do what it was asked."""
+
+
+class PeerCalls:
+    """Call peers, each call with a deadline."""
+
+    def __init__(self, links: Connections, clock: Any) -> None:
+        self._links = links
+        self._clock = clock
+
+    async def call(
+        self,
+        peer: InstanceRecord,
+        method: str,
+        target: str,
+        seconds: float,
+        body: bytes = b'',
+    ) -> bytes:
+        """Return the body of a peer's answer.
+
+        Raises PeerFailed.
+        """
+        request = http_exchange.OutgoingRequest(
+            method=method,
+            target=target,
+            headers=(('Host', peer.peer_address),),
+            body=body,
+        )
+        deadline = Instant(self._clock.seconds() + seconds)
+        try:
+            reply = await self._links.exchange(
+                peer.peer_address, request, deadline
+            )
+        except (
+            http_exchange.NotConnected,
+            http_exchange.ExchangeBroken,
+        ) as error:
+            raise PeerFailed(str(error)) from error
+        if reply.head.status != 200:
+            raise PeerFailed(f'status {reply.head.status}')
+        return reply.body
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/desk.py
@@ -0,0 +1,93 @@
+"""Show operators what is in quarantine, and take it back for them."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.ids import ContentDigest
+from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon.gateway.quarantine import reports
+from yuccarill.daemon import logs
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
+    from yuccarill.daemon.gateway.quarantine.records import QuarantineRecords
+    from yuccarill.daemon.gateway.quarantine.reports import EndReports
+
+log = logs.for_part('quarantine')
+
+PATH = '/quarantine/contents'
+
+
+class Shown(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a content that is refused."""
+
+    content: ContentDigest
+    # Host and path, as far as this instance knows them.
+    request: str
+    # The targets that ended under it.
+    targets: tuple[str, ...]
+    seconds_left: float
+
+
+class QuarantineDesk:
+    """Answer operators on the peer port, which no client reaches."""
+
+    def __init__(
+        self,
+        guard: ContentGuard,
+        records: QuarantineRecords,
+        told: EndReports,
+        clock: Any,
+    ) -> None:
+        self._guard = guard
+        self._records = records
+        self._told = told
+        self._clock = clock
+
+    async def handle(self, request: SmallRequest) -> Page:
+        """List what is refused, or take one content back."""
+        content = ContentDigest(request.path[len(PATH) + 1 :])
+        match request.method:
+            case 'GET' if not content:
+                return self._list()
+            case 'DELETE' if content:
+                return await self._release(content)
+            case _:
+                return Page(status=405)
+
+    def _list(self) -> Page:
+        ledger = self._guard.ledger
+        shown = [
+            Shown(
+                content=content,
+                request=self._guard.name_of(content),
+                targets=ledger.targets(content),
+                seconds_left=ledger.seconds_left(
+                    content, self._clock.seconds()
+                ),
+            )
+            for content in ledger.quarantined()
+        ]
+        return Page(status=200, body=msgspec.json.encode(shown))
+
+    async def _release(self, content: ContentDigest) -> Page:
+        if content not in self._guard.ledger.quarantined():
+            return Page(status=404)
+        self._told.tell(reports.EndMessage(released=(content,)))
+        try:
+            await self._records.remove(content)
+        except (
+            store_module.StoreRefused,
+            store_module.StoreUnclear,
+            store_module.StoreConflict,
+        ) as error:
+            # It comes back with the record, and has to be taken back again.
+            log.warning('Not removed.', content=content, cause=str(error))
+            return Page(status=503)
+        return Page(status=200)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -0,0 +1,240 @@
+"""Say whether a request may be sent on, by what its like did to targets."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core import errors
+from yuccarill.core.gateway import end_ledger
+from yuccarill.core.gateway.suspicion import Verdict
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from yuccarill.core.gateway.end_ledger import EndReport
+    from yuccarill.core.ids import ContentDigest
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.ids import TargetId
+    from yuccarill.daemon.gateway.state import GatewayState
+
+log = logs.for_part('quarantine')
+
+# Seconds after an end in which a suspect is kept from the last target that
+# lives: crashed processes are back after some seconds, and whoever else calls
+# the service needs that one.
+TRIAL_PAUSE = 5.0
+# Living targets that there have to be for a suspect to go out earlier.
+TRIAL_TARGETS = 2
+# Seconds after which a suspect that was held back may come again.
+TRIAL_RETRY = 1.0
+# Seconds for which a suspect is held back that another instance has just sent
+# on. With eight instances and 16 targets a simulated caller ended 3.75 of them
+# instead of 4.25, the mean of four seeds.
+TRIAL_SECONDS = 1.0
+# Contents whose host and path are kept for people to read.
+MAX_NAMES = 1024
+
+
+class ContentGuard:
+    """Hold requests back that ended their targets."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        clock: Any,
+        ledger: end_ledger.EndLedger | None = None,
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self.ledger = ledger or end_ledger.EndLedger()
+        # Called with what this instance has seen, and the others have not.
+        self.on_end: Callable[[EndReport], None] = lambda report: None
+        self.on_completed: Callable[[ContentDigest], None] = lambda c: None
+        self.on_trial: Callable[[ContentDigest], None] = lambda c: None
+        self.on_quarantined: Callable[[ContentDigest], None] = lambda c: None
+        # Contents that are not clear, by the targets that run them for this
+        # instance.
+        self._runs_by_target: dict[
+            TargetId, collections.Counter[ContentDigest]
+        ] = {}
+        # Until when suspects are held back that others have sent on.
+        self._tried_until: dict[ContentDigest, Instant] = {}
+        self._names_by_content: dict[ContentDigest, str] = {}
+        self._known: set[ContentDigest] = set()
+
+    def admit(self, content: ContentDigest, service: ServiceName) -> Verdict:
+        """Return how a content may be sent on.
+
+        Raises RequestQuarantined if it may not now.
+        """
+        verdict = self.ledger.verdict(content)
+        if verdict is Verdict.QUARANTINED:
+            left = self.ledger.seconds_left(content, self._now())
+            raise self._refusal(content, verdict, left)
+        if verdict is Verdict.SUSPECT and not self._may_try(content, service):
+            raise self._refusal(content, verdict, TRIAL_RETRY)
+        return verdict
+
+    def is_admitted(
+        self, content: ContentDigest, service: ServiceName
+    ) -> bool:
+        """Tell whether a content may be sent on now."""
+        verdict = self.ledger.verdict(content)
+        if verdict is Verdict.SUSPECT:
+            return self._may_try(content, service)
+        return verdict is not Verdict.QUARANTINED
+
+    def elsewhere(self, content: ContentDigest) -> frozenset[TargetId]:
+        """Return the targets that a content had better not share.
+
+        A request that was beside the cause of an end would be beside it at
+        the next target too, where both are sent at once, and look the same.
+        """
+        if self.ledger.is_clear:
+            return frozenset()
+        return frozenset(
+            target
+            for target, running in self._runs_by_target.items()
+            if running.keys() - {content}
+        )
+
+    def begin(self, target: TargetId, content: ContentDigest) -> bool:
+        """Note a run of a content that is not clear; tell if it was noted."""
+        verdict = self.ledger.verdict(content)
+        if verdict is Verdict.CLEAR:
+            return False
+        if verdict is Verdict.SUSPECT:
+            self.on_trial(content)
+        running = self._runs_by_target.setdefault(
+            target, collections.Counter()
+        )
+        running[content] += 1
+        return True
+
+    def finish(self, target: TargetId, content: ContentDigest) -> None:
+        """Note that a run which was noted is over."""
+        running = self._runs_by_target[target]
+        running[content] -= 1
+        if not running[content]:
+            del running[content]
+        if not running:
+            del self._runs_by_target[target]
+
+    def tried_elsewhere(self, content: ContentDigest) -> None:
+        """Hold a suspect back that another instance has sent on."""
+        until = Instant(self._now() + TRIAL_SECONDS)
+        self._tried_until[content] = until
+
+    def completed(self, content: ContentDigest) -> None:
+        """Note that a target finished a run of a content."""
+        if self.ledger.completed(content, self._now()):
+            log.info('Cleared by a finished run.', content=content)
+            self.on_completed(content)
+
+    def name(self, content: ContentDigest, name: str) -> None:
+        """Keep host and path of a content for people to read."""
+        self._names_by_content[content] = name
+        while len(self._names_by_content) > MAX_NAMES:
+            del self._names_by_content[next(iter(self._names_by_content))]
+
+    def name_of(self, content: ContentDigest) -> str:
+        """Return host and path of a content, as far as they are known."""
+        return self._names_by_content.get(content, '')
+
+    def target_ended(self, report: EndReport) -> None:
+        """Take an end that this instance has seen, and tell the others."""
+        completed = self.ledger.known_completed(report.contents, self._now())
+        suspected = tuple(c for c in report.contents if c not in completed)
+        if not suspected:
+            return
+        told = msgspec.structs.replace(report, contents=suspected)
+        self.ledger.report(told, self._now())
+        self.on_end(told)
+        for content in self._note_quarantined():
+            self.on_quarantined(content)
+
+    def take(self, reports: Iterable[EndReport]) -> None:
+        """Take ends that others have seen."""
+        now = self._now()
+        for report in reports:
+            self.ledger.report(report, now)
+        self._note_quarantined()
+
+    def quarantine(self, content: ContentDigest, seconds: float) -> None:
+        """Refuse a content that another instance found to be a cause."""
+        self.ledger.quarantine(content, seconds, self._now())
+        self._note_quarantined()
+
+    def release(self, content: ContentDigest) -> None:
+        """Let a content be sent on again."""
+        self.ledger.release(content, self._now())
+        self._known.discard(content)
+        log.info('Released.', content=content)
+        self._count()
+
+    def expire(self) -> None:
+        """Drop what no longer counts."""
+        for content in self.ledger.expire(self._now()):
+            self._known.discard(content)
+            log.info('Quarantine over.', content=content)
+        now = self._now()
+        self._tried_until = {
+            content: until
+            for content, until in self._tried_until.items()
+            if now < until
+        }
+        self._count()
+
+    def _may_try(self, content: ContentDigest, service: ServiceName) -> bool:
+        if any(content in runs for runs in self._runs_by_target.values()):
+            # One run tells as much as two, and ends one target less.
+            return False
+        now = self._now()
+        if now < self._tried_until.get(content, now):
+            return False
+        last_end = self.ledger.last_end(content)
+        if last_end is None or now >= last_end + TRIAL_PAUSE:
+            return True
+        ready = self._state.targets.ready(service).keys()
+        ended = self.ledger.ended_since(Instant(now - TRIAL_PAUSE))
+        return len(ready - ended) >= TRIAL_TARGETS
+
+    def _refusal(
+        self, content: ContentDigest, verdict: Verdict, seconds: float
+    ) -> errors.RequestQuarantined:
+        meters.HELD_BACK.labels(verdict.value).inc()
+        targets = self.ledger.targets(content)
+        return errors.RequestQuarantined(
+            f'The request was not run: targets ended under its like '
+            f'(content {content}: {", ".join(targets[-3:]) or "elsewhere"}).',
+            seconds,
+        )
+
+    def _note_quarantined(self) -> list[ContentDigest]:
+        """Log what is newly refused, and return it."""
+        new = [c for c in self.ledger.quarantined() if c not in self._known]
+        for content in new:
+            log.warning(
+                'Request quarantined.',
+                content=content,
+                request=self.name_of(content),
+                targets=self.ledger.targets(content),
+                seconds=self.ledger.seconds_left(content, self._now()),
+            )
+        self._known = set(self.ledger.quarantined())
+        self._count()
+        return new
+
+    def _count(self) -> None:
+        meters.QUARANTINED.set(len(self.ledger.quarantined()))
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import defer
 
+from yuccarill.core.gateway.end_ledger import EndReport
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import ContentDigest
 from yuccarill.daemon.gateway import meters
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from yuccarill.core.ids import TargetId
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.platform.calls import Calls
 
 log = logs.for_part('ends')
@@ -37,8 +39,9 @@
     crashed refuses the next connection.
     """
 
-    def __init__(self, calls: Calls) -> None:
+    def __init__(self, calls: Calls, guard: ContentGuard) -> None:
         self._calls = calls
+        self._guard = guard
         self._losses_by_target: dict[TargetId, _Loss] = {}
 
     async def lost(self, target: ListedTarget, content: ContentDigest) -> bool:
@@ -68,6 +71,11 @@
                 service=target.service,
                 contents=loss.contents,
             )
+            if has_ended:
+                contents = tuple(dict.fromkeys(loss.contents))
+                self._guard.target_ended(
+                    EndReport(target=target.id, contents=contents)
+                )
             for waiting in loss.waiting:
                 waiting.callback(has_ended)
         return has_ended
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import Instant
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.daemon.gateway.quarantine.target_ends import TargetEnds
     from yuccarill.platform.calls import Calls
     from yuccarill.platform.calls import GenerationSink
@@ -19,9 +23,12 @@
 class WatchedCalls:
     """Send calls as `Calls` does, and look after connections that end."""
 
-    def __init__(self, calls: Calls, ends: TargetEnds) -> None:
+    def __init__(
+        self, calls: Calls, ends: TargetEnds, guard: ContentGuard
+    ) -> None:
         self._calls = calls
         self._ends = ends
+        self._guard = guard
 
     def is_connected(self, target: ListedTarget) -> bool:
         """Tell whether a call to a target needs no new connection."""
@@ -42,11 +49,16 @@
 
         Raises CallFailed.
         """
-        try:
-            return await self._calls.send(target, call, answer_by, is_fresh)
-        except calls_module.CallFailed as error:
-            await self._failed(target, call, error)
-            raise
+        with self._noted(target, call):
+            try:
+                answer = await self._calls.send(
+                    target, call, answer_by, is_fresh
+                )
+            except calls_module.CallFailed as error:
+                await self._failed(target, call, error)
+                raise
+        self._answered(call, answer)
+        return answer
 
     async def generate(
         self,
@@ -60,13 +72,34 @@
 
         Raises CallFailed.
         """
+        with self._noted(engine, call):
+            try:
+                answer = await self._calls.generate(
+                    engine, call, answer_by, progress_seconds, sink
+                )
+            except calls_module.CallFailed as error:
+                await self._failed(engine, call, error)
+                raise
+        self._answered(call, answer)
+        return answer
+
+    @contextlib.contextmanager
+    def _noted(self, target: ListedTarget, call: TargetCall) -> Iterator[None]:
+        if self._guard.ledger.is_clear:
+            yield
+            return
+        is_noted = self._guard.begin(target.id, call.content)
         try:
-            return await self._calls.generate(
-                engine, call, answer_by, progress_seconds, sink
-            )
-        except calls_module.CallFailed as error:
-            await self._failed(engine, call, error)
-            raise
+            yield
+        finally:
+            if is_noted:
+                self._guard.finish(target.id, call.content)
+
+    def _answered(self, call: TargetCall, answer: TargetAnswer) -> None:
+        # A 500 may come from a target that fails whatever it gets, and a 504
+        # from one that was stopped before it came to what ends it.
+        if not answer.not_run and not answer.is_server_error:
+            self._guard.completed(call.content)
 
     async def _failed(
         self,
@@ -74,5 +107,7 @@
         call: TargetCall,
         error: calls_module.CallFailed,
     ) -> None:
-        if error.is_lost:
-            await self._ends.lost(target, call.content)
+        if not error.is_lost:
+            return
+        self._guard.name(call.content, call.name)
+        await self._ends.lost(target, call.content)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -21,7 +21,6 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import ServiceName
-    from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.jobs.intake import Intake
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
@@ -132,13 +131,11 @@
         deadline = requests.time_limit(route, request)
         service = self._service(route)
         call = call_of(request, deadline)
-        tried: set[TargetId] = set()
+        tries = self._sender.tries(service, call, route.max_attempts)
         cause = 'no target is ready'
-        for _ in range(route.max_attempts):
-            target = self._sender.choose(service, frozenset(tried))
-            if target is None or self._clock.seconds() >= deadline:
+        while (target := tries.next()) is not None:
+            if self._clock.seconds() >= deadline:
                 break
-            tried.add(target.id)
             try:
                 answer = await self._calls.send(
                     target, call, deadline, is_fresh=True
@@ -150,6 +147,7 @@
                         f'The target broke off: {error}.'
                     ) from error
                 cause = str(error)
+                tries.not_reached(target)
                 continue
             if not answer.not_run:
                 return answer
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -12,8 +13,10 @@
 from yuccarill.core.calls import pool as pool_module
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway.requests import tries
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
@@ -27,6 +30,7 @@
     from yuccarill.core.ids import DataCentreId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.calls import TargetCall
@@ -115,9 +119,16 @@
 class Sender:
     """Send requests that may be repeated."""
 
-    def __init__(self, pools: Pools, calls: WatchedCalls, clock: Any) -> None:
+    def __init__(
+        self,
+        pools: Pools,
+        calls: WatchedCalls,
+        guard: ContentGuard,
+        clock: Any,
+    ) -> None:
         self._pools = pools
         self._calls = calls
+        self._guard = guard
         self._clock = clock
 
     async def send(
@@ -141,16 +152,36 @@
     def now(self) -> Instant:
         return Instant(self._clock.seconds())
 
+    def tries(
+        self, service: ServiceName, call: TargetCall, limit: int
+    ) -> tries.TargetTries:
+        """Return the choice of targets for one request."""
+        return tries.TargetTries(
+            self, self._guard, service, call.content, limit
+        )
+
+    def may_hedge(self, call: TargetCall) -> bool:
+        """Tell whether two targets may run a request at once."""
+        return self._guard.ledger.verdict(call.content) is Verdict.CLEAR
+
     def choose(
-        self, service: ServiceName, tried: frozenset[TargetId]
+        self,
+        service: ServiceName,
+        tried: frozenset[TargetId],
+        avoided: frozenset[TargetId] = frozenset(),
     ) -> ListedTarget | None:
-        """Return a target that was not tried yet, or any one."""
+        """Return a target that was not tried yet, or any one.
+
+        One that is to be avoided is taken where there is no other.
+        """
         pool = self._pools.pool(service, self.now())
         connected = self._connected(service)
-        chosen = pool.choose(
-            self.now(), tried, connected=connected
-        ) or pool.choose(self.now())
-        return None if chosen is None else self._pools.target(chosen)
+        chosen = (
+            pool.choose(self.now(), tried | avoided, connected=connected)
+            or (avoided and pool.choose(self.now(), tried))
+            or pool.choose(self.now())
+        )
+        return self._pools.target(chosen) if chosen else None
 
     def _connected(self, service: ServiceName) -> set[TargetId]:
         return {
@@ -230,13 +261,16 @@
         self._call = call
         self._plan = plan
         self._record = record
-        self._tried: set[TargetId] = set()
+        # The plan counts the attempts.
+        self._tries = sender.tries(service, call, sys.maxsize)
+        self._refusal: errors.RequestQuarantined | None = None
         self._running: list[defer.Deferred[None]] = []
         self._success: TargetAnswer | None = None
         self._wake: defer.Deferred[None] | None = None
 
     async def run(self) -> TargetAnswer:
         while self._success is None:
+            self._plan.may_hedge = self._sender.may_hedge(self._call)
             match self._plan.next(self._sender.now()):
                 case attempts.Next.START:
                     self._start()
@@ -252,13 +286,11 @@
             running.cancel()
 
     def _start(self) -> None:
-        target = self._sender.choose(self._service, frozenset(self._tried))
+        target = self._next_target()
         if target is None:
-            # No target is left: more attempts would find none either.
-            self._record.last_cause = 'no target is ready'
+            # More attempts would find none either.
             self._plan.max_attempts = self._plan.started
             return
-        self._tried.add(target.id)
         self._plan.start(self._sender.now())
         self._record.attempts += 1
         running = defer.Deferred.fromCoroutine(self._attempt(target))
@@ -266,6 +298,17 @@
             self._running.append(running)
             running.addBoth(self._ended, running)
 
+    def _next_target(self) -> ListedTarget | None:
+        try:
+            target = self._tries.next()
+        except errors.RequestQuarantined as error:
+            self._refusal = error
+            self._record.last_cause = error.message
+            return None
+        if target is None and not self._record.last_cause:
+            self._record.last_cause = 'no target is ready'
+        return target
+
     def _ended(self, result: object, running: defer.Deferred[None]) -> None:
         if running in self._running:
             self._running.remove(running)
@@ -276,9 +319,13 @@
                 target, self._call, self._plan.deadline
             )
         except calls_module.CallFailed as error:
-            if error.end is calls_module.CallEnd.BROKEN:
-                self._record.may_have_run += 1
             self._record.last_cause = str(error)
+            if error.end is calls_module.CallEnd.NOT_SENT:
+                self._tries.not_reached(target)
+                self._plan.withdraw()
+                self._wake_up()
+                return
+            self._record.may_have_run += 1
         except defer.CancelledError:
             return
         else:
@@ -318,6 +365,8 @@
             return record.failure
         cause = record.last_cause or 'no target answered in time'
         if record.may_have_run == 0 and self._plan.in_flight == 0:
+            if self._refusal is not None:
+                raise self._refusal
             raise errors.NotRun(
                 f'The request was not run: {cause}.', RETRY_AFTER
             )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -16,7 +16,6 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.routes import Route
-    from yuccarill.core.ids import TargetId
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
@@ -50,13 +49,15 @@
             raise errors.NoTarget('The route has no service.', 1.0)
         run = _StreamRun(request, answerer)
         deadline = Instant(self._clock.seconds() + 600.0)
-        tried: set[TargetId] = set()
+        tries = self._sender.tries(service, run.call(), route.max_attempts)
         cause = 'no target is ready'
-        for _ in range(route.max_attempts):
-            target = self._sender.choose(service, frozenset(tried))
+        while True:
+            try:
+                target = tries.next()
+            except errors.RequestQuarantined as error:
+                return run.refuse(error)
             if target is None:
                 break
-            tried.add(target.id)
             try:
                 answer = await self._calls.generate(
                     target, run.call(), deadline, SILENCE_SECONDS, run
@@ -67,6 +68,8 @@
                     run.may_have_run = True
                     if not route.is_resumable:
                         break
+                else:
+                    tries.not_reached(target)
                 continue
             if answer.not_run:
                 cause = f'refused with status {answer.status}'
@@ -119,6 +122,12 @@
             self._answerer.answer(answer)
         return f'status {answer.status}'
 
+    def refuse(self, error: errors.RequestQuarantined) -> str:
+        """End a stream that may not be sent on any more."""
+        if not self._has_begun and not self.may_have_run:
+            raise error
+        return self.give_up(error.message)
+
     def give_up(self, cause: str) -> str:
         """End a stream that no target finished."""
         if self._has_begun:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -9,10 +9,13 @@
 
 from yuccarill.core.gateway.targets import TargetList
 from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import TargetId
+from yuccarill.core.ids import WallTime
 
 if TYPE_CHECKING:
     from yuccarill.core.gateway.leadership import LastHolder
     from yuccarill.core.gateway.routes import RouteTable
+    from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import ServiceName
     from yuccarill.platform.settings_file import InstanceSettings
@@ -40,6 +43,18 @@
     revision: int = 0
 
 
+class QuarantineRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a request that no instance sends on any more."""
+
+    # Host and path.
+    request: str
+    # The targets that ended under it.
+    targets: tuple[TargetId, ...]
+    # Who found it to be their cause.
+    instance: str
+    until: WallTime
+
+
 @dataclasses.dataclass
 class GatewayState:
     """Hold what controllers read and write."""
@@ -57,6 +72,9 @@
     last_holders_by_service: dict[ServiceName, LastHolder] = dataclasses.field(
         default_factory=dict
     )
+    quarantined_by_content: dict[ContentDigest, QuarantineRecord] = (
+        dataclasses.field(default_factory=dict)
+    )
     # Every section above has been read once.
     is_current: bool = False
     # Written by the process.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -9,6 +9,7 @@
 
 from yuccarill.core import errors
 from yuccarill.core.gateway.leadership import LastHolder
+from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ServiceName
 from yuccarill.daemon.gateway import meters
@@ -190,6 +191,15 @@
                     msgspec.structs.replace(record, revision=change.revision)
                 )
 
+        elif key.startswith(keys.QUARANTINE_PREFIX):
+            content = ContentDigest(key[len(keys.QUARANTINE_PREFIX) :])
+            if isinstance(change, store_module.Removal):
+                state.quarantined_by_content.pop(content, None)
+                return
+            state.quarantined_by_content[content] = msgspec.msgpack.decode(
+                change.value, type=state_module.QuarantineRecord
+            )
+
     def _read(self) -> None:
         if not self._state.is_current:
             self._state.is_current = all(
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/crash_world.py
@@ -0,0 +1,370 @@
+"""Put instances before targets that end, at a clock set by hand."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core import errors
+from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import TargetId
+from yuccarill.daemon.adapters.small_server import SmallRequest
+from yuccarill.daemon.gateway import peer_call
+from yuccarill.daemon.gateway.quarantine import guard
+from yuccarill.daemon.gateway.quarantine import reports
+from yuccarill.daemon.gateway.quarantine import target_ends
+from yuccarill.daemon.gateway.quarantine import watched_calls
+from yuccarill.daemon.gateway.requests import sender
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.platform import calls
+
+from . import world
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = ServiceName('plain')
+# What a request begins with that ends the target which runs it.
+CRASH = b'crash'
+# Seconds: one way between instances, of an ordinary run, until a target ends
+# under a request, until it is back under another id, until that is listed and
+# until the entry of the one before lapses. As on the users' platform.
+HOP = 0.002
+WORK = 0.04
+CRASH_AFTER = (0.05, 0.35)
+RESTART = 3.0
+LISTING = 0.5
+LAPSE = 3.6
+# Of a route: seconds, attempts, seconds until a second one beside the first.
+TIMEOUT = 2.0
+ATTEMPTS = 2
+HEDGE = 0.08
+STEP = 0.005
+# Seconds from an instance's start until it is ready and callers know of it.
+READY = 0.5
+
+
+@dataclasses.dataclass
+class Target:
+    """Hold one process."""
+
+    listed: ListedTarget
+    is_alive: bool = True
+    runs: list[defer.Deferred[None]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Instance:
+    """Hold the parts of one instance that are under test."""
+
+    name: str
+    state: state_module.GatewayState
+    guard: guard.ContentGuard
+    sender: sender.Sender
+    reports: reports.EndReports
+    # When callers learn of it.
+    listed_at: float
+
+
+@dataclasses.dataclass
+class Outcome:
+    """Count what became of the requests of one body."""
+
+    served: int = 0
+    failed: int = 0
+
+
+class CrashWorld:
+    """Run callers, instances and targets."""
+
+    def __init__(self, instances: int, targets: int, seed: int = 1) -> None:
+        self.clock = task.Clock()
+        self.random = random.Random(seed)
+        self.targets_by_id: dict[TargetId, Target] = {}
+        self.instances_by_name: dict[str, Instance] = {}
+        # When each run of a body that ends targets began.
+        self.crashing_runs: dict[bytes, list[float]] = collections.defaultdict(
+            list
+        )
+        self.ends: list[tuple[float, TargetId]] = []
+        # By body and second of sending.
+        self.outcomes: dict[tuple[bytes, int], Outcome] = (
+            collections.defaultdict(Outcome)
+        )
+        # What went wrong in the parts under test.
+        self.errors: list[object] = []
+        self._starts = 0
+        self._count = 0
+        for number in range(targets):
+            self._start_target(f'10.0.0.{number}:80')
+        for number in range(instances):
+            self.add_instance(f'n{number}')
+
+    def add_instance(self, name: str) -> Instance:
+        """Start an instance that knows nothing of before."""
+        state = state_module.GatewayState(world.settings(name))
+        for target in self.targets_by_id.values():
+            state.targets.put(target.listed)
+        plain = SimulatedCalls(self)
+        guarding = guard.ContentGuard(state, self.clock)
+        watched = watched_calls.WatchedCalls(
+            plain, target_ends.TargetEnds(plain, guarding), guarding
+        )
+        found = Instance(
+            name=name,
+            state=state,
+            guard=guarding,
+            sender=sender.Sender(
+                sender.Pools(state), watched, guarding, self.clock
+            ),
+            reports=reports.EndReports(
+                state, guarding, SimulatedPeers(self), self.clock
+            ),
+            listed_at=self.clock.seconds() + READY,
+        )
+        guarding.on_quarantined = found.reports.tell_quarantined
+        self.instances_by_name[name] = found
+        for each in self.instances_by_name.values():
+            world.list_instance(each.state, name)
+            world.list_instance(state, each.name)
+        found.reports.start()
+        return found
+
+    def run(self, until: float, *loads: Callable[[], None]) -> None:
+        """Let time pass; each load is called at each step."""
+        while self.clock.seconds() < until:
+            for load in loads if self.clock.seconds() >= READY else ():
+                load()
+            self.clock.advance(STEP)
+        if self.errors:
+            raise AssertionError(self.errors[0])
+
+    def often(self, rate: float, bodies: list[bytes]) -> Callable[[], None]:
+        """Return a load that sends one of some bodies at a rate."""
+
+        def load() -> None:
+            if self.random.random() < rate * STEP:
+                body = self.random.choice(bodies)
+                work = defer.Deferred.fromCoroutine(self.call(body))
+                work.addErrback(self.errors.append)
+
+        return load
+
+    def every(
+        self, seconds: float, action: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Return a load that does something once in some seconds."""
+        due = [seconds]
+
+        def load() -> None:
+            if self.clock.seconds() >= due[0]:
+                due[0] += seconds
+                action()
+
+        return load
+
+    async def call(self, body: bytes, retries: int = 1) -> None:
+        """Be a caller that tries once more, at another instance."""
+        outcome = self.outcomes[body, int(self.clock.seconds())]
+        for _ in range(retries + 1):
+            now = self.clock.seconds()
+            ready = [
+                each
+                for each in self.instances_by_name.values()
+                if now >= each.listed_at
+            ]
+            pause = 0.05
+            try:
+                answer = await self._send(self.random.choice(ready), body)
+            except errors.YuccarillError as error:
+                pause = min(error.retry_after or pause, TIMEOUT / 3)
+            else:
+                if answer.is_success:
+                    outcome.served += 1
+                    return
+            await task.deferLater(self.clock, pause)
+        outcome.failed += 1
+
+    def share_served(self, bodies: list[bytes], since: float) -> float:
+        """Return which part of the requests of some bodies was served."""
+        found = [
+            outcome
+            for (body, second), outcome in self.outcomes.items()
+            if body in bodies and second >= since
+        ]
+        served = sum(each.served for each in found)
+        return served / (served + sum(each.failed for each in found))
+
+    def quarantined(self) -> set[bytes]:
+        """Return the bodies that any instance refuses."""
+        bodies = {body for body, _ in self.outcomes}
+        return {
+            body
+            for body in bodies
+            for each in self.instances_by_name.values()
+            if self.content(body) in each.guard.ledger.quarantined()
+        }
+
+    def runs_too_late(self, body: bytes, seconds: float = 3.0) -> int:
+        """Count runs that began later than so after the third end."""
+        runs = self.crashing_runs[body]
+        if len(runs) < 3:
+            return 0
+        return sum(at > runs[2] + CRASH_AFTER[1] + seconds for at in runs)
+
+    def content(self, body: bytes) -> str:
+        return self._target_call(body).content
+
+    def end(self, target: Target) -> None:
+        """End a process, which another one replaces after a time."""
+        if not target.is_alive:
+            return
+        target.is_alive = False
+        self.ends.append((self.clock.seconds(), target.listed.id))
+        self.cut(target)
+        self.clock.callLater(
+            RESTART, self._start_target, target.listed.address
+        )
+        self.clock.callLater(LAPSE, self._remove, target.listed.id)
+
+    def cut(self, target: Target) -> None:
+        """Lose the connections of all that runs at a target."""
+        for run in list(target.runs):
+            if not run.called:
+                run.errback(
+                    calls.CallFailed(
+                        calls.CallEnd.BROKEN, 'lost', is_lost=True
+                    )
+                )
+
+    def living(self) -> list[Target]:
+        return [t for t in self.targets_by_id.values() if t.is_alive]
+
+    def _remove(self, target: TargetId) -> None:
+        del self.targets_by_id[target]
+        for each in self.instances_by_name.values():
+            each.state.targets.remove(target)
+
+    def _start_target(self, address: str) -> None:
+        self._starts += 1
+        listed = msgspec.structs.replace(
+            world.engine(f't{self._starts}'),
+            service=SERVICE,
+            address=address,
+        )
+        self.targets_by_id[listed.id] = Target(listed)
+        self.clock.callLater(LISTING, self._list, listed)
+
+    def _list(self, listed: ListedTarget) -> None:
+        for each in self.instances_by_name.values():
+            each.state.targets.put(listed)
+
+    async def _send(self, instance: Instance, body: bytes) -> TargetAnswer:
+        plan = attempts.AttemptPlan(
+            deadline=Instant(self.clock.seconds() + TIMEOUT),
+            max_attempts=ATTEMPTS,
+            hedge_delay=HEDGE,
+        )
+        return await instance.sender.send(
+            SERVICE, self._target_call(body), plan, sender.SendRecord()
+        )
+
+    def _target_call(self, body: bytes) -> calls.TargetCall:
+        self._count += 1
+        return calls.TargetCall(
+            id=RequestId(f'r{self._count}'),
+            method='POST',
+            target='/p',
+            headers=(('Host', 'h'),),
+            body=body,
+        )
+
+
+class SimulatedCalls:
+    """Call the targets of a world."""
+
+    def __init__(self, among: CrashWorld) -> None:
+        self._world = among
+        self._clock = among.clock
+
+    def is_connected(self, target: ListedTarget) -> bool:
+        return False
+
+    async def has_ended(self, target: ListedTarget) -> bool:
+        await task.deferLater(self._clock, HOP)
+        return not any(
+            each.listed.address == target.address
+            for each in self._world.living()
+        )
+
+    async def send(
+        self,
+        target: ListedTarget,
+        call: calls.TargetCall,
+        answer_by: Instant,
+        is_fresh: bool = False,
+    ) -> TargetAnswer:
+        await task.deferLater(self._clock, HOP)
+        found = self._world.targets_by_id.get(target.id)
+        if found is None or not found.is_alive:
+            raise calls.CallFailed(calls.CallEnd.NOT_SENT, 'refused')
+        run: defer.Deferred[None] = defer.Deferred()
+        found.runs.append(run)
+        self._begin(found, call, run)
+        try:
+            await run
+        finally:
+            found.runs.remove(run)
+        return TargetAnswer(status=200, headers=(), body=b'', stamp='signed')
+
+    def _begin(
+        self, target: Target, call: calls.TargetCall, run: defer.Deferred[None]
+    ) -> None:
+        if call.body.startswith(CRASH):
+            now = self._clock.seconds()
+            self._world.crashing_runs[call.body].append(now)
+            seconds = self._world.random.uniform(*CRASH_AFTER)
+            self._clock.callLater(seconds, self._world.end, target)
+            return
+        work = self._world.random.expovariate(1.0 / WORK)
+        self._clock.callLater(work, _finish, run)
+
+
+class SimulatedPeers:
+    """Carry messages between the instances of a world."""
+
+    def __init__(self, among: CrashWorld) -> None:
+        self._world = among
+
+    async def call(
+        self,
+        peer: state_module.InstanceRecord,
+        method: str,
+        target: str,
+        seconds: float,
+        body: bytes = b'',
+    ) -> bytes:
+        await task.deferLater(self._world.clock, HOP)
+        found = self._world.instances_by_name.get(peer.instance)
+        if found is None:
+            raise peer_call.PeerFailed('gone')
+        request = SmallRequest(method=method, target=target, body=body)
+        page = await found.reports.handle(request)
+        await task.deferLater(self._world.clock, HOP)
+        return page.body
+
+
+def _finish(run: defer.Deferred[None]) -> None:
+    if not run.called:
+        run.callback(None)
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -30,6 +30,9 @@
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import job_store
 from yuccarill.daemon.gateway.jobs import runner as runner_module
+from yuccarill.daemon.gateway.quarantine import guard
+from yuccarill.daemon.gateway.quarantine import target_ends
+from yuccarill.daemon.gateway.quarantine import watched_calls
 from yuccarill.platform import calls
 from yuccarill.platform import engines as wire_engines
 from yuccarill.platform import keys
@@ -45,6 +48,10 @@
 
 GAP = 0.04
 EVENTS = 10
+# Seconds until an engine ends under an item that crashes it, and until its
+# next process listens.
+CRASH_SECONDS = 0.08
+AWAY_SECONDS = 3.0
 
 
 @dataclasses.dataclass
@@ -64,6 +71,9 @@
     orders: int = 0
     orders_received: int = 0
     order_epochs: list[int] = dataclasses.field(default_factory=list)
+    # Processes that ended under an item, and until when none listens.
+    ends: int = 0
+    away_until: float = 0.0
 
 
 @dataclasses.dataclass
@@ -75,6 +85,8 @@
     # Every run that began: the item and the event it began after.
     runs: list[tuple[str, int]] = dataclasses.field(default_factory=list)
     named_version: int = 99
+    # Items that end the engine which begins to run them.
+    crashing: set[str] = dataclasses.field(default_factory=set)
 
     async def generate(
         self,
@@ -86,7 +98,15 @@
     ) -> TargetAnswer:
         found = self.engines_by_id[engine.id]
         first = call.after_event or 0
+        if self.clock.seconds() < found.away_until:
+            await self._sleep(0.001)
+            raise calls.CallFailed(calls.CallEnd.NOT_SENT, 'refused')
         self.runs.append((call.id, first))
+        if call.id in self.crashing:
+            await self._sleep(CRASH_SECONDS)
+            found.ends += 1
+            found.away_until = self.clock.seconds() + AWAY_SECONDS
+            raise _lost()
         if found.is_dark:
             await self._sleep(progress_seconds)
             raise calls.CallFailed(calls.CallEnd.BROKEN, 'silent')
@@ -107,9 +127,12 @@
         self, engine: Engine, first: int, sink: calls.GenerationSink
     ) -> None:
         version = engine.version
+        ends = engine.ends
         made = 0
         for number in range(first + 1, EVENTS + 1):
             await self._sleep(engine.gap)
+            if engine.ends != ends:
+                raise _lost()
             if engine.breaks_after and made >= engine.breaks_after:
                 raise http_exchange.SinkRefused('broke off')
             changed = engine.version != version
@@ -123,6 +146,11 @@
             )
             made += 1
 
+    async def has_ended(self, engine: ListedTarget) -> bool:
+        away_until = self.engines_by_id[engine.id].away_until
+        await self._sleep(0.001)
+        return self.clock.seconds() < away_until
+
     async def report(
         self, engine: ListedTarget, deadline: Instant
     ) -> wire_engines.EngineReport:
@@ -157,6 +185,10 @@
         await task.deferLater(self.clock, seconds)
 
 
+def _lost() -> calls.CallFailed:
+    return calls.CallFailed(calls.CallEnd.BROKEN, 'lost', is_lost=True)
+
+
 class Scorer:
     """Score each text at once."""
 
@@ -216,13 +248,20 @@
         for engine in self.engines.engines_by_id.values():
             state.targets.put(engine.target)
         self.known = state
+        guarding = guard.ContentGuard(state, self.clock)
+        watched = watched_calls.WatchedCalls(
+            self.engines,
+            target_ends.TargetEnds(self.engines, guarding),
+            guarding,
+        )
         memory = self.store()
         found = runner_module.Runner(
             state,
             duty,
             memory,
             job_store.JobStore(memory, self.clock),
-            generation.Generator(self.engines, self.clock),
+            generation.Generator(watched, self.clock),
+            guarding,
             Scorer(),
             self.engines,
             self.clock,
@@ -251,7 +290,7 @@
             items=tuple(
                 Item(
                     id=ItemId(f'{name}-{group}-{place}'),
-                    path='/train/p',
+                    path=f'/train/{group}/{place}',
                     headers=(),
                     body=b'prompt',
                     tokens=10,
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -58,6 +58,26 @@
         self.assert_whole(2)
         self.assertEqual([0, 3, 6, 9], self.runs_of('j-0-0'))
 
+    def test_an_item_that_ends_engines_is_held_back(self) -> None:
+        """Each engine in turn ended under one item, with all its other runs.
+
+        1. An item ends the engine that begins to run it, which is back 3 s
+           later.
+        2. After three ends it is held back, and the others are whole.
+        3. It is given up when its job's time is over, and not before.
+        """
+        self.engines.crashing = {'j-0-0'}
+        self.hold('a')
+        self.submit(groups=5)
+        self.run_for(25.0)
+        self.assertEqual(3, len(self.runs_of('j-0-0')))
+        self.assertEqual(9, len(self.results()))
+        self.run_for(20.0)
+        self.assertEqual(3, len(self.runs_of('j-0-0')))
+        states = {each.id: each.state for each in self.results()}
+        self.assertIs(ResultState.FAILED, states.pop('j-0-0'))
+        self.assertEqual({ResultState.COMPLETED}, set(states.values()))
+
     def test_runs_leave_a_slow_engine(self) -> None:
         """One slow engine of two held each group's last item up.
 
--- a/packages/yuccarill-daemon/tests/gateway/test_sender.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -12,12 +12,14 @@
 from yuccarill.core.calls import pool as pool_module
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway.end_ledger import EndReport
 from yuccarill.core.gateway.requests import TargetAnswer
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.gateway.targets import TargetList
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
+from yuccarill.daemon.gateway.quarantine import guard
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.platform import calls
 
@@ -69,6 +71,9 @@
 
 
 class SenderTest(world.WorldTest):
+    # Targets that have ended under the request.
+    known_ends: list[str] = []
+
     def send(self, max_attempts: int = 2, **replies: object) -> TargetAnswer:
         state = self.state('a')
         state.targets.targets_by_id.clear()
@@ -78,7 +83,14 @@
             self.clock, {TargetId(n): r for n, r in replies.items()}
         )
         self.record = sender.SendRecord()
-        sending = sender.Sender(sender.Pools(state), self.targets, self.clock)
+        self.guard = guard.ContentGuard(state, self.clock)
+        for target in self.known_ends:
+            self.guard.target_ended(
+                EndReport(target=TargetId(target), contents=(CALL.content,))
+            )
+        sending = sender.Sender(
+            sender.Pools(state), self.targets, self.guard, self.clock
+        )
         plan = attempts.AttemptPlan(
             deadline=Instant(self.clock.seconds() + 1.0),
             max_attempts=max_attempts,
@@ -127,6 +139,42 @@
             self.send(2, x=(0.0, refused), y=(0.0, refused), z=(0.0, refused))
         self.assertEqual(2, len(self.targets.called))
 
+    def test_a_target_that_was_not_reached_does_not_count(self) -> None:
+        """A caller was refused beside a target that could have served it.
+
+        1. Two of three targets are gone and still listed.
+        2. The request may be sent to two, and both refuse its connection.
+        3. It was sent to none of them, and goes to the third.
+        """
+        gone = (0.001, calls.CallEnd.NOT_SENT)
+        for _ in range(10):
+            found = self.send(2, x=gone, y=gone, z=(0.02, answer()))
+            self.assertEqual(200, found.status)
+
+    def test_targets_that_are_all_gone_are_asked_once_each(self) -> None:
+        gone = (0.001, calls.CallEnd.NOT_SENT)
+        with self.assertRaises(errors.NotRun):
+            self.send(2, x=gone, y=gone, z=gone)
+        self.assertEqual(['x', 'y', 'z'], sorted(self.targets.called))
+
+    def test_a_request_under_which_a_target_ended_is_not_hedged(self) -> None:
+        """A request that ends its targets ended two at once.
+
+        1. A target ended under it before.
+        2. The first attempt is slow; a second one is not sent beside it.
+        """
+        self.known_ends = ['t0']
+        found = self.send(x=(0.5, answer()), y=(0.5, answer()))
+        self.assertEqual(200, found.status)
+        self.assertEqual(1, len(self.targets.called))
+
+    def test_a_quarantined_request_is_sent_to_none(self) -> None:
+        self.known_ends = ['t0', 't1', 't2']
+        with self.assertRaises(errors.RequestQuarantined):
+            self.send(x=(0.02, answer()), y=(0.02, answer()))
+        self.assertEqual([], self.targets.called)
+        self.assertLess(self.took(), 0.05)
+
     def test_refused_everywhere_is_not_run_and_told_at_once(self) -> None:
         refused = answer(503, not_run=True)
         with self.assertRaises(errors.NotRun) as caught:
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -15,6 +15,7 @@
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
+from yuccarill.daemon.gateway.quarantine import guard
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
 from yuccarill.platform import calls
@@ -104,7 +105,12 @@
             state.targets.put(world.engine(name))
         targets = Targets(list(plan))
         forwarder = streams.StreamForwarder(
-            sender.Sender(sender.Pools(state), targets, self.clock),
+            sender.Sender(
+                sender.Pools(state),
+                targets,
+                guard.ContentGuard(state, self.clock),
+                self.clock,
+            ),
             targets,
             self.clock,
         )
--- a/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
@@ -10,6 +10,7 @@
 
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import ContentDigest
+from yuccarill.daemon.gateway.quarantine import guard
 from yuccarill.daemon.gateway.quarantine import target_ends
 
 from . import world
@@ -32,12 +33,16 @@
 
 
 class TargetEndsTest(world.WorldTest):
+    def ends(self, looks: Looks) -> target_ends.TargetEnds:
+        self.guard = guard.ContentGuard(self.state('a'), self.clock)
+        return target_ends.TargetEnds(looks, self.guard)
+
     @params((True, False), (False, True))
     def test_one_look_tells_for_all_calls_of_a_moment(
         self, has_listener: bool, has_ended: bool
     ) -> None:
         looks = Looks(self.clock, has_listener)
-        ends = target_ends.TargetEnds(looks)
+        ends = self.ends(looks)
         lost = [
             defer.Deferred.fromCoroutine(
                 ends.lost(TARGET, ContentDigest(name))
@@ -51,7 +56,7 @@
 
     def test_another_moment_is_looked_at_anew(self) -> None:
         looks = Looks(self.clock, has_listener=True)
-        ends = target_ends.TargetEnds(looks)
+        ends = self.ends(looks)
         for _ in range(2):
             self.finish(ends.lost(TARGET, ContentDigest('a')))
         self.assertEqual(2, looks.count)
