--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 from twisted.internet import error as net_error
 from twisted.internet import protocol
+from twisted.internet import task
 
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
@@ -23,6 +24,10 @@
 # Seconds to find out whether a process listens. One that ended refuses within
 # the way there and back; the next try of a request waits for this.
 LOOK_SECONDS = 0.2
+# Seconds for which such a connection has to stay open. While a process ends,
+# its port may still take a connection that then ends with the others: five of
+# ten ends were taken for cut connections.
+SETTLE_SECONDS = 0.02
 # Idle connections kept to one address: as many as an engine has places.
 MAX_IDLE = 16
 
@@ -76,15 +81,19 @@
         A connection that opens is kept for the next request.
         """
         deadline = Instant(self._clock.seconds() + LOOK_SECONDS)
-        try:
-            connection = await self._open(address, deadline)
-        except http_exchange.ConnectionRefused:
-            return True
-        except http_exchange.NotConnected:
-            # A way that is cut says nothing of the process at its end.
-            return False
-        self._keep(address, connection)
-        return False
+        while True:
+            try:
+                connection = await self._open(address, deadline)
+            except http_exchange.ConnectionRefused:
+                return True
+            except http_exchange.NotConnected:
+                # A way that is cut says nothing of the process at its end.
+                return False
+            await task.deferLater(self._clock, SETTLE_SECONDS)
+            if connection.is_usable(self._clock.seconds()):
+                self._keep(address, connection)
+                return False
+            connection.close()
 
     def has_idle(self, address: str) -> bool:
         """Tell whether a request to an address needs no new connection."""
