Do not ask targets again and again that are gone and still listed

Cause: in the second after its targets were replaced, score calls that were tried again each 0.2 s made up to a thousand calls a second at addresses where nobody, or another process, was found. Change: such a target is left out for half a second, or until its entry changes; a request that finds no other is refused at once.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
@@ -43,6 +43,8 @@
     stamp: str | None
     # The target says that it did not run the request.
     not_run: bool = False
+    # Another process answers where the target was.
+    is_other: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
@@ -42,6 +42,12 @@
 RETRY_AFTER = 0.2
 
 
+# Seconds for which a target is not chosen at whose address nobody, or another
+# process, was found. Until the list shows it, 96 texts that waited for their
+# scores asked three such targets a thousand times a second.
+GONE_SECONDS = 0.5
+
+
 class Pools:
     """Keep one pool of targets a service, as the list has them."""
 
@@ -54,6 +60,8 @@
         ] = {}
         # What each pool was last brought up to.
         self._seen_by_service: dict[ServiceName, tuple[int, DataCentreId]] = {}
+        # Until when targets are taken for gone.
+        self._gone_until: dict[TargetId, Instant] = {}
 
     def pool(self, service: ServiceName, now: Instant) -> pool_module.Pool:
         """Return a service's pool with its ready targets."""
@@ -72,11 +80,27 @@
             ready = targets.ready(service)
             taken = self._taken_by_service.get(service, {})
             self._taken_by_service[service] = ready
-            _forget_started_again(pool, taken, ready)
+            for target_id in _started_again(taken, ready):
+                pool.forget(target_id)
+                self._gone_until.pop(target_id, None)
             centres_by_id = {t.id: t.data_centre for t in ready.values()}
             pool.update(centres_by_id, here, now)
         return pool
 
+    def note_gone(self, target: ListedTarget, now: Instant) -> None:
+        """Do not choose a target for a while that was not at its address."""
+        self._gone_until[target.id] = Instant(now + GONE_SECONDS)
+
+    def gone(self, now: Instant) -> frozenset[TargetId]:
+        """Return the targets that are taken for gone."""
+        if self._gone_until:
+            self._gone_until = {
+                target_id: until
+                for target_id, until in self._gone_until.items()
+                if now < until
+            }
+        return frozenset(self._gone_until)
+
     def is_current(self, target: ListedTarget) -> bool:
         """Tell whether a target is still the process that is listed."""
         listed = self.target(target.id)
@@ -90,17 +114,17 @@
         return self._state.targets.targets_by_id.get(target_id)
 
 
-def _forget_started_again(
-    pool: pool_module.Pool,
+def _started_again(
     taken_by_id: Mapping[TargetId, ListedTarget],
     ready_by_id: Mapping[TargetId, ListedTarget],
-) -> None:
+) -> list[TargetId]:
     # A process that started again under its id would be left out, or chosen,
     # for what the one before it did.
-    for target_id in taken_by_id.keys() & ready_by_id.keys():
-        target = ready_by_id[target_id]
-        if not taken_by_id[target_id].is_same_start(target):
-            pool.forget(target_id)
+    return [
+        target_id
+        for target_id in taken_by_id.keys() & ready_by_id.keys()
+        if not taken_by_id[target_id].is_same_start(ready_by_id[target_id])
+    ]
 
 
 class SendRecord(msgspec.Struct, kw_only=True):
@@ -172,14 +196,17 @@
     ) -> ListedTarget | None:
         """Return a target that was not tried yet, or any one.
 
-        One that is to be avoided is taken where there is no other.
+        One that is to be avoided is taken where there is no other, and one
+        that is gone never.
         """
-        pool = self._pools.pool(service, self.now())
+        now = self.now()
+        pool = self._pools.pool(service, now)
+        gone = self._pools.gone(now)
         connected = self._connected(service)
         chosen = (
-            pool.choose(self.now(), tried | avoided, connected=connected)
-            or (avoided and pool.choose(self.now(), tried))
-            or pool.choose(self.now())
+            pool.choose(now, tried | avoided | gone, connected=connected)
+            or (avoided and pool.choose(now, tried | gone))
+            or pool.choose(now, gone)
         )
         return self._pools.target(chosen) if chosen else None
 
@@ -206,6 +233,8 @@
             end, cause = error.end.value, str(error)
             if self._pools.is_current(target):
                 pool.fail(target.id, _failure(error), self.now())
+            if error.is_refused:
+                self._pools.note_gone(target, self.now())
             raise
         except defer.CancelledError:
             pool.give_up(target.id)
@@ -235,6 +264,8 @@
         answer: TargetAnswer,
         started_at: Instant,
     ) -> str:
+        if answer.is_other:
+            self._pools.note_gone(target, self.now())
         if answer.not_run and self._pools.is_current(target):
             pool.fail(target.id, pool_module.Failure.REFUSED, self.now())
             return 'refused'
--- a/packages/yuccarill-daemon/tests/gateway/test_sender.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -67,6 +67,8 @@
             raise calls.CallFailed(calls.CallEnd.BROKEN, 'too late')
         if isinstance(reply, calls.CallEnd):
             raise calls.CallFailed(reply, reply.value)
+        if isinstance(reply, calls.CallFailed):
+            raise reply
         return reply
 
 
@@ -209,6 +211,55 @@
         self.assertLess(self.took(), 0.05)
 
 
+class GoneTest(world.WorldTest):
+    """All targets of a service are gone and still listed."""
+
+    # What a request meets at the address of a target that is gone.
+    @params(
+        calls.CallFailed(calls.CallEnd.NOT_SENT, 'refused', is_refused=True),
+        TargetAnswer(
+            status=421,
+            headers=(),
+            body=b'',
+            stamp=None,
+            not_run=True,
+            is_other=True,
+        ),
+    )
+    def test_they_are_asked_now_and_then(self, met: object) -> None:
+        """Targets were asked a thousand times a second for nothing.
+
+        1. All targets are gone, and the list shows it a second later.
+        2. Texts wait for their scores and ask again each 0.2 s.
+        3. Each target is asked once in half a second, for all of them.
+        """
+        state = self.state('a')
+        state.targets.remove(TargetId('e1'))
+        replies = {TargetId(name): (0.001, met) for name in 'xyz'}
+        for name in replies:
+            state.targets.put(world.engine(name))
+        targets = Targets(self.clock, replies)
+        sending = sender.Sender(
+            sender.Pools(state),
+            targets,
+            guard.ContentGuard(state, self.clock),
+            self.clock,
+        )
+        for _ in range(100):
+            plan = attempts.AttemptPlan(
+                deadline=Instant(self.clock.seconds() + 1.0),
+                max_attempts=2,
+                hedge_delay=0.06,
+            )
+            with self.assertRaises(errors.NotRun):
+                self.finish(
+                    sending.send(
+                        world.SERVICE, CALL, plan, sender.SendRecord()
+                    )
+                )
+        self.assertLessEqual(len(targets.called), 3 + 6 * self.clock.seconds())
+
+
 class PoolsTest(world.WorldTest):
     """A service has 1,300 targets, as the users' growth asks for."""
 
