Put the quarantine's parts together in one place, and call peers in one way

Cause: the process's own composition had grown by six parts, a look at a target ended with the call that began it, and two modules called peers alike. Change: parts.py composes them; a look goes on when its caller has left; texts and reports of ends use one PeerCalls; a stream's attempts are a function of their own.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
@@ -17,8 +17,8 @@
 from yuccarill.core.jobs.left_text import LeftText
 from yuccarill.core.jobs import text_copies
 from yuccarill.core.jobs.text_copies import TextChange
-from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -158,8 +158,7 @@
         self, state: GatewayState, links: Connections, clock: Any
     ) -> None:
         self._state = state
-        self._links = links
-        self._clock = clock
+        self._peers = peer_call.PeerCalls(links, clock)
         self._source = uuid.uuid4().hex
         self._number = 0
 
@@ -207,31 +206,22 @@
         """
         chosen = text_copies.bounded(handed, MAX_BYTES)
         self._number += 1
-        request = http_exchange.OutgoingRequest(
-            method='POST',
-            target=PATH,
-            headers=(('Host', peer.peer_address),),
-            body=msgspec.msgpack.encode(
-                HandedTexts(
-                    service=service,
-                    source=self._source,
-                    number=self._number,
-                    texts=chosen,
-                )
-            ),
+        message = HandedTexts(
+            service=service,
+            source=self._source,
+            number=self._number,
+            texts=chosen,
         )
-        deadline = Instant(self._clock.seconds() + ANSWER_SECONDS)
         try:
-            reply = await self._links.exchange(
-                peer.peer_address, request, deadline
+            await self._peers.call(
+                peer,
+                'POST',
+                PATH,
+                ANSWER_SECONDS,
+                msgspec.msgpack.encode(message),
             )
-        except (
-            http_exchange.NotConnected,
-            http_exchange.ExchangeBroken,
-        ) as error:
+        except peer_call.PeerFailed as error:
             raise NotTaken(str(error)) from error
-        if reply.head.status != 200:
-            raise NotTaken(f'status {reply.head.status}')
         return chosen
 
     async def fetch(self, service: ServiceName) -> list[LeftText]:
@@ -255,24 +245,12 @@
         self, peer: InstanceRecord, service: ServiceName
     ) -> tuple[LeftText, ...]:
         query = urllib.parse.urlencode({'service': service})
-        request = http_exchange.OutgoingRequest(
-            method='GET',
-            target=f'{PATH}?{query}',
-            headers=(('Host', peer.peer_address),),
-        )
-        deadline = Instant(self._clock.seconds() + FETCH_SECONDS)
         try:
-            reply = await self._links.exchange(
-                peer.peer_address, request, deadline
-            )
-            return msgspec.msgpack.decode(
-                reply.body, type=tuple[LeftText, ...]
+            body = await self._peers.call(
+                peer, 'GET', f'{PATH}?{query}', FETCH_SECONDS
             )
-        except (
-            http_exchange.NotConnected,
-            http_exchange.ExchangeBroken,
-            msgspec.MsgspecError,
-        ) as error:
+            return msgspec.msgpack.decode(body, type=tuple[LeftText, ...])
+        except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
             log.info(
                 'Texts not fetched.', peer=peer.instance, cause=str(error)
             )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -28,13 +28,7 @@
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway.jobs import trainers
 from yuccarill.daemon.gateway import meters
-from yuccarill.daemon.gateway import peer_call
-from yuccarill.daemon.gateway.quarantine import desk
-from yuccarill.daemon.gateway.quarantine import guard
-from yuccarill.daemon.gateway.quarantine import records
-from yuccarill.daemon.gateway.quarantine import reports
-from yuccarill.daemon.gateway.quarantine import target_ends
-from yuccarill.daemon.gateway.quarantine import watched_calls
+from yuccarill.daemon.gateway.quarantine import parts
 from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import front
 from yuccarill.daemon.gateway.requests import relay
@@ -55,7 +49,6 @@
 if TYPE_CHECKING:
     import pathlib
 
-    from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.left_text import LeftText
     from yuccarill.platform.settings_file import InstanceSettings
@@ -100,21 +93,14 @@
         background = store_module.Store(
             store_way.BackgroundWay(self._way), settings.store_address
         )
-        self._peer_calls = peer_call.PeerCalls(links, clock)
-        self._guard = guard.ContentGuard(self._state, clock)
-        calls = calls_module.Calls(links, self._now)
-        self._calls = watched_calls.WatchedCalls(
-            calls, target_ends.TargetEnds(calls, self._guard), self._guard
-        )
-        self._reports = reports.EndReports(
-            self._state, self._guard, self._peer_calls, clock
-        )
-        self._records = records.QuarantineRecords(
-            self._state, self._guard, self._store, clock
-        )
-        self._desk = desk.QuarantineDesk(
-            self._guard, self._records, self._reports, clock
+        self._quarantine = parts.QuarantineParts(
+            self._state,
+            calls_module.Calls(links, self._now),
+            self._store,
+            links,
+            clock,
         )
+        self._calls = self._quarantine.calls
         self._engines = engines.Engines(links)
         self._observer = observer.Observer(
             self._state,
@@ -126,14 +112,17 @@
             self._state, background, self._update, clock
         )
         self._sender = sender.Sender(
-            sender.Pools(self._state), self._calls, self._guard, clock
+            sender.Pools(self._state),
+            self._calls,
+            self._quarantine.guard,
+            clock,
         )
         self._jobs = job_store.JobStore(self._store, clock)
         passing_on = relay.Relay(self._state, links, clock)
         taking = intake.Intake(
             self._jobs, passing_on, self._runners_by_service, clock
         )
-        trainer_desk = trainers.TrainerDesk(
+        desk = trainers.TrainerDesk(
             taking, passing_on, lambda: self._runners_by_service.values()
         )
         forwarder = forwarding.Forwarder(
@@ -145,7 +134,7 @@
             clock,
         )
         self._front = front.Front(
-            self._state, forwarder, trainer_desk, self._observer.age
+            self._state, forwarder, desk, self._observer.age
         )
         self._depot = texts.TextDepot(clock)
         self._text_sender = texts.TextSender(self._state, links, clock)
@@ -186,9 +175,8 @@
         peers = small_server.SmallServer(self._clock, self._answer_peer)
         self._listen(settings.peer_address, peers)
         self._observer.listen(self._update)
-        self._observer.listen(self._records.update)
-        self._guard.on_quarantined = self._quarantined
-        self._reports.start()
+        self._observer.listen(self._quarantine.records.update)
+        self._quarantine.start()
         # Requests would go out on connections that end in a reset.
         self._observer.on_restart = self._calls.forget
         self._session.lease.on_return = self._observer.refresh
@@ -198,12 +186,6 @@
             following.addErrback(self._crashed)
             self._following.append(following)
 
-    def _quarantined(self, content: ContentDigest) -> None:
-        # Told as well as recorded: the store may be away, and a peer may
-        # have missed one of the ends.
-        self._reports.tell_quarantined(content)
-        self._records.write(content)
-
     def _way_lost(self) -> None:
         self._observer.refresh()
         for running in list(self._runners_by_service.values()):
@@ -216,10 +198,8 @@
             return await self._feeds.handle(request)
         if request.path == texts.PATH:
             return await self._depot.handle(request)
-        if request.path == reports.PATH:
-            return await self._reports.handle(request)
-        if request.path.startswith(desk.PATH):
-            return await self._desk.handle(request)
+        if self._quarantine.handles(request.path):
+            return await self._quarantine.handle(request)
         return await self._way.pass_on(request)
 
     def reload(self) -> None:
@@ -317,7 +297,7 @@
             self._store,
             self._jobs,
             generation.Generator(self._calls, self._clock),
-            self._guard,
+            self._quarantine.guard,
             scoring.Scorer(self._state, self._sender, self._clock),
             self._engines,
             self._clock,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import Any
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
@@ -47,35 +48,41 @@
     async def lost(self, target: ListedTarget, content: ContentDigest) -> bool:
         """Note a call whose connection was lost; tell if its target ended."""
         loss = self._losses_by_target.get(target.id)
-        if loss is not None and loss.target.is_same_start(target):
+        if loss is None or not loss.target.is_same_start(target):
             # All connections of a process end within one moment, and one
-            # look is enough.
-            loss.contents.append(content)
-            ended: defer.Deferred[bool] = defer.Deferred()
-            loss.waiting.append(ended)
-            return await ended
-        return await self._look(_Loss(target, [content]))
-
-    async def _look(self, loss: _Loss) -> bool:
+            # look is enough. It goes on if the call that began it is given
+            # up: the caller's leaving does not undo the end.
+            loss = self._losses_by_target[target.id] = _Loss(target)
+            looking = defer.Deferred.fromCoroutine(self._look(loss))
+            looking.addErrback(self._failed, loss)
+        loss.contents.append(content)
+        ended: defer.Deferred[bool] = defer.Deferred()
+        loss.waiting.append(ended)
+        return await ended
+
+    async def _look(self, loss: _Loss) -> None:
         target = loss.target
-        self._losses_by_target[target.id] = loss
-        has_ended = False
-        try:
-            has_ended = await self._calls.has_ended(target)
-        finally:
-            del self._losses_by_target[target.id]
-            meters.LOSSES.labels(target.service, has_ended).inc()
-            log.info(
-                'Target ended.' if has_ended else 'Connection lost.',
-                target=target.id,
-                service=target.service,
-                contents=loss.contents,
+        has_ended = await self._calls.has_ended(target)
+        contents = tuple(dict.fromkeys(loss.contents))
+        meters.LOSSES.labels(target.service, has_ended).inc()
+        log.info(
+            'Target ended.' if has_ended else 'Connection lost.',
+            target=target.id,
+            service=target.service,
+            contents=contents,
+        )
+        if has_ended:
+            self._guard.target_ended(
+                EndReport(target=target.id, contents=contents)
             )
-            if has_ended:
-                contents = tuple(dict.fromkeys(loss.contents))
-                self._guard.target_ended(
-                    EndReport(target=target.id, contents=contents)
-                )
-            for waiting in loss.waiting:
-                waiting.callback(has_ended)
-        return has_ended
+        self._end(loss, has_ended)
+
+    def _failed(self, failure: Any, loss: _Loss) -> None:
+        log.error('Look failed.', cause=failure.getTraceback())
+        self._end(loss, has_ended=False)
+
+    def _end(self, loss: _Loss, has_ended: bool) -> None:
+        if self._losses_by_target.get(loss.target.id) is loss:
+            del self._losses_by_target[loss.target.id]
+        for waiting in loss.waiting:
+            waiting.callback(has_ended)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -19,11 +19,14 @@
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.daemon.gateway.requests.tries import TargetTries
     from yuccarill.platform.ports import Answerer
 
 # Seconds without an event after which a run is taken for silent. Clients
 # give up after two seconds at the earliest.
 SILENCE_SECONDS = 1.5
+# Seconds that one run of a stream may take; its silence ends it sooner.
+STREAM_SECONDS = 600.0
 
 
 class StreamForwarder:
@@ -48,28 +51,30 @@
         if service is None:
             raise errors.NoTarget('The route has no service.', 1.0)
         run = _StreamRun(request, answerer)
-        deadline = Instant(self._clock.seconds() + 600.0)
         tries = self._sender.tries(service, run.call(), route.max_attempts)
+        try:
+            return await self._attempts(run, tries, route.is_resumable)
+        except errors.RequestQuarantined as error:
+            return run.refuse(error)
+
+    async def _attempts(
+        self, run: _StreamRun, tries: TargetTries, is_resumable: bool
+    ) -> str:
+        deadline = Instant(self._clock.seconds() + STREAM_SECONDS)
         cause = 'no target is ready'
-        while True:
-            try:
-                target = tries.next()
-            except errors.RequestQuarantined as error:
-                return run.refuse(error)
-            if target is None:
-                break
+        while (target := tries.next()) is not None:
             try:
                 answer = await self._calls.generate(
                     target, run.call(), deadline, SILENCE_SECONDS, run
                 )
             except calls_module.CallFailed as error:
                 cause = str(error)
-                if error.end is calls_module.CallEnd.BROKEN:
-                    run.may_have_run = True
-                    if not route.is_resumable:
-                        break
-                else:
+                if error.end is calls_module.CallEnd.NOT_SENT:
                     tries.not_reached(target)
+                    continue
+                run.may_have_run = True
+                if not is_resumable:
+                    break
                 continue
             if answer.not_run:
                 cause = f'refused with status {answer.status}'
