Let operators list and release what is in quarantine from the command line

Cause: a person had to know a page of the peer port, and refusals there named no cause. Change: yuccarill quarantine [--release CONTENT]; the page answers refusals with their numbered codes.

--- a/packages/yuccarill-cli/src/yuccarill/cli/application.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/application.py
@@ -11,6 +11,7 @@
 from yuccarill.cli.commands import diff
 from yuccarill.cli.commands import explain
 from yuccarill.cli.commands import explain_steps
+from yuccarill.cli.commands import quarantine
 from yuccarill.cli.commands import show
 from yuccarill.cli.commands import status
 from yuccarill.cli import session
@@ -58,6 +59,7 @@
     diff,
     explain,
     explain_steps,
+    quarantine,
     show,
     status,
 ):
--- a/packages/yuccarill-cli/src/yuccarill/cli/session.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/session.py
@@ -61,11 +61,20 @@
     async def read_at(self, address: str, path: str, kind: type[Kind]) -> Kind:
         """Read from one address.
 
+        Raises Unreachable or Refused.
+        """
+        return await self.ask(address, 'GET', _BASE + path, kind)
+
+    async def ask(
+        self, address: str, method: str, path: str, kind: type[Kind]
+    ) -> Kind:
+        """Send one address a request that may be repeated.
+
         Raises Unreachable or Refused.
         """
         try:
             reply = await self._transport.send(
-                address, 'GET', _BASE + path, None, CALL_SECONDS
+                address, method, path, None, CALL_SECONDS
             )
         except (
             transport_module.NoReply,
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
@@ -50,6 +50,17 @@
     age: float = 0.0
 
 
+class QuarantinedContent(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a content that is refused, to operators."""
+
+    content: ContentDigest
+    # Host and path, as far as the instance that tells knows them.
+    request: str
+    # The targets that ended under it.
+    targets: tuple[TargetId, ...]
+    seconds_left: float
+
+
 class _End(msgspec.Struct, kw_only=True):
     """Keep one end of a target."""
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/desk.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from yuccarill.core import errors
+from yuccarill.core.gateway.end_ledger import QuarantinedContent
 from yuccarill.core.ids import ContentDigest
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway.quarantine import reports
@@ -24,17 +26,6 @@
 PATH = '/quarantine/contents'
 
 
-class Shown(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe a content that is refused."""
-
-    content: ContentDigest
-    # Host and path, as far as this instance knows them.
-    request: str
-    # The targets that ended under it.
-    targets: tuple[str, ...]
-    seconds_left: float
-
-
 class QuarantineDesk:
     """Answer operators on the peer port, which no client reaches."""
 
@@ -59,12 +50,12 @@
             case 'DELETE' if content:
                 return await self._release(content)
             case _:
-                return Page(status=405)
+                return _refused(errors.WrongMethod('Use GET or DELETE.'))
 
     def _list(self) -> Page:
         ledger = self._guard.ledger
         shown = [
-            Shown(
+            QuarantinedContent(
                 content=content,
                 request=self._guard.name_of(content),
                 targets=ledger.targets(content),
@@ -78,7 +69,9 @@
 
     async def _release(self, content: ContentDigest) -> Page:
         if content not in self._guard.ledger.quarantined():
-            return Page(status=404)
+            return _refused(
+                errors.UnknownPath('No such content is in quarantine.')
+            )
         self._told.tell(reports.EndMessage(released=(content,)))
         try:
             await self._records.remove(content)
@@ -89,5 +82,22 @@
         ) as error:
             # It comes back with the record, and has to be taken back again.
             log.warning('Not removed.', content=content, cause=str(error))
-            return Page(status=503)
-        return Page(status=200)
+            return _refused(
+                errors.StoreUnavailable(
+                    'It was taken back, but its record was not removed: '
+                    'take it back again once the store answers.',
+                    1.0,
+                )
+            )
+        return self._list()
+
+
+def _refused(error: errors.YuccarillError) -> Page:
+    body = {
+        'code': error.code,
+        'name': error.code.name,
+        'message': error.message,
+        'not_run': error.not_run,
+        'retry_after': error.retry_after,
+    }
+    return Page(status=error.http_status, body=msgspec.json.encode(body))
