Record a quarantine that its finder could not know of

By the logs the instance that saw the third end had started 0.16 s before and knew of one; the two others learnt of the quarantine by its report, and only who finds one by its own eyes wrote a record. All instances were killed 5 s later and counted anew. Beside it, a look whose answer came at once was never told to its call (found by a new test). Change: the instances that watch the store record after a second what nobody has.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -60,6 +60,8 @@
         self.on_completed: Callable[[ContentDigest], None] = lambda c: None
         self.on_trial: Callable[[ContentDigest], None] = lambda c: None
         self.on_quarantined: Callable[[ContentDigest], None] = lambda c: None
+        # Called with what others have found.
+        self.on_learnt: Callable[[ContentDigest], None] = lambda c: None
         # Contents that are not clear, by the targets that run them for this
         # instance.
         self._runs_by_target: dict[
@@ -166,12 +168,12 @@
         now = self._now()
         for report in reports:
             self.ledger.report(report, now)
-        self._note_quarantined()
+        self._note_learnt()
 
     def quarantine(self, content: ContentDigest, seconds: float) -> None:
         """Refuse a content that another instance found to be a cause."""
         self.ledger.quarantine(content, seconds, self._now())
-        self._note_quarantined()
+        self._note_learnt()
 
     def release(self, content: ContentDigest) -> None:
         """Let a content be sent on again."""
@@ -218,6 +220,10 @@
             seconds,
         )
 
+    def _note_learnt(self) -> None:
+        for content in self._note_quarantined():
+            self.on_learnt(content)
+
     def _note_quarantined(self) -> list[ContentDigest]:
         """Log what is newly refused, and return it."""
         new = [c for c in self.ledger.quarantined() if c not in self._known]
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/parts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/parts.py
@@ -51,6 +51,7 @@
     def start(self) -> None:
         """Begin to exchange with the other instances."""
         self.guard.on_quarantined = self._quarantined
+        self.guard.on_learnt = self.records.expect
         self._reports.start()
 
     def handles(self, path: str) -> bool:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/records.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/records.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 
 from yuccarill.core.gateway import end_ledger
+from yuccarill.core.gateway import watchers
 from yuccarill.core.ids import WallTime
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon import logs
@@ -28,6 +29,11 @@
 
 # Seconds before a record is written again that the store did not take.
 RETRY_SECONDS = 0.5
+# Seconds that an instance which was told of a quarantine waits for its record.
+# Whoever saw the last end may have started a moment ago, and not know of the
+# others that make three: then nobody wrote one, and all instances that were
+# killed together began to count anew.
+RECORD_WAIT = 1.0
 # Records that one write removes, their time being over; the platform takes
 # 32 keys a call.
 REMOVED_AT_ONCE = 16
@@ -77,6 +83,22 @@
         writing = defer.Deferred.fromCoroutine(self._write(content))
         writing.addErrback(self._failed)
 
+    def expect(self, content: ContentDigest) -> None:
+        """Record what another instance found, if it does not do so itself."""
+        if content in self._state.quarantined_by_content:
+            return
+        self._clock.callLater(RECORD_WAIT, self._write_missing, content)
+
+    def _write_missing(self, content: ContentDigest) -> None:
+        if content not in self._guard.ledger.quarantined():
+            return
+        # A few are enough, and these see first what the store holds.
+        few = watchers.watchers(
+            self._state.cores_by_name(), self._state.centres_by_name()
+        )
+        if self._state.settings.instance in few:
+            self.write(content)
+
     async def remove(self, content: ContentDigest) -> None:
         """Take a content back, for all instances.
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -27,10 +27,8 @@
     """Gather the calls of one target whose connections were lost."""
 
     target: ListedTarget
-    contents: list[ContentDigest] = dataclasses.field(default_factory=list)
-    waiting: list[defer.Deferred[bool]] = dataclasses.field(
-        default_factory=list
-    )
+    contents: list[ContentDigest]
+    waiting: list[defer.Deferred[bool]]
 
 
 class TargetEnds:
@@ -47,17 +45,20 @@
 
     async def lost(self, target: ListedTarget, content: ContentDigest) -> bool:
         """Note a call whose connection was lost; tell if its target ended."""
+        ended: defer.Deferred[bool] = defer.Deferred()
         loss = self._losses_by_target.get(target.id)
-        if loss is None or not loss.target.is_same_start(target):
+        if loss is not None and loss.target.is_same_start(target):
             # All connections of a process end within one moment, and one
-            # look is enough. It goes on if the call that began it is given
-            # up: the caller's leaving does not undo the end.
-            loss = self._losses_by_target[target.id] = _Loss(target)
-            looking = defer.Deferred.fromCoroutine(self._look(loss))
-            looking.addErrback(self._failed, loss)
-        loss.contents.append(content)
-        ended: defer.Deferred[bool] = defer.Deferred()
-        loss.waiting.append(ended)
+            # look is enough.
+            loss.contents.append(content)
+            loss.waiting.append(ended)
+            return await ended
+        loss = _Loss(target, [content], [ended])
+        self._losses_by_target[target.id] = loss
+        # The look goes on if the call that began it is given up: its
+        # caller's leaving does not undo the end.
+        looking = defer.Deferred.fromCoroutine(self._look(loss))
+        looking.addErrback(self._failed, loss)
         return await ended
 
     async def _look(self, loss: _Loss) -> None:
--- a/packages/yuccarill-daemon/tests/gateway/test_quarantine.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_quarantine.py
@@ -170,6 +170,8 @@
         self.assertEqual({Verdict.QUARANTINED}, self.verdicts())
 
     def test_a_peer_that_is_away_is_told_later(self) -> None:
+        # By then it has asked what was told before it started.
+        self.run_for(0.5)
         self.peers.away = {'c'}
         for number in range(3):
             self.guards_by_name['a'].target_ended(report(number))
@@ -248,6 +250,25 @@
         self.run_for(2.0)
         self.assertIn(keys.quarantine(X), self.keys.entries_by_key)
 
+    def test_what_nobody_recorded_is_recorded(self) -> None:
+        """Three more targets ended each time that all instances were killed.
+
+        1. An instance starts, and sees the third end under a request.
+        2. It knows of one; the others know of three, and saw none of them.
+        3. All are killed before anybody has written a record.
+        """
+        self.guarding.on_learnt = self.kept.expect
+        self.guarding.take(report(number) for number in range(3))
+        self.run_for(records.RECORD_WAIT + 0.5)
+        self.assertIn(keys.quarantine(X), self.keys.entries_by_key)
+
+    def test_what_another_instance_records_is_left_to_it(self) -> None:
+        self.guarding.on_learnt = self.kept.expect
+        self.guarding.take(report(number) for number in range(3))
+        self.known.quarantined_by_content[X] = self.record(1060.0)
+        self.run_for(records.RECORD_WAIT + 0.5)
+        self.assertEqual([], self.memory.calls)
+
     # When a record of another instance ends, and what it says here.
     @params((1060.0, Verdict.QUARANTINED), (999.0, Verdict.CLEAR))
     def test_records_of_others(self, until: float, expected: Verdict) -> None:
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_watched_calls.py
@@ -0,0 +1,89 @@
+"""Test what is learnt of a request from how its calls end."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from nose2.tools import params
+
+from yuccarill.core.gateway.end_ledger import EndReport
+from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway.suspicion import Verdict
+from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import TargetId
+from yuccarill.daemon.gateway.quarantine import guard
+from yuccarill.daemon.gateway.quarantine import target_ends
+from yuccarill.daemon.gateway.quarantine import watched_calls
+from yuccarill.platform import calls
+
+from . import world
+
+CALL = calls.TargetCall(id=RequestId('r'), method='POST', target='/p')
+TARGET = world.engine('x')
+
+
+def answer(status: int, not_run: bool = False) -> TargetAnswer:
+    return TargetAnswer(
+        status=status, headers=(), body=b'', stamp='s', not_run=not_run
+    )
+
+
+@dataclasses.dataclass
+class Calls:
+    """End each call as told."""
+
+    end: TargetAnswer | calls.CallFailed
+
+    async def send(self, *_: object) -> TargetAnswer:
+        if isinstance(self.end, calls.CallFailed):
+            raise self.end
+        return self.end
+
+    async def has_ended(self, target: ListedTarget) -> bool:
+        return True
+
+
+class WatchedCallsTest(world.WorldTest):
+    def send(self, end: TargetAnswer | calls.CallFailed) -> Verdict:
+        """Return the verdict on a content that was at one end before."""
+        guarding = guard.ContentGuard(self.state('a'), self.clock)
+        guarding.target_ended(
+            EndReport(target=TargetId('t0'), contents=(CALL.content,))
+        )
+        plain = Calls(end)
+        watched = watched_calls.WatchedCalls(
+            plain, target_ends.TargetEnds(plain, guarding), guarding
+        )
+        try:
+            self.finish(watched.send(TARGET, CALL, Instant(1.0)))
+        except calls.CallFailed:
+            pass
+        self.assertEqual(
+            frozenset(), guarding.elsewhere(RequestId('another')), 'it runs'
+        )
+        return guarding.ledger.verdict(CALL.content)
+
+    # An answer, and whether it shows that a target can run the request.
+    @params(
+        (answer(200), True),
+        (answer(404), True),
+        (answer(422), True),
+        # A target that fails whatever it gets, or has not come to the end.
+        (answer(500), False),
+        (answer(504), False),
+        (answer(503, not_run=True), False),
+        (answer(421, not_run=True), False),
+    )
+    def test_what_clears(self, end: TargetAnswer, clears: bool) -> None:
+        expected = Verdict.CLEAR if clears else Verdict.WATCHED
+        self.assertEqual(expected, self.send(end))
+
+    # How a call broke off at a target that ended, and what is thought then.
+    @params((True, Verdict.SUSPECT), (False, Verdict.WATCHED))
+    def test_only_a_lost_connection_counts(
+        self, is_lost: bool, expected: Verdict
+    ) -> None:
+        end = calls.CallFailed(calls.CallEnd.BROKEN, 'cause', is_lost=is_lost)
+        self.assertEqual(expected, self.send(end))
