--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -12,7 +12,7 @@
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.ids import Instant
-from yuccarill.daemon.gateway.requests import sender as sender_module
+from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
@@ -93,7 +93,7 @@
             return None
         now = self._clock.seconds()
         deadline = Instant(now + route.timeout)
-        record = sender_module.SendRecord()
+        record = exchange.SendRecord()
         plan = attempts.AttemptPlan(
             deadline=deadline,
             max_attempts=route.max_attempts,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -31,6 +31,7 @@
 from yuccarill.daemon.gateway.quarantine import parts
 from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import front
+from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import relay
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
@@ -112,7 +113,7 @@
             self._state, background, self._update, clock
         )
         self._sender = sender.Sender(
-            sender.Pools(self._state),
+            pools.Pools(self._state),
             self._calls,
             self._quarantine.guard,
             clock,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -39,6 +39,8 @@
 # on. With eight instances a simulated caller ended 3.4 of six targets instead
 # of 4.1, the mean of ten plays (tools/measure_crashes.py).
 TRIAL_SECONDS = 1.0
+# Ended targets that a refusal names.
+SHOWN_TARGETS = 3
 # Contents whose host and path are kept for people to read.
 MAX_NAMES = 1024
 
@@ -72,27 +74,36 @@
         self._names_by_content: dict[ContentDigest, str] = {}
         self._known: set[ContentDigest] = set()
 
-    def admit(self, content: ContentDigest, service: ServiceName) -> Verdict:
-        """Return how a content may be sent on.
+    def admit(self, content: ContentDigest, service: ServiceName) -> None:
+        """Let a content be sent on now.
 
-        Raises RequestQuarantined if it may not now.
+        Raises RequestQuarantined if it may not.
         """
+        if self.is_admitted(content, service):
+            return
         verdict = self.ledger.verdict(content)
+        meters.HELD_BACK.labels(verdict.value).inc()
+        seconds = TRIAL_RETRY
         if verdict is Verdict.QUARANTINED:
-            left = self.ledger.seconds_left(content, self._now())
-            raise self._refusal(content, verdict, left)
-        if verdict is Verdict.SUSPECT and not self._may_try(content, service):
-            raise self._refusal(content, verdict, TRIAL_RETRY)
-        return verdict
+            seconds = self.ledger.seconds_left(content, self._now())
+        targets = ', '.join(self.ledger.targets(content)[-SHOWN_TARGETS:])
+        raise errors.RequestQuarantined(
+            f'The request was not run: targets ended under its like '
+            f'(content {content}: {targets or "seen elsewhere"}).',
+            seconds,
+        )
 
     def is_admitted(
         self, content: ContentDigest, service: ServiceName
     ) -> bool:
         """Tell whether a content may be sent on now."""
-        verdict = self.ledger.verdict(content)
-        if verdict is Verdict.SUSPECT:
-            return self._may_try(content, service)
-        return verdict is not Verdict.QUARANTINED
+        match self.ledger.verdict(content):
+            case Verdict.CLEAR | Verdict.WATCHED:
+                return True
+            case Verdict.SUSPECT:
+                return self._may_try(content, service)
+            case Verdict.QUARANTINED:
+                return False
 
     def elsewhere(self, content: ContentDigest) -> frozenset[TargetId]:
         """Return the targets that a content had better not share.
@@ -209,17 +220,6 @@
         ended = self.ledger.ended_since(Instant(now - TRIAL_PAUSE))
         return len(ready - ended) >= TRIAL_TARGETS
 
-    def _refusal(
-        self, content: ContentDigest, verdict: Verdict, seconds: float
-    ) -> errors.RequestQuarantined:
-        meters.HELD_BACK.labels(verdict.value).inc()
-        targets = self.ledger.targets(content)
-        return errors.RequestQuarantined(
-            f'The request was not run: targets ended under its like '
-            f'(content {content}: {", ".join(targets[-3:]) or "elsewhere"}).',
-            seconds,
-        )
-
     def _note_learnt(self) -> None:
         for content in self._note_quarantined():
             self.on_learnt(content)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
@@ -0,0 +1,167 @@
+"""Make the attempts of one idempotent request, side by side if need be."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.core import errors
+from yuccarill.core.gateway import attempts
+from yuccarill.platform import calls as calls_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.gateway.targets import ListedTarget
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.platform.calls import TargetCall
+
+# Seconds after which a refused request may come back: long enough for a
+# target's queue to move, short against the deadlines of 1.5 s and more.
+RETRY_AFTER = 0.2
+
+
+class SendRecord(msgspec.Struct, kw_only=True):
+    """Count what became of one request's attempts."""
+
+    attempts: int = 0
+    # Attempts that may have run.
+    may_have_run: int = 0
+    # Answers of targets that the work itself failed.
+    failed_runs: int = 0
+    last_cause: str = ''
+    # A target's own failure, passed on if no other target does better.
+    failure: TargetAnswer | None = None
+
+
+class Exchange:
+    """Run one request's attempts side by side."""
+
+    def __init__(
+        self,
+        sender: Sender,
+        service: ServiceName,
+        call: TargetCall,
+        plan: attempts.AttemptPlan,
+        record: SendRecord,
+    ) -> None:
+        self._sender = sender
+        self._service = service
+        self._call = call
+        self._plan = plan
+        self._record = record
+        # The plan counts the attempts.
+        self._tries = sender.tries(service, call, sys.maxsize)
+        self._refusal: errors.RequestQuarantined | None = None
+        self._running: list[defer.Deferred[None]] = []
+        self._success: TargetAnswer | None = None
+        self._wake: defer.Deferred[None] | None = None
+
+    async def run(self) -> TargetAnswer:
+        while self._success is None:
+            self._plan.may_hedge = self._sender.may_hedge(self._call)
+            match self._plan.next(self._sender.now()):
+                case attempts.Next.START:
+                    self._start()
+                case attempts.Next.WAIT:
+                    await self._sleep()
+                case attempts.Next.GIVE_UP:
+                    return self._give_up()
+        return self._success
+
+    def cancel(self) -> None:
+        """Close what is still under way."""
+        for running in list(self._running):
+            running.cancel()
+
+    def _start(self) -> None:
+        target = self._next_target()
+        if target is None:
+            # More attempts would find none either.
+            self._plan.max_attempts = self._plan.started
+            return
+        self._plan.start(self._sender.now())
+        self._record.attempts += 1
+        running = defer.Deferred.fromCoroutine(self._attempt(target))
+        if not running.called:
+            self._running.append(running)
+            running.addBoth(self._ended, running)
+
+    def _next_target(self) -> ListedTarget | None:
+        try:
+            target = self._tries.next()
+        except errors.RequestQuarantined as error:
+            self._refusal = error
+            self._record.last_cause = error.message
+            return None
+        if target is None and not self._record.last_cause:
+            self._record.last_cause = 'no target is ready'
+        return target
+
+    def _ended(self, result: object, running: defer.Deferred[None]) -> None:
+        if running in self._running:
+            self._running.remove(running)
+
+    async def _attempt(self, target: ListedTarget) -> None:
+        try:
+            answer = await self._sender.attempt(
+                target, self._call, self._plan.deadline
+            )
+        except calls_module.CallFailed as error:
+            self._record.last_cause = str(error)
+            if error.end is calls_module.CallEnd.NOT_SENT:
+                self._tries.not_reached(target)
+                self._plan.withdraw()
+                self._wake_up()
+                return
+            self._record.may_have_run += 1
+        except defer.CancelledError:
+            return
+        else:
+            self._take(answer)
+        self._plan.end()
+        self._wake_up()
+
+    def _take(self, answer: TargetAnswer) -> None:
+        if answer.not_run:
+            self._record.last_cause = f'refused with status {answer.status}'
+            return
+        self._record.may_have_run += 1
+        if answer.is_server_error:
+            self._record.failed_runs += answer.is_failed_run
+            self._record.last_cause = f'status {answer.status}'
+            self._record.failure = answer
+            return
+        self._success = answer
+
+    async def _sleep(self) -> None:
+        self._wake = defer.Deferred()
+        timer = self._sender.wake_at(self._plan.wakes_at(), self._wake_up)
+        try:
+            await self._wake
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _wake_up(self) -> None:
+        wake, self._wake = self._wake, None
+        if wake is not None:
+            wake.callback(None)
+
+    def _give_up(self) -> TargetAnswer:
+        record = self._record
+        if record.failure is not None and record.failure.stamp is not None:
+            return record.failure
+        cause = record.last_cause or 'no target answered in time'
+        if record.may_have_run == 0 and self._plan.in_flight == 0:
+            if self._refusal is not None:
+                raise self._refusal
+            raise errors.NotRun(
+                f'The request was not run: {cause}.', RETRY_AFTER
+            )
+        if self._sender.now() >= self._plan.deadline:
+            raise errors.DeadlinePassed(f'No answer came in time: {cause}.')
+        raise errors.OutcomeUnknown(f'No whole answer came: {cause}.')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -13,7 +13,7 @@
 from yuccarill.core.gateway.routes import RouteKind
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.gateway import meters
-from yuccarill.daemon.gateway.requests import sender as sender_module
+from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
@@ -122,7 +122,7 @@
             self._service(route),
             call_of(request, deadline),
             plan,
-            sender_module.SendRecord(),
+            exchange.SendRecord(),
         )
 
     async def _at_most_once(
@@ -153,7 +153,7 @@
                 return answer
             cause = f'refused with status {answer.status}'
         raise errors.NotRun(
-            f'The request was not run: {cause}.', sender_module.RETRY_AFTER
+            f'The request was not run: {cause}.', exchange.RETRY_AFTER
         )
 
     def _service(self, route: Route) -> ServiceName:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -9,7 +9,7 @@
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
-from yuccarill.daemon.gateway.requests import sender as sender_module
+from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
@@ -142,5 +142,5 @@
         if self.may_have_run:
             raise errors.OutcomeUnknown(f'The stream broke off: {cause}.')
         raise errors.NotRun(
-            f'The request was not run: {cause}.', sender_module.RETRY_AFTER
+            f'The request was not run: {cause}.', exchange.RETRY_AFTER
         )
--- a/packages/yuccarill-daemon/tests/gateway/crash_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/crash_world.py
@@ -25,6 +25,8 @@
 from yuccarill.daemon.gateway.quarantine import reports
 from yuccarill.daemon.gateway.quarantine import target_ends
 from yuccarill.daemon.gateway.quarantine import watched_calls
+from yuccarill.daemon.gateway.requests import exchange
+from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.platform import calls
@@ -142,7 +144,7 @@
             state=state,
             guard=guarding,
             sender=sender.Sender(
-                sender.Pools(state), watched, guarding, self.clock
+                pools.Pools(state), watched, guarding, self.clock
             ),
             reports=reports.EndReports(
                 state, guarding, SimulatedPeers(self), self.clock
@@ -293,7 +295,7 @@
             hedge_delay=HEDGE,
         )
         return await instance.sender.send(
-            SERVICE, self._target_call(body), plan, sender.SendRecord()
+            SERVICE, self._target_call(body), plan, exchange.SendRecord()
         )
 
     def _target_call(self, body: bytes) -> calls.TargetCall:
--- a/packages/yuccarill-daemon/tests/gateway/test_sender.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -20,6 +20,8 @@
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
 from yuccarill.daemon.gateway.quarantine import guard
+from yuccarill.daemon.gateway.requests import exchange
+from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.platform import calls
 
@@ -84,14 +86,14 @@
         self.targets = Targets(
             self.clock, {TargetId(n): r for n, r in replies.items()}
         )
-        self.record = sender.SendRecord()
+        self.record = exchange.SendRecord()
         self.guard = guard.ContentGuard(state, self.clock)
         for target in self.known_ends:
             self.guard.target_ended(
                 EndReport(target=TargetId(target), contents=(CALL.content,))
             )
         sending = sender.Sender(
-            sender.Pools(state), self.targets, self.guard, self.clock
+            pools.Pools(state), self.targets, self.guard, self.clock
         )
         plan = attempts.AttemptPlan(
             deadline=Instant(self.clock.seconds() + 1.0),
@@ -240,7 +242,7 @@
             state.targets.put(world.engine(name))
         targets = Targets(self.clock, replies)
         sending = sender.Sender(
-            sender.Pools(state),
+            pools.Pools(state),
             targets,
             guard.ContentGuard(state, self.clock),
             self.clock,
@@ -254,7 +256,7 @@
             with self.assertRaises(errors.NotRun):
                 self.finish(
                     sending.send(
-                        world.SERVICE, CALL, plan, sender.SendRecord()
+                        world.SERVICE, CALL, plan, exchange.SendRecord()
                     )
                 )
         self.assertLessEqual(len(targets.called), 3 + 6 * self.clock.seconds())
@@ -272,14 +274,14 @@
         state = self.state('a')
         for number in range(1300):
             state.targets.put(world.engine(f't{number}'))
-        pools = sender.Pools(state)
-        pool = pools.pool(world.SERVICE, Instant(0.0))
+        known = pools.Pools(state)
+        pool = known.pool(world.SERVICE, Instant(0.0))
         with mock.patch.object(pool, 'update', wraps=pool.update) as update:
             for _ in range(20):
-                pools.pool(world.SERVICE, Instant(1.0))
+                known.pool(world.SERVICE, Instant(1.0))
             update.assert_not_called()
             state.targets.remove(TargetId('t7'))
-            pools.pool(world.SERVICE, Instant(1.0))
+            known.pool(world.SERVICE, Instant(1.0))
             update.assert_called_once()
         self.assertEqual(1300, len(pool))
 
@@ -296,7 +298,7 @@
         super().setUp()
         state = self.state('a')
         self.listed = state.targets = TargetList()
-        self.pools = sender.Pools(state)
+        self.pools = pools.Pools(state)
         self.old = world.started('t0', 1)
         for target in (self.old, world.started('t1', 1)):
             self.listed.put(target)
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -16,6 +16,7 @@
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway.quarantine import guard
+from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
 from yuccarill.platform import calls
@@ -106,7 +107,7 @@
         targets = Targets(list(plan))
         forwarder = streams.StreamForwarder(
             sender.Sender(
-                sender.Pools(state),
+                pools.Pools(state),
                 targets,
                 guard.ContentGuard(state, self.clock),
                 self.clock,
