Draw from one source a process, which a test can seed

Cause: six parts of the gateway made sources of their own, so that a fault that depends on a draw showed once in hundreds of runs of the tests. Change: the source stands in the process's state; worlds of tests seed it.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -45,7 +44,6 @@
         self._state = state
         self._sender = sender
         self._clock = clock
-        self._random = random.Random()
         self._running = 0
         self._waiting: list[defer.Deferred[None]] = []
 
@@ -88,7 +86,7 @@
     async def _send(
         self, run: ItemRun, request: ScoreRequest, route: Route
     ) -> TargetAnswer | None:
-        service = route.choose_service(self._random)
+        service = route.choose_service(self._state.generator)
         if service is None:
             return None
         now = self._clock.seconds()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -130,7 +130,9 @@
             self._state,
             self._sender,
             self._calls,
-            streams.StreamForwarder(self._sender, self._calls, clock),
+            streams.StreamForwarder(
+                self._state, self._sender, self._calls, clock
+            ),
             taking,
             clock,
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/reports.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/reports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -102,7 +101,6 @@
         self._guard = guard
         self._peers = peers
         self._clock = clock
-        self._random = random.Random()
         self._outboxes_by_peer: dict[InstanceId, _Outbox] = {}
         self._turns = defer.DeferredSemaphore(TOLD_AT_ONCE)
         self._expiring = task.LoopingCall(guard.expire)
@@ -249,7 +247,10 @@
                 continue
             try:
                 body = await self._peers.call(
-                    self._random.choice(peers), 'GET', PATH, ANSWER_SECONDS
+                    self._state.generator.choice(peers),
+                    'GET',
+                    PATH,
+                    ANSWER_SECONDS,
                 )
                 self._take(msgspec.msgpack.decode(body, type=EndMessage))
             except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -53,7 +52,6 @@
         self._streams = streams
         self._intake = intake
         self._clock = clock
-        self._random = random.Random()
 
     async def forward(
         self, request: ClientRequest, answerer: Answerer
@@ -157,7 +155,7 @@
         )
 
     def _service(self, route: Route) -> ServiceName:
-        service = route.choose_service(self._random)
+        service = route.choose_service(self._state.generator)
         if service is None:
             raise errors.NoTarget('The route has no service.', 1.0)
         return service
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/pools.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/pools.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 from yuccarill.core.calls import pool as pool_module
@@ -44,7 +43,7 @@
         pool = self._pools_by_service.get(service)
         if pool is None:
             pool = pool_module.Pool(
-                pool_module.RoutingPolicy(), random.Random()
+                pool_module.RoutingPolicy(), self._state.generator
             )
             self._pools_by_service[service] = pool
         targets = self._state.targets
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -20,6 +19,7 @@
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.daemon.gateway.requests.tries import TargetTries
+    from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.ports import Answerer
 
 # Seconds without an event after which a run is taken for silent. Clients
@@ -33,12 +33,16 @@
     """Forward streams, resuming those that may be resumed."""
 
     def __init__(
-        self, sender: Sender, calls: WatchedCalls, clock: Any
+        self,
+        state: GatewayState,
+        sender: Sender,
+        calls: WatchedCalls,
+        clock: Any,
     ) -> None:
+        self._state = state
         self._sender = sender
         self._calls = calls
         self._clock = clock
-        self._random = random.Random()
 
     async def serve(
         self, route: Route, request: ClientRequest, answerer: Answerer
@@ -47,7 +51,7 @@
 
         Raises YuccarillError if it ended before its head was passed on.
         """
-        service = route.choose_service(self._random)
+        service = route.choose_service(self._state.generator)
         if service is None:
             raise errors.NoTarget('The route has no service.', 1.0)
         run = _StreamRun(request, answerer)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -60,6 +61,8 @@
     """Hold what controllers read and write."""
 
     settings: InstanceSettings
+    # What every draw of this process comes from, so that a test can seed it.
+    generator: random.Random = dataclasses.field(default_factory=random.Random)
     # Written by the observer.
     table: RouteTable | None = None
     targets: TargetList = dataclasses.field(default_factory=TargetList)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/peer_choice.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/peer_choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,7 +20,6 @@
     def __init__(self, state: GatewayState, clock: Any) -> None:
         self._state = state
         self._clock = clock
-        self._random = random.Random()
         self._out_until: dict[str, Instant] = {}
         self._kept = ''
 
@@ -48,7 +46,9 @@
         found = list(found_by_name.values())
         here = self._state.settings.data_centre
         near = [record for record in found if record.data_centre == here]
-        return self._random.choice(near if is_near and near else found)
+        return self._state.generator.choice(
+            near if is_near and near else found
+        )
 
     def is_out(self, instance: str) -> bool:
         """Tell whether a peer is left out now."""
--- a/packages/yuccarill-daemon/tests/gateway/crash_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/crash_world.py
@@ -109,6 +109,7 @@
         self._guard_class = NaiveGuard if is_naive else guard.ContentGuard
         self.clock = task.Clock()
         self.random = random.Random(seed)
+        self._seed = seed
         self.targets_by_id: dict[TargetId, Target] = {}
         self.instances_by_name: dict[str, Instance] = {}
         # When each run of a body that ends targets began.
@@ -131,7 +132,9 @@
 
     def add_instance(self, name: str) -> Instance:
         """Start an instance that knows nothing of before."""
-        state = state_module.GatewayState(world.settings(name))
+        state = state_module.GatewayState(
+            world.settings(name), random.Random(f'{self._seed} {name}')
+        )
         for target in self.targets_by_id.values():
             state.targets.put(target.listed)
         plain = SimulatedCalls(self)
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -106,6 +106,7 @@
             state.targets.put(world.engine(name))
         targets = Targets(list(plan))
         forwarder = streams.StreamForwarder(
+            state,
             sender.Sender(
                 pools.Pools(state),
                 targets,
--- a/packages/yuccarill-daemon/tests/gateway/world.py
+++ b/packages/yuccarill-daemon/tests/gateway/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest import mock
 
@@ -113,7 +114,7 @@
         return memory_store.MemoryStore(self.keys)
 
     def state(self, name: str) -> state_module.GatewayState:
-        found = state_module.GatewayState(settings(name))
+        found = state_module.GatewayState(settings(name), random.Random(name))
         found.is_current = True
         found.targets.put(engine('e1'))
         return found
