Count two ends under one request in one moment once

Change: ends name the request that was at them, and two of one request within 50 ms are one chance. Ruled out: merging all ends of a moment; ends that three instances see under three requests at once are three. Measured: the tests of suspicion and of the ledger fail without it and pass with it; all tests of the gateway pass.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
@@ -11,6 +11,7 @@
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
 
 if TYPE_CHECKING:
@@ -25,6 +26,11 @@
 # Seconds for which an end counts: a caller that sends such a request every
 # few minutes is found, one whose target ends twice a day is not.
 END_SECONDS = 1800.0
+# Seconds within which the ends of two targets of one request are one moment.
+# A connection's end is seen within one hop, 2 ms and up to 10 ms between
+# regions, and a loop under load is some ms late; a request that ends its
+# targets 50 to 350 ms after it began rarely ends two of them so close.
+MOMENT_SECONDS = 0.05
 # Contents of finished runs that are kept, some 200 bytes each.
 MAX_COMPLETED = 1024
 # Seconds after a finished run in which its content is no cause of an end. A
@@ -46,6 +52,8 @@
 
     target: TargetId
     contents: tuple[ContentDigest, ...]
+    # Where they are known.
+    requests_by_content: dict[ContentDigest, RequestId] = {}
     # Seconds since then, as instances share no clock.
     age: float = 0.0
 
@@ -66,8 +74,8 @@
 
     target: TargetId
     at: Instant
-    # A set, with the order in which they came.
-    contents: dict[ContentDigest, None]
+    # In the order in which they came, with the request of each.
+    contents: dict[ContentDigest, RequestId | None]
 
 
 class EndLedger:
@@ -100,7 +108,8 @@
             self._ends.append(end)
         for content in report.contents[:MAX_CONTENTS]:
             if not self._was_completed(content, end.at):
-                end.contents[content] = None
+                request = report.requests_by_content.get(content)
+                end.contents[content] = request
         self._judge(now)
 
     def completed(self, content: ContentDigest, now: Instant) -> bool:
@@ -188,6 +197,11 @@
             EndReport(
                 target=end.target,
                 contents=tuple(end.contents),
+                requests_by_content={
+                    content: request
+                    for content, request in end.contents.items()
+                    if request is not None
+                },
                 age=now - end.at,
             )
             for end in self._ends
@@ -207,9 +221,36 @@
         )
 
     def _judge(self, now: Instant) -> None:
-        ends = [frozenset(end.contents) for end in self._ends if end.contents]
-        self._judgement = suspicion.judge(ends, self._until_by_content)
+        ends = [end for end in self._ends if end.contents]
+        self._judgement = suspicion.judge(
+            [frozenset(end.contents) for end in ends],
+            self._until_by_content,
+            _chances(ends),
+        )
         for content, verdict in self._judgement.verdicts_by_content.items():
             if verdict is Verdict.QUARANTINED:
                 until = Instant(now + QUARANTINE_SECONDS)
                 self._until_by_content.setdefault(content, until)
+
+
+def _chances(ends: list[_End]) -> list[dict[ContentDigest, int]]:
+    """Number what counts as one for each content of each end.
+
+    A request may be at two targets, the second attempt beside the first. A
+    service whose targets all ended in one moment had such a request two
+    thirds of the way into quarantine by one chance, and the next such moment
+    had it refused for an hour. What really ends its targets is found all the
+    same, by one end more where both attempts ended theirs together.
+    """
+    found: list[dict[ContentDigest, int]] = []
+    last_by_request: dict[tuple[ContentDigest, RequestId], int] = {}
+    for number, end in enumerate(ends):
+        chances = dict.fromkeys(end.contents, number)
+        for content, request in end.contents.items():
+            if request is None:
+                continue
+            last = last_by_request.setdefault((content, request), number)
+            if abs(end.at - ends[last].at) < MOMENT_SECONDS:
+                chances[content] = last
+        found.append(chances)
+    return found
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/suspicion.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/suspicion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,6 +12,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
 # Ends of targets under one content after which it is refused. Two may be
 # chance: a target ends of something else, and the next one that the request
@@ -44,20 +47,32 @@
         return self.verdicts_by_content.get(content, Verdict.CLEAR)
 
 
+class _End(NamedTuple):
+    """Hold the contents of one end, each with the chance it counts for."""
+
+    contents: frozenset[ContentDigest]
+    chances: Mapping[ContentDigest, int]
+
+
 def judge(
     ends: Iterable[frozenset[ContentDigest]],
     quarantined: Iterable[ContentDigest] = (),
+    chances: Sequence[Mapping[ContentDigest, int]] = (),
 ) -> Judgement:
     """Return what is to be thought of the contents under which targets ended.
 
     Each end is given by the contents that the target was at work on and that
     no target has finished since. Those quarantined before explain the ends
-    that they were at.
+    that they were at. The chances number for each end what
+    counts as one for a content; without them each end counts.
     """
-    unexplained = list(ends)
+    unexplained = [
+        _End(end, chances[number] if chances else dict.fromkeys(end, number))
+        for number, end in enumerate(ends)
+    ]
     found = set(quarantined)
     while True:
-        unexplained = [end for end in unexplained if not end & found]
+        unexplained = [e for e in unexplained if not e.contents & found]
         ends_by_content = _ends_by_content(unexplained)
         caught = _caught(ends_by_content)
         if not caught:
@@ -73,13 +88,13 @@
 
 
 def _ends_by_content(
-    ends: list[frozenset[ContentDigest]],
+    ends: list[_End],
 ) -> dict[ContentDigest, frozenset[int]]:
     numbers: dict[ContentDigest, set[int]] = {}
-    for number, contents in enumerate(ends):
-        for content in contents:
-            numbers.setdefault(content, set()).add(number)
-    return {content: frozenset(n) for content, n in numbers.items()}
+    for end in ends:
+        for content in end.contents:
+            numbers.setdefault(content, set()).add(end.chances[content])
+    return {content: frozenset(found) for content, found in numbers.items()}
 
 
 def _caught(
--- a/packages/yuccarill-core/tests/gateway/test_end_ledger.py
+++ b/packages/yuccarill-core/tests/gateway/test_end_ledger.py
@@ -11,6 +11,7 @@
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
 
 X = ContentDigest('x')
@@ -47,6 +48,27 @@
             self.ledger.report(report(target, 'x', age=age), Instant(at))
         self.assertEqual(count, len(self.ledger.targets(X)))
 
+    def test_a_request_at_two_targets_that_end_together(self) -> None:
+        """A caller was refused for an hour although its request was sound.
+
+        1. The request is at two targets, the second attempt beside the first,
+           as all targets of its service end in one moment.
+        2. Eight seconds later all end again, under its third attempt.
+        3. Two chances are no proof: it may be sent on, one at a time.
+        """
+        for target in ('t9', 't10'):
+            told = EndReport(
+                target=TargetId(target),
+                contents=(X,),
+                requests_by_content={X: RequestId('r')},
+            )
+            self.ledger.report(told, Instant(16.005))
+        self.assertEqual(Verdict.WATCHED, self.ledger.verdict(X))
+        self.end(32.01, 't24', 'x')
+        self.assertEqual(Verdict.SUSPECT, self.ledger.verdict(X))
+        self.end(40.0, 't25', 'x')
+        self.assertEqual(Verdict.QUARANTINED, self.ledger.verdict(X))
+
     def test_reports_of_one_end_are_put_together(self) -> None:
         self.end(1.0, 't', 'x')
         self.end(1.1, 't', 'p')
--- a/packages/yuccarill-core/tests/gateway/test_suspicion.py
+++ b/packages/yuccarill-core/tests/gateway/test_suspicion.py
@@ -56,6 +56,32 @@
         found = suspicion.judge([frozenset(end) for end in ends])
         self.assertEqual(expected, {c: found.verdict(c) for c in expected})
 
+    # The ends, the moment of each, and what is thought of the contents.
+    @params(
+        # Two attempts of one request, side by side, in a moment in which all
+        # targets ended: one chance, not two.
+        (('x', 'x', 'x'), (0, 0, 1), {'x': SUSPECT}),
+        (('x', 'x'), (0, 0), {'x': WATCHED}),
+        (('x', 'x', 'x', 'x'), (0, 0, 1, 2), {'x': QUARANTINED}),
+        (('x', 'x', 'x'), (0, 1, 2), {'x': QUARANTINED}),
+        # Another one beside it in as many moments is as likely the cause.
+        (('xa', 'x', 'xa', 'xa'), (0, 0, 1, 2), {'x': SUSPECT, 'a': SUSPECT}),
+    )
+    def test_ends_of_one_moment_count_once(
+        self,
+        ends: tuple[str, ...],
+        moments: tuple[int, ...],
+        expected: dict[str, Verdict],
+    ) -> None:
+        found = suspicion.judge(
+            [frozenset(end) for end in ends],
+            chances=[
+                dict.fromkeys(end, moment)
+                for end, moment in zip(ends, moments, strict=True)
+            ],
+        )
+        self.assertEqual(expected, {c: found.verdict(c) for c in expected})
+
     def test_what_is_quarantined_already_explains_its_ends(self) -> None:
         ends = [frozenset('xa'), frozenset('xa'), frozenset('xa')]
         found = suspicion.judge(ends, quarantined=['x'])
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -15,6 +15,7 @@
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from yuccarill.core.ids import RequestId
     from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.platform.calls import Calls
@@ -27,7 +28,8 @@
     """Gather the calls of one target whose connections were lost."""
 
     target: ListedTarget
-    contents: list[ContentDigest]
+    # In the order in which they were lost.
+    requests_by_content: dict[ContentDigest, RequestId]
     waiting: list[defer.Deferred[bool]]
 
 
@@ -43,17 +45,22 @@
         self._guard = guard
         self._losses_by_target: dict[TargetId, _Loss] = {}
 
-    async def lost(self, target: ListedTarget, content: ContentDigest) -> bool:
+    async def lost(
+        self,
+        target: ListedTarget,
+        content: ContentDigest,
+        request: RequestId,
+    ) -> bool:
         """Note a call whose connection was lost; tell if its target ended."""
         ended: defer.Deferred[bool] = defer.Deferred()
         loss = self._losses_by_target.get(target.id)
         if loss is not None and loss.target.is_same_start(target):
             # All connections of a process end within one moment, and one
             # look is enough.
-            loss.contents.append(content)
+            loss.requests_by_content[content] = request
             loss.waiting.append(ended)
             return await ended
-        loss = _Loss(target, [content], [ended])
+        loss = _Loss(target, {content: request}, [ended])
         self._losses_by_target[target.id] = loss
         # The look goes on if the call that began it is given up: its
         # caller's leaving does not undo the end.
@@ -64,7 +71,7 @@
     async def _look(self, loss: _Loss) -> None:
         target = loss.target
         has_ended = await self._calls.has_ended(target)
-        contents = tuple(dict.fromkeys(loss.contents))
+        contents = tuple(loss.requests_by_content)
         meters.LOSSES.labels(target.service, has_ended).inc()
         log.info(
             'Target ended.' if has_ended else 'Connection lost.',
@@ -74,7 +81,11 @@
         )
         if has_ended:
             self._guard.target_ended(
-                EndReport(target=target.id, contents=contents)
+                EndReport(
+                    target=target.id,
+                    contents=contents,
+                    requests_by_content=loss.requests_by_content,
+                )
             )
         self._end(loss, has_ended)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
@@ -110,4 +110,4 @@
         if not error.is_lost:
             return
         self._guard.name(call.content, call.name)
-        await self._ends.lost(target, call.content)
+        await self._ends.lost(target, call.content, call.id)
--- a/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
@@ -10,6 +10,7 @@
 
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import ContentDigest
+from yuccarill.core.ids import RequestId
 from yuccarill.daemon.gateway.quarantine import guard
 from yuccarill.daemon.gateway.quarantine import target_ends
 
@@ -45,7 +46,7 @@
         ends = self.ends(looks)
         lost = [
             defer.Deferred.fromCoroutine(
-                ends.lost(TARGET, ContentDigest(name))
+                ends.lost(TARGET, ContentDigest(name), RequestId('r'))
             )
             for name in 'abc'
         ]
@@ -58,7 +59,7 @@
         looks = Looks(self.clock, has_listener=True)
         ends = self.ends(looks)
         for _ in range(2):
-            self.finish(ends.lost(TARGET, ContentDigest('a')))
+            self.finish(ends.lost(TARGET, ContentDigest('a'), RequestId('r')))
         self.assertEqual(2, looks.count)
 
 
