Ask for the key of a client account, and keep it from targets

Change: accounts are read with the configuration, keys known by digest. A request without one known key is refused with 1103 or 1104; a key unknown here is looked up once in the newest configuration, which all that wait share; where the store is away the client is sent elsewhere. Without accounts nothing is asked. Ruled out: 401 from an instance that may be a version behind, since clients do not come back after it; a relayed call that names an account by itself.

--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: who sends a request, and whether it may be run."""
--- a/packages/yuccarill-core/src/yuccarill/core/errors.py
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -20,6 +20,8 @@
     WRONG_METHOD = 1008
     TICKET_INVALID = 1101
     TICKET_EXPIRED = 1102
+    KEY_MISSING = 1103
+    KEY_UNKNOWN = 1104
     NOT_RUN = 1201
     OVERLOADED = 1202
     DEADLINE_PASSED = 1203
@@ -131,6 +133,20 @@
     code = ResultCode.TICKET_EXPIRED
 
 
+class KeyMissing(RequestError):
+    """Refuse a request that names no client account."""
+
+    code = ResultCode.KEY_MISSING
+    http_status = 401
+
+
+class KeyUnknown(RequestError):
+    """Refuse a request whose key belongs to no client account."""
+
+    code = ResultCode.KEY_UNKNOWN
+    http_status = 401
+
+
 class NotRun(YuccarillError):
     """Tell a caller that its request has not run and will not."""
 
--- a/packages/yuccarill-core/src/yuccarill/core/explanations.py
+++ b/packages/yuccarill-core/src/yuccarill/core/explanations.py
@@ -32,6 +32,12 @@
         'Ask for addresses to get a ticket. An earlier try under the old one '
         'may have run.'
     ),
+    ResultCode.KEY_MISSING: (
+        'Send one header with one key of a client account.'
+    ),
+    ResultCode.KEY_UNKNOWN: (
+        'Use a key that the account has now; ask its operators for one.'
+    ),
     ResultCode.NOT_RUN: 'Send the request again after the time given.',
     ResultCode.OVERLOADED: (
         'Send the request again after the time given, not before; add '
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from yuccarill.core.ids import AccountName
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 
@@ -27,6 +28,13 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     arrived_at: Instant
+    # What names its sender, apart from the other headers; a target gets it
+    # only where the configuration names no accounts.
+    identity: tuple[tuple[str, str], ...] = ()
+    # The credentials among it, each as it came.
+    credentials: tuple[str, ...] = ()
+    # Whose request it is, once that was found out.
+    account: AccountName | None = None
     # When the client stops waiting, if it said so.
     deadline: Instant | None = None
     # The last event that the client has of a stream it resumes.
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/routes.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/routes.py
@@ -14,6 +14,8 @@
     from collections.abc import Iterable
     import random
 
+    from yuccarill.core.accounts.directory import AccountDirectory
+
 
 class RouteKind(enum.Enum):
     """Say what of a route's requests may be repeated."""
@@ -48,6 +50,8 @@
     # 0 goes first.
     priority: int = 5
     is_resumable: bool = False
+    # Anybody may send to it; no client account is asked for.
+    is_open: bool = False
     # Each text must come from one weight version alone.
     is_single_version: bool = False
     # From a batch job's submission until all its results are due.
@@ -103,9 +107,12 @@
         routes: Iterable[Route],
         services: Iterable[Service],
         limits: ClientLimits,
+        accounts: AccountDirectory | None = None,
     ) -> None:
         self.version = version
         self.limits = limits
+        # None where the configuration names no accounts: nobody is asked.
+        self.accounts = accounts
         self.services_by_name = {s.name: s for s in services}
         self.routes_by_name: dict[str, Route] = {}
         self._routes_by_host: dict[str, list[Route]] = {}
@@ -115,10 +122,23 @@
         for found in self._routes_by_host.values():
             found.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    def is_open_to_jobs(self, host: str) -> bool:
+        """Tell whether a host's jobs belong to no client account."""
+        found = [
+            route.is_open
+            for route in self._routes_by_host.get(_host_name(host), ())
+            if route.kind is RouteKind.BATCH
+        ]
+        return bool(found) and all(found)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of a path."""
-        name = host.rpartition(':')[0] or host
-        for route in self._routes_by_host.get(name.lower(), ()):
+        for route in self._routes_by_host.get(_host_name(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+def _host_name(host: str) -> str:
+    """Return a host without its port."""
+    return (host.rpartition(':')[0] or host).lower()
--- a/packages/yuccarill-core/src/yuccarill/core/ids.py
+++ b/packages/yuccarill-core/src/yuccarill/core/ids.py
@@ -8,6 +8,9 @@
 # One start of an instance; a restart under the same id is another one.
 Incarnation = NewType('Incarnation', str)
 DataCentreId = NewType('DataCentreId', str)
+AccountName = NewType('AccountName', str)
+# What a client account's key is known by.
+KeyDigest = NewType('KeyDigest', bytes)
 CallerId = NewType('CallerId', str)
 TargetId = NewType('TargetId', str)
 ServiceName = NewType('ServiceName', str)
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/job.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/job.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from yuccarill.core.ids import AccountName
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import ServiceName
@@ -49,6 +50,8 @@
     service: ServiceName
     host: str
     route: str
+    # Whose it is; none where the configuration names no accounts.
+    account: AccountName | None = None
     step: int = 0
     model: ModelName | None = None
     # The oldest weights that may make any part of a text.
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Find out whose a request is."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
@@ -0,0 +1,121 @@
+"""Admit requests by the client account that their key belongs to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.accounts import credentials
+from yuccarill.core.accounts import decision
+from yuccarill.core.accounts.decision import KeyStanding
+from yuccarill.core.accounts.decision import Look
+from yuccarill.core.accounts.decision import Verdict
+from yuccarill.core import errors
+from yuccarill.daemon.gateway import meters
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.accounts.directory import Account
+    from yuccarill.core.accounts.directory import AccountDirectory
+    from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.ids import KeyDigest
+    from yuccarill.daemon.gateway.accounts.look import ConfigurationLook
+    from yuccarill.daemon.gateway.state import GatewayState
+
+# Seconds after which a client whose key can't be judged here may try again.
+RETRY_AFTER = 0.3
+
+
+class AccountAdmission:
+    """Find the account of each request, or refuse it."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        look: ConfigurationLook,
+        age: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._look = look
+        # Seconds since the configuration was last heard of.
+        self._age = age
+
+    async def admit(
+        self, route: Route, request: ClientRequest
+    ) -> ClientRequest:
+        """Return a request with its account, as targets are to get it.
+
+        Raises KeyMissing, KeyUnknown, or NotRun where that can't be told.
+        """
+        return await self._admit(request, route.is_open)
+
+    async def admit_job_call(self, request: ClientRequest) -> ClientRequest:
+        """Return a call about a job with its account; raises as `admit`."""
+        table = self._state.table
+        is_open = table is not None and table.is_open_to_jobs(request.host)
+        return await self._admit(request, is_open)
+
+    async def _admit(
+        self, request: ClientRequest, is_open: bool
+    ) -> ClientRequest:
+        directory = self._directory()
+        if directory is None:
+            # Nobody is asked; what the client says of itself is its target's
+            # affair.
+            return msgspec.structs.replace(
+                request, headers=(*request.headers, *request.identity)
+            )
+        if is_open:
+            return request
+        key = credentials.read(request.credentials)
+        if isinstance(key, credentials.CredentialFault):
+            meters.KEYS.labels(key.name.lower()).inc()
+            raise errors.KeyMissing(f'The request was refused: {key.value}.')
+        account = await self._account(directory, key)
+        return msgspec.structs.replace(request, account=account.name)
+
+    async def _account(
+        self, directory: AccountDirectory, key: KeyDigest
+    ) -> Account:
+        look = Look.NOT_YET
+        while True:
+            account = directory.find(key)
+            verdict = decision.decide(
+                _standing(directory, key, account),
+                look,
+                self._age(),
+                self._state.settings.revocation,
+            )
+            if verdict is not Verdict.LOOK:
+                meters.KEYS.labels(verdict.name.lower()).inc()
+            match verdict:
+                case Verdict.LOOK:
+                    look = await self._look.look()
+                    directory = self._directory() or directory
+                case Verdict.ADMIT if account is not None:
+                    return account
+                case Verdict.PUT_OFF:
+                    raise errors.NotRun(
+                        'The request was not run: its key can not be '
+                        'judged here now.',
+                        RETRY_AFTER,
+                    )
+                case _:
+                    raise errors.KeyUnknown('No client account has this key.')
+
+    def _directory(self) -> AccountDirectory | None:
+        table = self._state.table
+        return None if table is None else table.accounts
+
+
+def _standing(
+    directory: AccountDirectory, key: KeyDigest, account: Account | None
+) -> KeyStanding:
+    if account is not None:
+        return KeyStanding.HELD
+    if directory.was_removed(key):
+        return KeyStanding.REMOVED
+    return KeyStanding.UNKNOWN
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
@@ -174,4 +174,5 @@
         headers=(('Host', run.job.host), *item.headers),
         body=item.body,
         after_event=run.text.events or None,
+        account=run.job.account,
     )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
@@ -29,6 +29,7 @@
 
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.ids import AccountName
     from yuccarill.core.ids import Revision
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
@@ -150,7 +151,9 @@
             runner.offer(job)
         return _ACCEPTED
 
-    async def read_results(self, query: ResultsQuery) -> bytes:
+    async def read_results(
+        self, query: ResultsQuery, account: AccountName | None = None
+    ) -> bytes:
         """Return results from a position on, waiting for the first.
 
         Raises UnknownStep if there is no such job, StoreUnavailable if
@@ -159,6 +162,7 @@
         deadline = Instant(self._clock.seconds() + query.wait)
         try:
             view = await self._view(query)
+            _check_owner(view.summary.account, account)
             while len(view.results) <= query.first and not view.is_whole:
                 left = deadline - self._clock.seconds()
                 if left <= 0.0:
@@ -180,7 +184,12 @@
             ) from error
         return result_page.page(view.summary.total, view.results, query.first)
 
-    async def read_item(self, job_id: JobId, item_id: ItemId) -> bytes:
+    async def read_item(
+        self,
+        job_id: JobId,
+        item_id: ItemId,
+        account: AccountName | None = None,
+    ) -> bytes:
         """Return the body of one item.
 
         Raises UnknownStep if there is no such item, StoreUnavailable if
@@ -199,6 +208,7 @@
                 ) from error
         if job is None:
             raise errors.UnknownStep('There is no such batch job.')
+        _check_owner(job.account, account)
         self._jobs_by_id[job_id] = job
         if len(self._jobs_by_id) > CACHED_BODIES:
             self._jobs_by_id.popitem(last=False)
@@ -208,7 +218,10 @@
         raise errors.UnknownStep('There is no such item.')
 
     async def end_job(
-        self, job_id: JobId, service: ServiceName | None
+        self,
+        job_id: JobId,
+        service: ServiceName | None,
+        account: AccountName | None = None,
     ) -> None:
         """End a job, whose service is looked up if it is not given.
 
@@ -219,6 +232,7 @@
             if service is None:
                 view = self._views_by_id.get(job_id)
                 view = view or await self._load(job_id)
+                _check_owner(view.summary.account, account)
                 service = view.summary.service
             await self._store.end(service, job_id)
         except (
@@ -297,8 +311,18 @@
         view.take(await self._store.read_results(job_id, view.last_key))
 
 
+def _check_owner(
+    owner: AccountName | None, account: AccountName | None
+) -> None:
+    # Told as not found: whether another account has such a job is not told.
+    if owner is not None and owner != account:
+        raise errors.UnknownStep('There is no such batch job.')
+
+
 def _job(route: Route, request: ClientRequest) -> Job:
-    submitted = wire_jobs.submission(request.body)
+    submitted = wire_jobs.submission(
+        request.body, has_account=request.account is not None
+    )
     if not route.services:
         raise errors.NoTarget('The route has no service.', RETRY_AFTER)
     now = WallTime(time.time())
@@ -309,6 +333,7 @@
         service=route.services[0],
         host=request.host,
         route=route.name,
+        account=request.account,
         step=submitted.step,
         model=submitted.model,
         min_version=submitted.min_version,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_store.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_store.py
@@ -7,6 +7,7 @@
 import msgspec
 from twisted.internet import task
 
+from yuccarill.core.ids import AccountName
 from yuccarill.core.ids import Revision
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import WallTime
@@ -34,6 +35,7 @@
     service: ServiceName
     total: int
     submitted_at: WallTime
+    account: AccountName | None = None
 
 
 class WorkRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,6 +86,7 @@
             service=job.service,
             total=len(job.items),
             submitted_at=job.submitted_at,
+            account=job.account,
         )
         spec_key = keys.job_spec(job.id)
         try:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/shelf.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/shelf.py
@@ -10,6 +10,7 @@
 from yuccarill.daemon.gateway.jobs import result_page
 
 if TYPE_CHECKING:
+    from yuccarill.core.ids import AccountName
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
@@ -58,9 +59,11 @@
         """Answer no more readers of a job from here."""
         self._kept_by_id.pop(job, None)
 
-    async def read_results(self, query: ResultsQuery) -> bytes | None:
+    async def read_results(
+        self, query: ResultsQuery, account: AccountName | None = None
+    ) -> bytes | None:
         """Return a job's results, none if the store has to be asked."""
-        kept = self._kept_by_id.get(query.job)
+        kept = self._kept(query.job, account)
         if kept is None:
             return None
         found = kept.listing
@@ -83,9 +86,14 @@
             return None
         return result_page.page(found.total, found.results, query.first)
 
-    def read_item(self, job_id: JobId, item_id: ItemId) -> bytes | None:
+    def read_item(
+        self,
+        job_id: JobId,
+        item_id: ItemId,
+        account: AccountName | None = None,
+    ) -> bytes | None:
         """Return an item's body, none if the store has to be asked."""
-        kept = self._kept_by_id.get(job_id)
+        kept = self._kept(job_id, account)
         if kept is None:
             return None
         for item in kept.job.items:
@@ -93,5 +101,17 @@
                 return item.body
         return None
 
+    def is_of(self, job: JobId, account: AccountName | None) -> bool:
+        """Tell whether a kept job belongs to an account."""
+        return self._kept(job, account) is not None
+
+    def _kept(
+        self, job: JobId, account: AccountName | None
+    ) -> _KeptJob | None:
+        kept = self._kept_by_id.get(job)
+        if kept is None or kept.job.account not in (None, account):
+            return None
+        return kept
+
     def _now(self) -> Instant:
         return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/trainers.py
@@ -15,6 +15,7 @@
     from collections.abc import Iterable
 
     from yuccarill.core.gateway.requests import ClientRequest
+    from yuccarill.core.ids import AccountName
     from yuccarill.daemon.gateway.jobs.intake import Intake
     from yuccarill.daemon.gateway.jobs.runner import Runner
     from yuccarill.daemon.gateway.requests.relay import Relay
@@ -49,9 +50,9 @@
                 return answer
         match call:
             case ports.ResultsQuery():
-                return await self._results(call)
+                return await self._results(call, request.account)
             case ports.ItemQuery():
-                return await self._item(call)
+                return await self._item(call, request.account)
             case ports.JobEnd():
                 return await self._end(call, request)
 
@@ -70,30 +71,36 @@
             return None
         return answer
 
-    async def _results(self, query: ports.ResultsQuery) -> TargetAnswer:
+    async def _results(
+        self, query: ports.ResultsQuery, account: AccountName | None
+    ) -> TargetAnswer:
         # A duty may change hands while a reader waits.
         for runner in list(self._runners()):
-            body = await runner.shelf.read_results(query)
+            body = await runner.shelf.read_results(query, account)
             if body is not None:
                 return _answer(_JSON, body)
-        return _answer(_JSON, await self._intake.read_results(query))
+        return _answer(_JSON, await self._intake.read_results(query, account))
 
-    async def _item(self, query: ports.ItemQuery) -> TargetAnswer:
+    async def _item(
+        self, query: ports.ItemQuery, account: AccountName | None
+    ) -> TargetAnswer:
         for runner in list(self._runners()):
-            body = runner.shelf.read_item(query.job, query.item)
+            body = runner.shelf.read_item(query.job, query.item, account)
             if body is not None:
                 return _answer((), body)
-        return _answer((), await self._intake.read_item(query.job, query.item))
+        return _answer(
+            (), await self._intake.read_item(query.job, query.item, account)
+        )
 
     async def _end(
         self, call: ports.JobEnd, request: ClientRequest
     ) -> TargetAnswer:
         service = None
         for runner in list(self._runners()):
-            if runner.knows(call.job):
+            if runner.shelf.is_of(call.job, request.account):
                 service = runner.service
         try:
-            await self._intake.end_job(call.job, service)
+            await self._intake.end_job(call.job, service, request.account)
         except errors.StoreUnavailable:
             peer = self._relay.peer()
             if peer is None or relay_module.is_relayed(request):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -21,6 +21,12 @@
     buckets=_SECONDS,
     registry=REGISTRY,
 )
+KEYS = prometheus_client.Counter(
+    'yuccarill_keys',
+    'Keys of requests by what was decided of them',
+    ('decision',),
+    registry=REGISTRY,
+)
 ATTEMPTS = prometheus_client.Counter(
     'yuccarill_attempts',
     'Calls of targets by service and end',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -15,6 +15,8 @@
 from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway.accounts import admission
+from yuccarill.daemon.gateway.accounts import look
 from yuccarill.daemon.gateway.duty import departure
 from yuccarill.daemon.gateway.duty import duties
 from yuccarill.daemon.gateway.duty import session
@@ -126,6 +128,16 @@
         desk = trainers.TrainerDesk(
             taking, passing_on, lambda: self._runners_by_service.values()
         )
+        admitting = admission.AccountAdmission(
+            self._state,
+            look.ConfigurationLook(
+                self._state,
+                self._store,
+                self._observer.learn_configuration,
+                clock,
+            ),
+            self._observer.configuration_age,
+        )
         forwarder = forwarding.Forwarder(
             self._state,
             self._sender,
@@ -134,10 +146,11 @@
                 self._state, self._sender, self._calls, clock
             ),
             taking,
+            admitting,
             clock,
         )
         self._front = front.Front(
-            self._state, forwarder, desk, self._observer.age
+            self._state, forwarder, desk, admitting, self._observer.age
         )
         self._depot = texts.TextDepot(clock)
         self._text_sender = texts.TextSender(self._state, links, clock)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -20,6 +20,7 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.gateway.accounts.admission import AccountAdmission
     from yuccarill.daemon.gateway.jobs.intake import Intake
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
@@ -44,6 +45,7 @@
         calls: WatchedCalls,
         streams: StreamForwarder,
         intake: Intake,
+        admission: AccountAdmission,
         clock: Any,
     ) -> None:
         self._state = state
@@ -51,6 +53,7 @@
         self._calls = calls
         self._streams = streams
         self._intake = intake
+        self._admission = admission
         self._clock = clock
 
     async def forward(
@@ -60,6 +63,8 @@
 
         Raises YuccarillError for what is refused or failed.
         """
+        request = await self._admission.admit(self._find(request), request)
+        # A newer version may have come while its key was looked up.
         route = self._find(request)
         outcome = 'cancelled'
         try:
@@ -74,6 +79,7 @@
             log.info(
                 'Answered.',
                 request=request.id,
+                account=request.account,
                 route=route.name,
                 outcome=outcome,
                 ms=round(seconds * 1000.0),
@@ -172,4 +178,5 @@
         headers=request.headers,
         body=request.body,
         deadline=deadline,
+        account=request.account,
     )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -16,6 +16,7 @@
 
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.daemon.gateway.accounts.admission import AccountAdmission
     from yuccarill.daemon.gateway.jobs.trainers import TrainerDesk
     from yuccarill.daemon.gateway.requests.forwarding import Forwarder
     from yuccarill.daemon.gateway.state import GatewayState
@@ -37,11 +38,13 @@
         state: GatewayState,
         forwarder: Forwarder,
         trainers: TrainerDesk,
+        admission: AccountAdmission,
         store_age: Callable[[], float],
     ) -> None:
         self._state = state
         self._forwarder = forwarder
         self._trainers = trainers
+        self._admission = admission
         self._store_age = store_age
 
     def is_ready(self) -> bool:
@@ -94,7 +97,8 @@
         self, call: TrainerCall, request: ClientRequest
     ) -> TargetAnswer:
         """Serve a trainer's call about one of its jobs."""
-        return await self._trainers.serve(call, request)
+        admitted = await self._admission.admit_job_call(request)
+        return await self._trainers.serve(call, admitted)
 
     def refused(self, request_id: str, error: errors.YuccarillError) -> None:
         """Log why a request got no answer of a target."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
@@ -70,7 +70,9 @@
         outgoing = http_exchange.OutgoingRequest(
             method=request.method,
             target=request.target,
-            headers=(*request.headers, (HEADER, '1')),
+            # The peer admits it anew: nobody may name an account by saying
+            # that a request was relayed.
+            headers=(*request.headers, *_credentials(request), (HEADER, '1')),
             body=request.body,
         )
         deadline = Instant(self._clock.seconds() + seconds + ANSWER_SECONDS)
@@ -116,6 +118,13 @@
         return found.pop() if len(found) == 1 else None
 
 
+def _credentials(request: ClientRequest) -> tuple[tuple[str, str], ...]:
+    known = {name.lower() for name, _ in request.headers}
+    return tuple(
+        header for header in request.identity if header[0].lower() not in known
+    )
+
+
 def is_relayed(request: ClientRequest) -> bool:
     """Tell whether a peer passed the request on."""
     return any(name.lower() == HEADER.lower() for name, _ in request.headers)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -107,6 +107,7 @@
             headers=self._request.headers,
             body=self._request.body,
             after_event=self._last,
+            account=self._request.account,
         )
 
     def begin(self, answer: TargetAnswer, version: int | None) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
@@ -110,6 +110,11 @@
         finally:
             checking.cancel()
 
+    def learn(self, entry: Entry) -> None:
+        """Take an entry that was read at the store by another way."""
+        self._take(entry)
+        self._history.wake()
+
     def refresh(self) -> None:
         """Read again, after a time in which a watch may have gone deaf.
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -79,6 +79,14 @@
         for each in self.followers_by_prefix.values():
             each.refresh()
 
+    def learn_configuration(self, entry: Entry) -> None:
+        """Take the configuration as somebody read it at the store."""
+        self.followers_by_prefix[keys.CONFIGURATION].learn(entry)
+
+    def configuration_age(self) -> float:
+        """Return the seconds since the configuration was last heard of."""
+        return self.followers_by_prefix[keys.CONFIGURATION].age()
+
     def listen(self, on_change: Callable[[], None]) -> None:
         """Call a function after each change."""
         self._listeners.append(on_change)
@@ -100,12 +108,17 @@
         # fault; going back would serve routes that were taken away.
         if known is not None and decoded.table.version <= known.version:
             return
+        accounts = decoded.table.accounts
+        before = None if known is None else known.accounts
+        if accounts is not None and before is not None:
+            accounts.follow(before)
         self._state.table = decoded.table
         log.info(
             'Configuration in force.',
             version=decoded.table.version,
             revision=entry.revision,
             routes=len(decoded.table.routes_by_name),
+            keys=None if accounts is None else len(accounts),
         )
         self._tell()
 
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_admission.py
@@ -0,0 +1,206 @@
+"""Test whose requests are run, refused and put off."""
+
+from __future__ import annotations
+
+import msgspec
+from nose2.tools import params
+from twisted.internet import defer
+
+from yuccarill.core.accounts import credentials
+from yuccarill.core.accounts import directory
+from yuccarill.core import errors
+from yuccarill.core.gateway.requests import ClientRequest
+from yuccarill.core.gateway import routes
+from yuccarill.core.ids import AccountName
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.daemon.adapters import http_exchange
+from yuccarill.daemon.gateway.accounts import admission
+from yuccarill.daemon.gateway.accounts import look
+from yuccarill.daemon.gateway.requests import relay
+from yuccarill.platform import keys
+from yuccarill.platform import store as store_module
+
+from . import world
+
+KEY = 'Bearer k1'
+OTHER = 'Bearer k2'
+
+
+def table(version: int, **keys_by_name: str) -> routes.RouteTable:
+    accounts = directory.AccountDirectory(
+        directory.Account(
+            name=AccountName(name),
+            keys=frozenset(credentials.digest(key) for key in found.split()),
+        )
+        for name, found in keys_by_name.items()
+    )
+    return routes.RouteTable(
+        version, [world.batch_route()], [], routes.ClientLimits(), accounts
+    )
+
+
+class CountingStore:
+    """Answer reads of the configuration, and count them."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.answers: list[defer.Deferred] = []
+
+    async def get(self, key: str) -> store_module.Entry | None:
+        assert key == keys.CONFIGURATION
+        self.reads += 1
+        waiting: defer.Deferred = defer.Deferred()
+        self.answers.append(waiting)
+        return await waiting
+
+
+class AdmissionTest(world.WorldTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.known = self.state('a')
+        self.known.table = table(1, a='k1')
+        self.reads = CountingStore()
+        self.admission = admission.AccountAdmission(
+            self.known,
+            look.ConfigurationLook(
+                self.known, self.reads, self.learn, self.clock
+            ),
+            lambda: 0.5,
+        )
+
+    def learn(self, entry: routes.RouteTable) -> None:
+        self.known.table = entry
+
+    def admit(
+        self, *values: str, is_open: bool = False
+    ) -> defer.Deferred[ClientRequest]:
+        request = ClientRequest(
+            id=RequestId('r'),
+            method='POST',
+            host='t.example',
+            path='/train/1',
+            target='/train/1',
+            headers=(('Accept', '*/*'),),
+            body=b'',
+            arrived_at=Instant(0.0),
+            identity=tuple(('authorization', value) for value in values),
+            credentials=values,
+        )
+        route = msgspec.structs.replace(world.batch_route(), is_open=is_open)
+        return defer.Deferred.fromCoroutine(
+            self.admission.admit(route, request)
+        )
+
+    def test_a_request_gets_its_account_and_loses_its_key(self) -> None:
+        found = self.admit(KEY).result
+        self.assertEqual('a', found.account)
+        self.assertEqual((('Accept', '*/*'),), found.headers)
+
+    def test_an_open_route_asks_nobody(self) -> None:
+        # What the client says of itself does not reach the target either.
+        for values in ((), (OTHER,), (KEY, KEY)):
+            found = self.admit(*values, is_open=True).result
+            self.assertIsNone(found.account)
+            self.assertEqual((('Accept', '*/*'),), found.headers)
+
+    def test_without_accounts_nothing_is_asked_or_taken_away(self) -> None:
+        self.known.table = routes.RouteTable(
+            1, [world.batch_route()], [], routes.ClientLimits()
+        )
+        found = self.admit(KEY).result
+        self.assertIsNone(found.account)
+        self.assertIn(('authorization', KEY), found.headers)
+
+    @params(((),), (('x',),), ((KEY, KEY),), (('Bearer ' + 'x' * 600,),))
+    def test_without_one_key_it_is_refused_at_once(
+        self, values: tuple[str, ...]
+    ) -> None:
+        self.refused_with(self.admit(*values), errors.KeyMissing)
+        self.assertEqual(0, self.reads.reads)
+
+    def test_a_key_that_was_added_a_moment_ago(self) -> None:
+        """A client got 401 for good with the key it had just been given.
+
+        1. A version adds the key; this instance has not heard of it yet.
+        2. The client comes with it.
+        3. The configuration is read once, and the request goes on.
+        """
+        waiting = self.admit(OTHER)
+        self.reads.answers[0].callback(table(2, a='k1', b='k2'))
+        self.assertEqual('b', waiting.result.account)
+
+    def test_a_key_that_nobody_holds(self) -> None:
+        waiting = self.admit(OTHER)
+        self.reads.answers[0].callback(None)
+        self.refused_with(waiting, errors.KeyUnknown)
+
+    def test_a_key_that_was_taken_away_needs_no_look(self) -> None:
+        following = table(2, a='k3')
+        following.accounts.follow(self.known.table.accounts)
+        self.known.table = following
+        self.refused_with(self.admit(KEY), errors.KeyUnknown)
+        self.assertEqual(0, self.reads.reads)
+
+    def test_where_the_store_is_away_the_client_is_sent_elsewhere(
+        self,
+    ) -> None:
+        waiting = self.admit(OTHER)
+        self.reads.answers[0].errback(store_module.StoreRefused('away'))
+        error = self.refused_with(waiting, errors.NotRun).value
+        self.assertEqual(admission.RETRY_AFTER, error.retry_after)
+
+    def test_keys_by_the_thousand_cost_a_few_reads(self) -> None:
+        """A flood of unknown keys must not become one of calls of the store.
+
+        The pattern: 1,000 requests a second, each with another key, for 5 s.
+        Each is judged by a look that began after it came; reads come at most
+        each quarter of a second, and all that wait share one.
+        """
+        waiting = []
+        for number in range(5_000):
+            waiting.append(self.admit(f'Bearer u{number}'))
+            self.clock.advance(0.001)
+            for answer in self.reads.answers:
+                if not answer.called:
+                    answer.callback(None)
+        self.run_for(1.0)
+        for answer in self.reads.answers:
+            if not answer.called:
+                answer.callback(None)
+        self.assertLessEqual(self.reads.reads, 22)
+        for each in waiting:
+            self.refused_with(each, errors.KeyUnknown, errors.NotRun)
+
+    def test_a_relayed_call_is_admitted_anew(self) -> None:
+        """Nobody becomes an account by saying that a call was relayed.
+
+        The call goes on with the key it came with, and the peer looks the
+        key up as it does for clients.
+        """
+        sent: list[http_exchange.OutgoingRequest] = []
+
+        class Links:
+            async def exchange(self, address, request, deadline):
+                sent.append(request)
+                raise http_exchange.NotConnected('away')
+
+        found = self.admit(KEY).result
+        world.list_instance(self.known, 'b')
+        passing_on = relay.Relay(self.known, Links(), self.clock)
+        self.finish(passing_on.send(passing_on.peer(), found, 1.0))
+        self.assertIn(('authorization', KEY), sent[0].headers)
+        relayed = msgspec.structs.replace(
+            found, headers=((relay.HEADER, '1'),), credentials=()
+        )
+        work = defer.Deferred.fromCoroutine(
+            self.admission.admit(world.batch_route(), relayed)
+        )
+        self.refused_with(work, errors.KeyMissing)
+
+    def refused_with(self, work: defer.Deferred, *kinds: type) -> object:
+        found: list = []
+        work.addErrback(found.append)
+        self.assertTrue(found, 'it was not refused')
+        self.assertTrue(found[0].check(*kinds), found[0])
+        return found[0]
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -5,14 +5,17 @@
 from unittest import mock
 
 import msgspec
+from nose2.tools import params
 from twisted.internet import defer
 
 from yuccarill.core import errors
 from yuccarill.core.gateway.requests import ClientRequest
 from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.ids import AccountName
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import Revision
+from yuccarill.core.jobs.job import ItemId
 from yuccarill.core.jobs.job import JobId
 from yuccarill.daemon.gateway.jobs import intake
 from yuccarill.daemon.gateway.jobs import job_store
@@ -90,6 +93,31 @@
             keys.work(world.SERVICE, JobId('j')), self.keys.entries_by_key
         )
 
+    # Who asks, and whether there is such a job for them.
+    @params(('mine', True), ('other', False), (None, False))
+    def test_a_job_belongs_to_its_account(
+        self, name: str | None, is_known: bool
+    ) -> None:
+        """Another account is told that there is no such job, not whose."""
+        request = msgspec.structs.replace(
+            self.request(), account=AccountName('mine')
+        )
+        self.finish(self.intake.submit(world.batch_route(), request))
+        account = None if name is None else AccountName(name)
+        query = ports.ResultsQuery(job=JobId('j'), first=0, wait=0.0)
+        # An instance that has read it for its owner, and one that has not.
+        for found in (self.intake, self.intake_of(self.memory)):
+            for work in (
+                lambda i=found: i.read_results(query, account),
+                lambda i=found: i.read_item(JobId('j'), ItemId('i1'), account),
+                lambda i=found: i.end_job(JobId('j'), None, account),
+            ):
+                if is_known:
+                    self.finish(work())
+                    continue
+                with self.assertRaises(errors.UnknownStep):
+                    self.finish(work())
+
     def test_a_job_that_comes_again_is_accepted_once(self) -> None:
         self.submit()
         before = self.keys.revision
--- a/packages/yuccarill-daemon/tests/gateway/test_trainers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_trainers.py
@@ -41,7 +41,9 @@
         self.shelf = self
         self.waiting: defer.Deferred = defer.Deferred()
 
-    async def read_results(self, query: object) -> bytes | None:
+    async def read_results(
+        self, query: object, account: object
+    ) -> bytes | None:
         await self.waiting
         return self.body
 
@@ -64,7 +66,7 @@
 class Intake:
     """Stand in for the store's answers."""
 
-    async def read_results(self, query: object) -> bytes:
+    async def read_results(self, query: object, account: object) -> bytes:
         return b'store'
 
 
