Report what client accounts use, once for each window

Change: each instance counts the requests that began to run and tells the holder of a duty of its own, 0.3 s after a change; the holder makes a window up 2.5 s after its end, writes the report under the condition that it holds the duty and none stands, and only then sends it, so that whoever comes after sends the same. What is counted is written each second. Windows are of true time: the middle of all instances' wall clocks, kept on steady clocks. Ruled out: a lease machinery of its own (the duty of engines serves, with another subject); counts by the holder's own clock; one write a request.

--- a/packages/yuccarill-core/src/yuccarill/core/ids.py
+++ b/packages/yuccarill-core/src/yuccarill/core/ids.py
@@ -29,6 +29,8 @@
 Epoch = NewType('Epoch', int)
 # One span of an incarnation's leases; a session that ended never returns.
 SessionId = NewType('SessionId', str)
+# A span of time that usage is reported for.
+WindowNumber = NewType('WindowNumber', int)
 Revision = NewType('Revision', int)
 WeightVersion = NewType('WeightVersion', int)
 # Seconds on a monotonic clock of this process.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/departure.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/departure.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from yuccarill.core.ids import ServiceName
     from yuccarill.daemon.gateway.duty.duties import Duty
@@ -38,8 +39,11 @@
         depot: TextDepot,
         sender: TextSender,
         clock: Any,
+        other_duties: Sequence[Duty] = (),
     ) -> None:
         self._session = session
+        # Duties without texts.
+        self._other_duties = other_duties
         self._duties_by_service = duties_by_service
         self._runners_by_service = runners_by_service
         self._depot = depot
@@ -59,7 +63,10 @@
         await defer.gatherResults(
             [
                 defer.Deferred.fromCoroutine(duty.release())
-                for duty in list(self._duties_by_service.values())
+                for duty in (
+                    *self._duties_by_service.values(),
+                    *self._other_duties,
+                )
             ]
         )
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
@@ -60,8 +60,11 @@
         store: Store,
         on_change: Callable[[], None],
         clock: Any,
+        is_wanted: Callable[[], bool] | None = None,
     ) -> None:
         self.service = service
+        # Whether there is anything to do under the duty.
+        self._is_wanted = is_wanted or self._has_targets
         self.tenure: leadership.Tenure | None = None
         # Nobody else has held the duty since this process last held it.
         self.is_continued = False
@@ -238,12 +241,15 @@
         # on orders may be sent.
         if self._state.is_leaving or not self._state.is_current:
             return
-        if not self._state.targets.ready(self.service):
+        if not self._is_wanted():
             return
         self._attempt = defer.Deferred.fromCoroutine(self._take())
         self._attempt.addErrback(self._failed)
         self._attempt.addBoth(self._ended)
 
+    def _has_targets(self) -> bool:
+        return bool(self._state.targets.ready(self.service))
+
     async def _take(self) -> None:
         if self.service not in self._state.duties_by_service:
             await task.deferLater(self._clock, RANK_SECONDS * self._rank())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -27,6 +27,27 @@
     ('decision',),
     registry=REGISTRY,
 )
+USAGE_COUNTED = prometheus_client.Counter(
+    'yuccarill_usage_counted',
+    'Requests of accounts that were counted here',
+    registry=REGISTRY,
+)
+USAGE_LOST = prometheus_client.Counter(
+    'yuccarill_usage_lost',
+    'Requests of accounts that no report tells of',
+    registry=REGISTRY,
+)
+USAGE_NOT_TOLD = prometheus_client.Counter(
+    'yuccarill_usage_not_told',
+    'Messages of counts that the holder of the duty did not take',
+    registry=REGISTRY,
+)
+USAGE_REPORTS = prometheus_client.Counter(
+    'yuccarill_usage_reports',
+    'Reports of usage by outcome, and whether they were late',
+    ('outcome', 'is_late'),
+    registry=REGISTRY,
+)
 ATTEMPTS = prometheus_client.Counter(
     'yuccarill_attempts',
     'Calls of targets by service and end',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -41,6 +41,7 @@
 from yuccarill.daemon.gateway.store import feed
 from yuccarill.daemon.gateway.store import observer
 from yuccarill.daemon.gateway.store import store_way
+from yuccarill.daemon.gateway.usage import parts as parts_of_usage
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 from yuccarill.platform import checks
@@ -128,6 +129,12 @@
         desk = trainers.TrainerDesk(
             taking, passing_on, lambda: self._runners_by_service.values()
         )
+        self._usage: parts_of_usage.UsageParts | None = None
+        if settings.usage is not None:
+            self._usage = parts_of_usage.UsageParts(
+                settings.usage, self._state, self._store, links, clock
+            )
+        counting = self._usage or forwarding.NoUsage()
         admitting = admission.AccountAdmission(
             self._state,
             look.ConfigurationLook(
@@ -143,10 +150,11 @@
             self._sender,
             self._calls,
             streams.StreamForwarder(
-                self._state, self._sender, self._calls, clock
+                self._state, self._sender, self._calls, counting, clock
             ),
             taking,
             admitting,
+            counting,
             clock,
         )
         self._front = front.Front(
@@ -161,6 +169,7 @@
             self._depot,
             self._text_sender,
             clock,
+            () if self._usage is None else (self._usage.duty,),
         )
         self._clients = server.ClientFactory(self._front, clock, self._now)
         self._following: list[defer.Deferred[None]] = []
@@ -193,6 +202,8 @@
         self._observer.listen(self._update)
         self._observer.listen(self._quarantine.records.update)
         self._quarantine.start()
+        if self._usage is not None:
+            self._usage.start()
         # Requests would go out on connections that end in a reset.
         self._observer.on_restart = self._calls.forget
         self._session.lease.on_return = self._observer.refresh
@@ -216,6 +227,8 @@
             return await self._depot.handle(request)
         if self._quarantine.handles(request.path):
             return await self._quarantine.handle(request)
+        if self._usage is not None and self._usage.handles(request.path):
+            return await self._usage.handle(request)
         return await self._way.pass_on(request)
 
     def reload(self) -> None:
@@ -271,6 +284,8 @@
         table = self._state.table
         if table is None:
             return
+        if self._usage is not None:
+            self._usage.duty.update()
         for service in table.services_by_name.values():
             if service.engine is None:
                 continue
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
@@ -10,6 +10,7 @@
 
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
+from yuccarill.core.ids import Instant
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
@@ -33,9 +34,21 @@
     # Answers of targets that the work itself failed.
     failed_runs: int = 0
     last_cause: str = ''
+    # When each attempt was sent that ran, or may have run.
+    sent_at: list[Instant] = []
     # A target's own failure, passed on if no other target does better.
     failure: TargetAnswer | None = None
 
+    @property
+    def began_at(self) -> Instant | None:
+        """Return when the request began to run, none if it did not.
+
+        An attempt whose outcome nobody knows counts: of those that broke off
+        nearly all had begun, and a target that is dark is followed by one
+        that answers, which counts the request once all the same.
+        """
+        return min(self.sent_at, default=None)
+
 
 class Exchange:
     """Run one request's attempts side by side."""
@@ -106,6 +119,8 @@
             self._running.remove(running)
 
     async def _attempt(self, target: ListedTarget) -> None:
+        sent_at = self._sender.now()
+        self._record.sent_at.append(sent_at)
         try:
             answer = await self._sender.attempt(
                 target, self._call, self._plan.deadline
@@ -113,6 +128,7 @@
         except calls_module.CallFailed as error:
             self._record.last_cause = str(error)
             if error.end is calls_module.CallEnd.NOT_SENT:
+                self._record.sent_at.remove(sent_at)
                 self._tries.not_reached(target)
                 self._plan.withdraw()
                 self._wake_up()
@@ -121,6 +137,8 @@
         except defer.CancelledError:
             return
         else:
+            if answer.not_run:
+                self._record.sent_at.remove(sent_at)
             self._take(answer)
         self._plan.end()
         self._wake_up()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from yuccarill.core import errors
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
+    from yuccarill.core.ids import AccountName
     from yuccarill.core.ids import ServiceName
     from yuccarill.daemon.gateway.accounts.admission import AccountAdmission
     from yuccarill.daemon.gateway.jobs.intake import Intake
@@ -35,6 +37,21 @@
 NO_CONFIGURATION_RETRY = 0.3
 
 
+class UsageSink(Protocol):
+    """Count requests that began to run."""
+
+    def began(
+        self, account: AccountName | None, at: Instant | None
+    ) -> None: ...
+
+
+class NoUsage:
+    """Count nothing, where nobody wants reports."""
+
+    def began(self, account: AccountName | None, at: Instant | None) -> None:
+        pass
+
+
 class Forwarder:
     """Serve each request as its route says."""
 
@@ -46,6 +63,7 @@
         streams: StreamForwarder,
         intake: Intake,
         admission: AccountAdmission,
+        usage: UsageSink,
         clock: Any,
     ) -> None:
         self._state = state
@@ -54,6 +72,7 @@
         self._streams = streams
         self._intake = intake
         self._admission = admission
+        self._usage = usage
         self._clock = clock
 
     async def forward(
@@ -122,12 +141,16 @@
             max_attempts=route.max_attempts,
             hedge_delay=attempts.hedge_delay(route.objective),
         )
-        return await self._sender.send(
-            self._service(route),
-            call_of(request, deadline),
-            plan,
-            exchange.SendRecord(),
-        )
+        record = exchange.SendRecord()
+        try:
+            return await self._sender.send(
+                self._service(route),
+                call_of(request, deadline),
+                plan,
+                record,
+            )
+        finally:
+            self._usage.began(request.account, record.began_at)
 
     async def _at_most_once(
         self, route: Route, request: ClientRequest
@@ -138,7 +161,8 @@
         tries = self._sender.tries(service, call, route.max_attempts)
         cause = 'no target is ready'
         while (target := tries.next()) is not None:
-            if self._clock.seconds() >= deadline:
+            sent_at = Instant(self._clock.seconds())
+            if sent_at >= deadline:
                 break
             try:
                 answer = await self._calls.send(
@@ -146,6 +170,7 @@
                 )
             except calls_module.CallFailed as error:
                 if error.end is calls_module.CallEnd.BROKEN:
+                    self._usage.began(request.account, sent_at)
                     # It may have run; another target could run it twice.
                     raise errors.OutcomeUnknown(
                         f'The target broke off: {error}.'
@@ -154,6 +179,7 @@
                 tries.not_reached(target)
                 continue
             if not answer.not_run:
+                self._usage.began(request.account, sent_at)
                 return answer
             cause = f'refused with status {answer.status}'
         raise errors.NotRun(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -17,6 +17,7 @@
     from yuccarill.core.gateway.routes import Route
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
+    from yuccarill.daemon.gateway.requests.forwarding import UsageSink
     from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.daemon.gateway.requests.tries import TargetTries
     from yuccarill.daemon.gateway.state import GatewayState
@@ -37,9 +38,11 @@
         state: GatewayState,
         sender: Sender,
         calls: WatchedCalls,
+        usage: UsageSink,
         clock: Any,
     ) -> None:
         self._state = state
+        self._usage = usage
         self._sender = sender
         self._calls = calls
         self._clock = clock
@@ -54,12 +57,14 @@
         service = route.choose_service(self._state.generator)
         if service is None:
             raise errors.NoTarget('The route has no service.', 1.0)
-        run = _StreamRun(request, answerer)
+        run = _StreamRun(request, answerer, self._clock)
         tries = self._sender.tries(service, run.call(), route.max_attempts)
         try:
             return await self._attempts(run, tries, route.is_resumable)
         except errors.RequestQuarantined as error:
             return run.refuse(error)
+        finally:
+            self._usage.began(request.account, run.began_at)
 
     async def _attempts(
         self, run: _StreamRun, tries: TargetTries, is_resumable: bool
@@ -77,6 +82,7 @@
                     tries.not_reached(target)
                     continue
                 run.may_have_run = True
+                run.note_begin()
                 if not is_resumable:
                     break
                 continue
@@ -90,7 +96,12 @@
 class _StreamRun(calls_module.GenerationSink):
     """Pass the events of one client's stream on, over several runs."""
 
-    def __init__(self, request: ClientRequest, answerer: Answerer) -> None:
+    def __init__(
+        self, request: ClientRequest, answerer: Answerer, clock: Any
+    ) -> None:
+        self._clock = clock
+        # When the first event came, or an attempt broke off that was sent.
+        self.began_at: Instant | None = None
         self._request = request
         self._answerer = answerer
         self._has_begun = False
@@ -110,6 +121,11 @@
             account=self._request.account,
         )
 
+    def note_begin(self) -> None:
+        """Note that the request runs, or may have run."""
+        if self.began_at is None:
+            self.began_at = Instant(self._clock.seconds())
+
     def begin(self, answer: TargetAnswer, version: int | None) -> None:
         if not self._has_begun:
             self._has_begun = True
@@ -122,6 +138,7 @@
                 f'event {event.number} came instead of {expected}'
             )
         self._last = expected
+        self.note_begin()
         self._answerer.write(event.raw)
 
     def end(self, answer: TargetAnswer) -> str:
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/parts.py
@@ -0,0 +1,87 @@
+"""Put the parts together that count and report usage."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yuccarill.daemon.gateway.duty import duties
+from yuccarill.daemon.gateway import peer_call
+from yuccarill.daemon.gateway.usage import clock as clock_module
+from yuccarill.daemon.gateway.usage import counter
+from yuccarill.daemon.gateway.usage import messages
+from yuccarill.daemon.gateway.usage import records
+from yuccarill.daemon.gateway.usage import reporter
+from yuccarill.platform import billing
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import AccountName
+    from yuccarill.core.ids import Instant
+    from yuccarill.daemon.adapters.connections import Connections
+    from yuccarill.daemon.adapters.small_server import Page
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.settings_file import UsageSettings
+    from yuccarill.platform.store import Store
+
+
+class UsageParts:
+    """Hold the counter, the reporter and their duty."""
+
+    def __init__(
+        self,
+        settings: UsageSettings,
+        state: GatewayState,
+        store: Store,
+        links: Connections,
+        clock: Any,
+    ) -> None:
+        self._state = state
+        self.duty = duties.Duty(
+            reporter.DUTY,
+            state,
+            store,
+            lambda: None,
+            clock,
+            is_wanted=self._has_accounts,
+        )
+        fleet_clock = clock_module.FleetClock()
+        self.reporter = reporter.UsageReporter(
+            settings.policy,
+            state,
+            self.duty,
+            records.UsageRecords(reporter.DUTY, store),
+            billing.Billing(links, settings.address, clock),
+            fleet_clock,
+            clock,
+        )
+        self.counter = counter.UsageCounter(
+            settings.policy,
+            state,
+            fleet_clock,
+            self.reporter,
+            peer_call.PeerCalls(links, clock),
+            clock,
+        )
+
+    def start(self) -> None:
+        """Begin to count and to contend for the duty."""
+        self.reporter.start()
+        self.counter.start()
+
+    def began(self, account: AccountName | None, at: Instant | None) -> None:
+        """Count a request that began to run, if it is an account's."""
+        if account is not None and at is not None:
+            self.counter.began(account, at)
+
+    def handles(self, path: str) -> bool:
+        """Tell whether a page of the peer port is answered here."""
+        return path == messages.PATH
+
+    async def handle(self, request: SmallRequest) -> Page:
+        """Answer a peer or an operator."""
+        return await self.reporter.handle(request)
+
+    def _has_accounts(self) -> bool:
+        table = self._state.table
+        return table is not None and table.accounts is not None
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
@@ -0,0 +1,320 @@
+"""Report each window's usage once, while this instance has the duty."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import WindowNumber
+from yuccarill.core.usage import counts as counts_module
+from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway.usage import messages
+from yuccarill.daemon.gateway.usage import records as records_module
+from yuccarill.daemon import logs
+from yuccarill.platform.billing import ReportOutcome
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import Epoch
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import Revision
+    from yuccarill.core.usage.windows import UsagePolicy
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.duty.duties import Duty
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.usage.clock import FleetClock
+    from yuccarill.daemon.gateway.usage.records import UsageRecords
+    from yuccarill.platform.billing import Billing
+
+log = logs.for_part('usage')
+
+# The duty's name among those of services, which have no colon.
+DUTY = ServiceName(':usage-reports')
+# Seconds between looks at what is to be done.
+STEP_SECONDS = 0.2
+# Seconds after a window's end at which it is made up: requests that began in
+# it have ended after the 1.5 s that callers wait, and are told 0.3 s later.
+SETTLE_SECONDS = 2.5
+# Seconds after a duty was taken in which counts of all instances come in
+# anew: each tells the new holder within a tick, once it has heard of it.
+GATHER_SECONDS = 1.5
+# Seconds between writes of what is counted. A loss of all instances takes
+# what is newer, a fifth of a window of 5 s.
+SAVE_SECONDS = 1.0
+# Seconds before a report is sent again.
+RETRY_SECONDS = 0.5
+
+
+class UsageReporter:
+    """Make up reports from what all instances count, and send them."""
+
+    def __init__(
+        self,
+        policy: UsagePolicy,
+        state: GatewayState,
+        duty: Duty,
+        records: UsageRecords,
+        billing: Billing,
+        fleet_clock: FleetClock,
+        clock: Any,
+    ) -> None:
+        self._policy = policy
+        self._state = state
+        self._duty = duty
+        self._records = records
+        self._billing = billing
+        self._fleet_clock = fleet_clock
+        self._clock = clock
+        self._book = counts_module.UsageBook()
+        # The hold under which what follows was read.
+        self._read_under: Revision | None = None
+        self._gathered_at = 0.0
+        self._following = WindowNumber(0)
+        self._sent_through = WindowNumber(0)
+        self._reports_by_window: dict[
+            WindowNumber, records_module.UsageReport
+        ] = {}
+        # A report whose record may stand: it is tried with the same counts.
+        self._chosen: (
+            tuple[WindowNumber, records_module.UsageReport] | None
+        ) = None
+        self._is_unsaved = False
+        self._save_at = 0.0
+        self._send_at = 0.0
+        self._stepping: defer.Deferred[None] | None = None
+        self._ticker = task.LoopingCall(self._tick)
+        self._ticker.clock = clock
+
+    def start(self) -> None:
+        """Begin to report whenever the duty is held here."""
+        self._ticker.start(STEP_SECONDS).addErrback(self._failed)
+
+    def stop(self) -> None:
+        """Report nothing more."""
+        if self._ticker.running:
+            self._ticker.stop()
+
+    def holder(self) -> InstanceId | None:
+        """Return the instance that counts are told to."""
+        if self._duty.tenure is not None:
+            return self._state.settings.instance
+        known = self._state.duties_by_service.get(DUTY)
+        if known is None or known.instance == self._state.settings.instance:
+            return None
+        return known.instance  # type: ignore[return-value]
+
+    def take(
+        self, message: messages.CountMessage
+    ) -> messages.CountAnswer | None:
+        """Take counts; none if this instance can't answer for them."""
+        if not self._is_ready():
+            return None
+        self._fleet_clock.hear(message.instance, message.wall)
+        self._fleet_clock.agree()
+        still_open = {
+            window: counts
+            for window, counts in message.counts_by_window.items()
+            if window >= self._following
+        }
+        if self._book.take(message.source, still_open):
+            self._is_unsaved = True
+        return messages.CountAnswer(
+            now=self._fleet_clock.now(),
+            closed_through=WindowNumber(self._following - 1),
+        )
+
+    async def handle(self, request: SmallRequest) -> Page:
+        """Answer a process that counts, or an operator."""
+        if request.method == 'GET':
+            return Page(status=200, body=msgspec.json.encode(self.shown()))
+        try:
+            message = msgspec.msgpack.decode(
+                request.body, type=messages.CountMessage
+            )
+        except msgspec.MsgspecError as error:
+            log.warning('Message not taken.', cause=str(error))
+            return Page(status=400)
+        answer = self.take(message)
+        if answer is None:
+            return Page(status=409)
+        return Page(
+            status=200,
+            content_type='application/msgpack',
+            body=msgspec.msgpack.encode(answer),
+        )
+
+    def shown(self) -> dict[str, object]:
+        """Return what an operator may know of the reports."""
+        return {
+            'holder': self.holder(),
+            'is_here': self._is_ready(),
+            'following': self._following,
+            'sent_through': self._sent_through,
+            'reports': [
+                {'window': window, 'requests': sum(report.counts.values())}
+                for window, report in sorted(self._reports_by_window.items())
+            ],
+        }
+
+    def _is_ready(self) -> bool:
+        """Tell whether what stands in the store is known under this hold."""
+        revision = self._duty.revision
+        return revision is not None and self._read_under == revision
+
+    def _tick(self) -> None:
+        if self._stepping is not None or self._duty.revision is None:
+            return
+        self._stepping = defer.Deferred.fromCoroutine(
+            self._step(self._duty.revision)
+        )
+        self._stepping.addErrback(self._failed)
+        self._stepping.addBoth(self._stepped)
+
+    async def _step(self, revision: Revision) -> None:
+        try:
+            if self._read_under != revision:
+                await self._read(revision)
+                return
+            window = self._unsent()
+            if window is not None and self._may_send():
+                await self._send(window)
+            elif window is None and self._is_due():
+                await self._record(revision)
+            elif self._is_unsaved and self._clock.seconds() >= self._save_at:
+                await self._save(revision)
+        except store_module.StoreConflict:
+            log.warning('Usage not written: the duty is lost.')
+            self._duty.give_up(revision)
+        except (store_module.StoreRefused, store_module.StoreUnclear) as error:
+            # Tried again at the next step.
+            log.info('Usage not written.', cause=str(error))
+
+    async def _read(self, revision: Revision) -> None:
+        found = await self._records.read()
+        self._reports_by_window = dict(found.reports_by_window)
+        # Made up under an earlier hold: what stands in the store decides.
+        self._chosen = None
+        self._book = counts_module.UsageBook()
+        if found.open is None:
+            self._following = self._policy.window_at(self._fleet_clock.now())
+            self._sent_through = WindowNumber(self._following - 1)
+        else:
+            self._following = found.open.following
+            self._sent_through = found.open.sent_through
+            self._book.merge(found.open.sources_by_window)
+        self._gathered_at = self._clock.seconds() + GATHER_SECONDS
+        self._read_under = revision
+        log.info(
+            'Usage taken over.',
+            following=self._following,
+            sent_through=self._sent_through,
+            counted=sum(
+                sum(self._book.totals(w).values())
+                for w in self._book.sources_by_window
+            ),
+        )
+
+    def _unsent(self) -> WindowNumber | None:
+        """Return the first window that is recorded and not sent."""
+        for window in sorted(self._reports_by_window):
+            if window > self._sent_through:
+                return window
+        return None
+
+    def _may_send(self) -> bool:
+        return (
+            self._clock.seconds() >= self._send_at and self._duty.may_order()
+        )
+
+    def _is_due(self) -> bool:
+        if self._clock.seconds() < self._gathered_at:
+            return False
+        end = self._policy.end(self._following)
+        return self._fleet_clock.now() >= end + SETTLE_SECONDS
+
+    async def _record(self, revision: Revision) -> None:
+        window = self._following
+        if self._chosen is None or self._chosen[0] != window:
+            report = records_module.UsageReport(
+                counts=self._book.totals(window),
+                instance=self._state.settings.instance,
+            )
+            self._chosen = (window, report)
+        report = self._chosen[1]
+        following = WindowNumber(window + 1)
+        try:
+            await self._records.record(
+                revision, window, report, self._open(following)
+            )
+        except records_module.ReportTaken:
+            log.error('Another report stands; read again.', window=window)
+            self._read_under = None
+            return
+        self._chosen = None
+        self._following = following
+        self._book.close(following)
+        self._reports_by_window[window] = report
+        self._reports_by_window.pop(
+            WindowNumber(window - records_module.KEPT_REPORTS), None
+        )
+
+    async def _save(self, revision: Revision) -> None:
+        self._save_at = self._clock.seconds() + SAVE_SECONDS
+        self._is_unsaved = False
+        try:
+            await self._records.save(revision, self._open(self._following))
+        except BaseException:
+            self._is_unsaved = True
+            raise
+
+    def _open(self, following: WindowNumber) -> records_module.OpenUsage:
+        return records_module.OpenUsage(
+            following=following,
+            sent_through=self._sent_through,
+            sources_by_window={
+                window: sources
+                for window, sources in self._book.sources_by_window.items()
+                if window >= following
+            },
+        )
+
+    async def _send(self, window: WindowNumber) -> None:
+        tenure = self._duty.tenure
+        assert tenure is not None
+        report = self._reports_by_window[window]
+        epoch: Epoch = tenure.epoch
+        self._duty.order()
+        outcome = await self._billing.report(
+            window, report.counts, self._state.settings.instance, epoch
+        )
+        late = self._fleet_clock.now() - self._policy.due(window)
+        meters.USAGE_REPORTS.labels(outcome.value, late > 0.0).inc()
+        log.info(
+            'Usage reported.',
+            window=window,
+            outcome=outcome.value,
+            epoch=epoch,
+            accounts=len(report.counts),
+            requests=sum(report.counts.values()),
+            late=round(late, 2),
+        )
+        match outcome:
+            case ReportOutcome.ACCEPTED | ReportOutcome.REFUSED:
+                # One that is refused is refused again.
+                self._sent_through = window
+                self._is_unsaved = True
+            case ReportOutcome.BUSY | ReportOutcome.UNKNOWN:
+                self._send_at = self._clock.seconds() + RETRY_SECONDS
+
+    def _stepped(self, _: object) -> None:
+        self._stepping = None
+
+    def _failed(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            log.error('Usage not reported.', cause=failure.getTraceback())
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -16,6 +16,7 @@
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway.quarantine import guard
+from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
@@ -114,6 +115,7 @@
                 self.clock,
             ),
             targets,
+            forwarding.NoUsage(),
             self.clock,
         )
         route = msgspec.structs.replace(
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_usage.py
@@ -0,0 +1,479 @@
+"""Test that each window's usage is reported once, whatever fails.
+
+The pattern is that of the users' platform: windows of 5 s, due 10 s after
+their end, an interface that takes no two reports of one window and no call
+under a lower token than it has seen. Four instances count what callers send
+through them; one of them holds the duty.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+from unittest import mock
+
+import msgspec
+from nose2.tools import params
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.core.accounts import directory
+from yuccarill.core.gateway import routes
+from yuccarill.core.ids import AccountName
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import WindowNumber
+from yuccarill.core.usage.windows import UsagePolicy
+from yuccarill.daemon.adapters import http_exchange
+from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway import state as state_module
+from yuccarill.daemon.gateway.store import observer
+from yuccarill.daemon.gateway.usage import parts
+from yuccarill.daemon.gateway.usage import reporter
+from yuccarill.platform import settings_file
+
+from . import memory_store
+from . import world
+
+NAMES = ('a', 'b', 'c', 'd')
+WINDOW = 5.0
+LATE = 10.0
+# The wall clock when a test begins: the start of a window.
+START = 1_000_000_000.0
+# Seconds beside a window's end in which no request comes: time passes in
+# steps of 10 ms here, so a message takes that long, and the instances' times
+# differ by as much. On a network of half a millisecond they do not.
+BORDER = 0.03
+# Requests a second of all callers, as on the users' sheet.
+RATE = 7.0
+
+
+@dataclasses.dataclass
+class Platform:
+    """Take reports as the users' platform judges them."""
+
+    clock: task.Clock
+    counts_by_window: dict[int, dict[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    first_at: dict[int, float] = dataclasses.field(default_factory=dict)
+    calls: list[tuple[float, str, int]] = dataclasses.field(
+        default_factory=list
+    )
+    broken: list[str] = dataclasses.field(default_factory=list)
+    # What the next calls meet.
+    status: int = 200
+    loses_answers: bool = False
+    is_silent: bool = False
+    seconds: float = 0.004
+
+    async def exchange(
+        self,
+        address: str,
+        request: http_exchange.OutgoingRequest,
+        deadline: Instant,
+    ) -> http_exchange.Reply:
+        await task.deferLater(self.clock, self.seconds)
+        if self.is_silent:
+            left = max(0.0, deadline - self.clock.seconds())
+            await task.deferLater(self.clock, left)
+            raise http_exchange.ExchangeBroken('silent')
+        if self.status == 200:
+            self._take(request)
+        if self.loses_answers:
+            raise http_exchange.ExchangeBroken('lost')
+        head = http_exchange.ReplyHead(status=self.status, headers=())
+        return http_exchange.Reply(head=head, body=b'')
+
+    def _take(self, request: http_exchange.OutgoingRequest) -> None:
+        headers = dict(request.headers)
+        body = msgspec.json.decode(request.body)
+        holder, token = headers['Duty-Holder'], int(headers['Fence-Token'])
+        now = self.clock.seconds()
+        if self.calls and token < self.calls[-1][2]:
+            self.broken.append(f'{now}: token {token} after a higher one')
+        for at, other, _ in self.calls:
+            if other != holder and now - at < 3.0:
+                self.broken.append(f'{now}: {holder} in turn with {other}')
+        self.calls.append((now, holder, token))
+        window, counts = body['window'], body['counts']
+        known = self.counts_by_window.setdefault(window, counts)
+        if known != counts:
+            self.broken.append(f'{now}: window {window} in two ways')
+        self.first_at.setdefault(window, now)
+
+
+@dataclasses.dataclass
+class Instance:
+    """Hold one process's parts."""
+
+    state: state_module.GatewayState
+    store: memory_store.MemoryStore
+    usage: parts.UsageParts
+    following: list[defer.Deferred]
+    is_dead: bool = False
+
+
+class UsageWorld(world.WorldTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.platform = Platform(self.clock)
+        self.instances_by_name: dict[str, Instance] = {}
+        # What the wall clock of a machine is off by.
+        self.off_by_name: dict[str, float] = collections.defaultdict(float)
+        self.draw = random.Random(1)
+        # What truly began, by window and account.
+        self.truth: dict[int, dict[str, int]] = {}
+        for name in NAMES:
+            self.start(name)
+        # Before callers come, all know each other.
+        self.pass_time(2.0, rate=0.0)
+
+    def start(self, name: str) -> Instance:
+        store = self.store()
+        state = self.state(name)
+        state.is_current = False
+        state.table = routes.RouteTable(
+            1, [], [], routes.ClientLimits(), directory.AccountDirectory(())
+        )
+        for each in NAMES:
+            world.list_instance(state, each)
+        watching = observer.Observer(state, lambda: store, self.clock)
+        settings = settings_file.UsageSettings(
+            address='billing:1',
+            policy=UsagePolicy(window=WINDOW, due_after=LATE),
+        )
+        with mock.patch(
+            'yuccarill.daemon.gateway.usage.clock.FleetClock.__init__.'
+            '__defaults__',
+            (lambda: self.wall(name),),
+        ):
+            usage = parts.UsageParts(
+                settings, state, store, Links(self, name), self.clock
+            )
+        watching.listen(usage.duty.update)
+        following = [defer.ensureDeferred(w) for w in watching.following()]
+        for each in following:
+            each.addErrback(lambda failure: failure.trap(Exception))
+            self.addCleanup(each.cancel)
+        found = Instance(state, store, usage, following)
+        self.instances_by_name[name] = found
+        usage.start()
+        return found
+
+    def wall(self, name: str) -> float:
+        return START + self.clock.seconds() + self.off_by_name[name]
+
+    def kill(self, name: str) -> None:
+        """End a process: nothing of it goes on."""
+        found = self.instances_by_name[name]
+        found.is_dead = True
+        found.store.is_silent = True
+        found.usage.counter.stop()
+        found.usage.reporter.stop()
+        for each in found.following:
+            each.cancel()
+
+    def restart(self, name: str) -> None:
+        self.kill(name)
+        self.start(name)
+
+    def holder(self) -> str:
+        (name,) = (
+            name
+            for name, each in self.instances_by_name.items()
+            if not each.is_dead and each.usage.duty.is_held()
+        )
+        return name
+
+    def other(self) -> str:
+        return next(name for name in NAMES if name != self.holder())
+
+    def pass_time(self, seconds: float, rate: float = RATE) -> None:
+        """Let time pass, with callers' requests at a rate."""
+        for _ in range(round(seconds / 0.01)):
+            if self.draw.random() < rate * 0.01:
+                self.request()
+            self.run_for(0.01)
+
+    def request(self) -> None:
+        alive = [
+            each
+            for each in self.instances_by_name.values()
+            if not each.is_dead
+        ]
+        place = (START + self.clock.seconds()) % WINDOW
+        if not alive or not BORDER < place < WINDOW - BORDER:
+            return
+        account = self.draw.choice('xyz')
+        self.draw.choice(alive).usage.began(
+            AccountName(account), Instant(self.clock.seconds())
+        )
+        window = int((START + self.clock.seconds()) // WINDOW)
+        counts = self.truth.setdefault(window, {})
+        counts[account] = counts.get(account, 0) + 1
+
+    def off(self, window: int) -> int:
+        """Return by how many requests a report differs from the truth."""
+        told = self.platform.counts_by_window.get(window, {})
+        true = self.truth.get(window, {})
+        return sum(
+            abs(told.get(each, 0) - true.get(each, 0)) for each in 'xyz'
+        )
+
+    def late(self, windows: set[int]) -> list[int]:
+        """Return the windows that were not reported in time."""
+        return [
+            window
+            for window in sorted(windows)
+            if self.platform.first_at.get(window, 1e9)
+            > (window + 1) * WINDOW + LATE - START
+        ]
+
+    def ended(self) -> set[int]:
+        """Return the windows whose reports are due by now."""
+        now = START + self.clock.seconds()
+        return {w for w in self.truth if (w + 1) * WINDOW + LATE < now}
+
+    def assert_whole(self, lost: int = 0) -> None:
+        """Check that all is reported once, in time, but for some requests."""
+        windows = self.ended()
+        self.assertEqual([], self.platform.broken)
+        self.assertEqual([], self.late(windows))
+        self.assertLessEqual(sum(self.off(w) for w in windows), lost)
+        self.assertGreaterEqual(len(windows), 2)
+
+
+class Links:
+    """Carry calls to the platform and between the instances of a world."""
+
+    def __init__(self, found: UsageWorld, name: str) -> None:
+        self._world = found
+        self._name = name
+
+    async def exchange(
+        self,
+        address: str,
+        request: http_exchange.OutgoingRequest,
+        deadline: Instant,
+    ) -> http_exchange.Reply:
+        if self._world.instances_by_name[self._name].is_dead:
+            await defer.Deferred()
+        if address == 'billing:1':
+            return await self._world.platform.exchange(
+                address, request, deadline
+            )
+        await task.deferLater(self._world.clock, 0.001)
+        peer = self._world.instances_by_name[address.partition(':')[0]]
+        if peer.is_dead:
+            raise http_exchange.NotConnected('dead')
+        page = await peer.usage.handle(
+            small_server.SmallRequest(
+                method=request.method, target=request.target, body=request.body
+            )
+        )
+        head = http_exchange.ReplyHead(status=page.status, headers=())
+        return http_exchange.Reply(head=head, body=page.body)
+
+
+class CalmTest(UsageWorld):
+    def test_each_window_is_reported_once_and_in_time(self) -> None:
+        self.pass_time(40.0)
+        self.assert_whole()
+        self.assertEqual(
+            len(self.platform.calls), len(self.platform.counts_by_window)
+        )
+
+    def test_reports_come_in_order(self) -> None:
+        self.pass_time(30.0)
+        windows = list(self.platform.counts_by_window)
+        self.assertEqual(sorted(windows), windows)
+
+    def test_calls_of_the_store_are_few(self) -> None:
+        # One write a second at most, and one a report.
+        before = self.keys.revision
+        self.pass_time(40.0)
+        self.assertLessEqual(self.keys.revision - before, 40 + 8 + 2)
+
+
+class HolderTest(UsageWorld):
+    """The holder ends at each step of a window's report."""
+
+    # Seconds into a window: while it is counted, as it is made up, as it is
+    # recorded, as it is sent, after it.
+    @params(0.5, 2.4, 2.45, 2.5, 2.55, 2.6, 2.65, 2.7, 2.75, 2.8, 3.5, 4.9)
+    def test_a_holder_that_is_killed(self, at: float) -> None:
+        """No window is reported twice, and only what it counted is lost.
+
+        1. The holder is killed, perhaps between record and report.
+        2. The next one waits for its lease and the pause between holders.
+        3. It sends what was recorded, and makes up the rest from what the
+           living tell it and the killed one had written.
+        """
+        self.pass_time(13.0 + at)
+        self.kill(self.holder())
+        self.pass_time(45.0)
+        # What the killed process itself had counted since its last write.
+        self.assert_whole(lost=4)
+
+    @params(0.5, 2.5, 2.6, 2.7, 4.9)
+    def test_a_holder_that_starts_again(self, at: float) -> None:
+        self.pass_time(13.0 + at)
+        self.restart(self.holder())
+        self.pass_time(45.0)
+        self.assert_whole(lost=4)
+
+    def test_one_that_counts_is_killed(self) -> None:
+        self.pass_time(13.0)
+        self.kill(self.other())
+        self.pass_time(30.0)
+        # What it had counted since it last told the holder, 0.3 s before.
+        self.assert_whole(lost=2)
+
+    def test_a_rolling_restart(self) -> None:
+        """Each process hands its counts on before it ends."""
+        self.pass_time(13.0)
+        for name in NAMES:
+            self.restart(name)
+            self.pass_time(6.0)
+        self.pass_time(20.0)
+        self.assert_whole(lost=12)
+
+    def test_all_are_killed_at_once(self) -> None:
+        """A loss of everything takes what was counted in a second.
+
+        Of a window of 5 s that is a fifth; the next windows are whole.
+        """
+        self.pass_time(18.0)
+        for name in NAMES:
+            self.kill(name)
+        self.pass_time(1.0, rate=0.0)
+        for name in NAMES:
+            self.start(name)
+        self.pass_time(45.0)
+        self.assert_whole(lost=12)
+        self.assertLessEqual(sum(self.off(w) > 0 for w in self.ended()), 1)
+
+
+class PlatformTest(UsageWorld):
+    """The interface that takes reports fails."""
+
+    def during(self, fault: dict[str, object]) -> None:
+        self.pass_time(14.0)
+        kept = {name: getattr(self.platform, name) for name in fault}
+        for name, value in fault.items():
+            setattr(self.platform, name, value)
+        self.pass_time(6.0)
+        for name, value in kept.items():
+            setattr(self.platform, name, value)
+        self.pass_time(30.0)
+
+    @params(
+        {'status': 429},
+        {'status': 503},
+        {'loses_answers': True},
+        {'is_silent': True},
+        {'seconds': 0.4},
+        {'seconds': 3.0},
+    )
+    def test_a_fault_of_some_seconds(self, fault: dict[str, object]) -> None:
+        self.during(fault)
+        self.assert_whole()
+
+    def test_a_holder_that_ends_while_answers_are_lost(self) -> None:
+        """The next holder sends the same again, which is ignored."""
+        self.pass_time(14.0)
+        self.platform.loses_answers = True
+        self.pass_time(4.0)
+        self.kill(self.holder())
+        self.platform.loses_answers = False
+        self.pass_time(45.0)
+        self.assert_whole(lost=4)
+
+
+class StoreTest(UsageWorld):
+    """The store fails while reports are made up."""
+
+    def all_stores(self, **fault: bool) -> None:
+        for each in self.instances_by_name.values():
+            if not each.is_dead:
+                for name, value in fault.items():
+                    setattr(each.store, name, value)
+
+    @params('refuses', 'is_silent', 'loses_replies')
+    def test_a_fault_of_some_seconds(self, fault: str) -> None:
+        self.pass_time(14.0)
+        self.all_stores(**{fault: True})
+        self.pass_time(3.0)
+        self.all_stores(**{fault: False})
+        self.pass_time(40.0)
+        self.assert_whole()
+
+    @params('refuses', 'is_silent')
+    def test_a_holder_lost_while_the_store_is_away(self, fault: str) -> None:
+        self.pass_time(14.0)
+        self.all_stores(**{fault: True})
+        self.kill(self.holder())
+        self.pass_time(4.0)
+        self.all_stores(**{fault: False})
+        self.pass_time(45.0)
+        # The window may be late; nothing of it is told in two ways.
+        self.assertEqual([], self.platform.broken)
+        self.assertLessEqual(sum(self.off(w) for w in self.ended()), 4)
+
+    def test_a_lease_that_runs_out_under_its_holder(self) -> None:
+        self.pass_time(14.0)
+        for lease in list(self.keys.ends_by_lease):
+            self.keys.ends_by_lease[lease] = 0.0
+        self.pass_time(40.0)
+        self.assert_whole()
+
+
+class ClockTest(UsageWorld):
+    """Wall clocks jump, and windows are those of true time."""
+
+    # Whose clocks jump, and by how much.
+    @params(
+        ('holder', 2.0),
+        ('holder', -2.0),
+        ('other', 2.0),
+        ('other', -2.0),
+        ('both', 2.0),
+        ('both', -2.0),
+    )
+    def test_clocks_that_jump_and_jump_back(
+        self, who: str, seconds: float
+    ) -> None:
+        self.pass_time(12.0)
+        names = {
+            'holder': [self.holder()],
+            'other': [self.other()],
+            'both': [self.holder(), self.other()],
+        }[who]
+        for name in names:
+            self.off_by_name[name] = seconds
+        self.pass_time(12.0)
+        self.off_by_name.clear()
+        self.pass_time(25.0)
+        self.assert_whole()
+
+    def test_a_process_that_starts_with_a_wrong_clock(self) -> None:
+        self.pass_time(12.0)
+        name = self.other()
+        self.off_by_name[name] = 2.0
+        self.restart(name)
+        # Until it has heard the holder it counts by its own clock.
+        self.pass_time(1.0, rate=0.0)
+        self.pass_time(30.0)
+        self.assert_whole(lost=2)
+
+    def test_a_holder_that_is_killed_while_its_clock_is_off(self) -> None:
+        self.pass_time(12.0)
+        holder = self.holder()
+        self.off_by_name[holder] = 2.0
+        self.pass_time(2.0)
+        self.kill(holder)
+        self.pass_time(45.0)
+        self.assert_whole(lost=4)
