--- a/packages/yuccarill-daemon/tests/gateway/test_usage.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_usage.py
@@ -24,14 +24,12 @@
 from yuccarill.core.ids import Epoch
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
-from yuccarill.core.ids import WindowNumber
 from yuccarill.core.usage.windows import UsagePolicy
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway.store import observer
 from yuccarill.daemon.gateway.usage import parts
-from yuccarill.daemon.gateway.usage import reporter
 from yuccarill.platform import settings_file
 
 from . import memory_store
