--- a/packages/yuccarill-daemon/tests/gateway/test_usage.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_usage.py
@@ -21,8 +21,6 @@
 from yuccarill.core.accounts import directory
 from yuccarill.core.gateway import routes
 from yuccarill.core.ids import AccountName
-from yuccarill.core.ids import Epoch
-from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
 from yuccarill.core.usage.windows import UsagePolicy
 from yuccarill.daemon.adapters import http_exchange
