Go on with a lost holder's texts while the store is silent

Change: the holder tells the next candidate its open jobs and which items are listed, beside the copies of texts. A standby that hears nothing of its holder for 1.2 s, finds the store away and has two others say the same runs the items; it lists nothing and orders nobody. Whoever takes the duty gets its texts, whole and scored, and lists them under the store's condition. Ruled out: running while the store is there (the lease decides; a holder cut off from its standby alone would run beside it), and on the standby's own word (one that is cut off from all hears neither holder nor store).

--- a/packages/yuccarill-cli/src/yuccarill/cli/application.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/application.py
@@ -14,6 +14,7 @@
 from yuccarill.cli.commands import quarantine
 from yuccarill.cli.commands import show
 from yuccarill.cli.commands import status
+from yuccarill.cli.commands import usage
 from yuccarill.cli import session
 from yuccarill.core import addresses as addresses_module
 
@@ -62,5 +63,6 @@
     quarantine,
     show,
     status,
+    usage,
 ):
     main.add_command(_module.command)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -165,6 +165,15 @@
         """Return those of open jobs only."""
         return self._board.unlisted(self._listed_items())
 
+    def open_jobs(self) -> list[tuple[Job, frozenset[ItemId]]]:
+        """Return the open jobs, each with its items that are listed."""
+        found = []
+        for job_id, state in self._board.jobs_by_id.items():
+            listed = self._listings_by_job.get(job_id)
+            ids = [] if listed is None else [r.id for r in listed.results]
+            found.append((state.job, frozenset(ids)))
+        return found
+
     def _listed_items(self) -> set[ItemId]:
         return {
             result.id
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -0,0 +1,179 @@
+"""Contend for each service's duty, and run its jobs while it is held."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+
+from yuccarill.core.jobs import text_copies
+from yuccarill.daemon.gateway.duty import duties
+from yuccarill.daemon.gateway.jobs import generation
+from yuccarill.daemon.gateway.jobs import progress
+from yuccarill.daemon.gateway.jobs import runner
+from yuccarill.daemon.gateway.jobs import scoring
+from yuccarill.daemon.gateway.jobs import standby
+from yuccarill.daemon.gateway.standby import copier
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.jobs.left_text import LeftText
+    from yuccarill.daemon.gateway.jobs.job_store import JobStore
+    from yuccarill.daemon.gateway.jobs.texts import TextDepot
+    from yuccarill.daemon.gateway.jobs.texts import TextSender
+    from yuccarill.daemon.gateway.peer_call import PeerCalls
+    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
+    from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
+    from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.daemon.gateway.standby.desk import StandbyDesk
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.platform.engines import Engines
+    from yuccarill.platform.store import Store
+
+
+class ServiceWork:
+    """Hold what this instance does for services of engines."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: Store,
+        jobs: JobStore,
+        calls: WatchedCalls,
+        guard: ContentGuard,
+        sender: Sender,
+        engines: Engines,
+        depot: TextDepot,
+        text_sender: TextSender,
+        standbys: StandbyDesk,
+        peers: PeerCalls,
+        clock: Any,
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._jobs = jobs
+        self._calls = calls
+        self._guard = guard
+        self._sender = sender
+        self._engines = engines
+        self._depot = depot
+        self._text_sender = text_sender
+        self._standbys = standbys
+        self._peers = peers
+        self._clock = clock
+        self.duties_by_service: dict[ServiceName, duties.Duty] = {}
+        self.runners_by_service: dict[ServiceName, runner.Runner] = {}
+        self._copies_by_service: dict[ServiceName, standby.StandbyCopy] = {}
+        self._copiers_by_service: dict[ServiceName, copier.JobCopier] = {}
+        self._writers_by_service: dict[
+            ServiceName, progress.ProgressWriter
+        ] = {}
+
+    def update(self) -> None:
+        """Compare what is held with what is known."""
+        table = self._state.table
+        services = {} if table is None else table.services_by_name
+        for service in services.values():
+            if service.engine is None:
+                continue
+            if service.name not in self.duties_by_service:
+                self._add_duty(service.name)
+        for duty in list(self.duties_by_service.values()):
+            duty.update()
+        for name, running in list(self.runners_by_service.items()):
+            if self.duties_by_service[name].is_elsewhere:
+                self._stop_runner(name)
+            else:
+                running.survey()
+
+    def resume(self) -> None:
+        """Read anew what may have changed without being heard."""
+        for running in list(self.runners_by_service.values()):
+            running.resume()
+
+    def _add_duty(self, service: ServiceName) -> None:
+        self.duties_by_service[service] = duties.Duty(
+            service,
+            self._state,
+            self._store,
+            functools.partial(self._duty_changed, service),
+            self._clock,
+        )
+
+    def _duty_changed(self, service: ServiceName) -> None:
+        duty = self.duties_by_service[service]
+        known = self.runners_by_service.get(service)
+        if duty.tenure is None:
+            # A lease that lapsed while the store was away usually comes
+            # back here: what is under way goes on meanwhile.
+            if known is not None and self._state.is_leaving:
+                self._stop_runner(service)
+            return
+        if known is not None and duty.is_continued:
+            known.resume()
+            return
+        self._stop_runner(service)
+        self._start_runner(service, duty)
+
+    def _start_runner(self, service: ServiceName, duty: duties.Duty) -> None:
+        # What it has made goes to the depot first.
+        self._standbys.stop(service)
+        kept = progress.ProgressStore(service, self._store)
+        started = runner.Runner(
+            self._state,
+            duty,
+            self._store,
+            self._jobs,
+            generation.Generator(self._calls, self._clock),
+            self._guard,
+            scoring.Scorer(self._state, self._sender, self._clock),
+            self._engines,
+            self._clock,
+            defer.Deferred.fromCoroutine(self._left_texts(service, kept)),
+        )
+        self.runners_by_service[service] = started
+        started.start()
+        copying = standby.StandbyCopy(
+            service, started.open_texts, self._text_sender, self._clock
+        )
+        self._copies_by_service[service] = copying
+        copying.start()
+        telling = copier.JobCopier(
+            service,
+            self._state,
+            started.open_jobs,
+            self._text_sender,
+            self._peers,
+            self._clock,
+        )
+        self._copiers_by_service[service] = telling
+        telling.start()
+        writing = progress.ProgressWriter(
+            duty, kept, started.open_texts, self._store.pause, self._clock
+        )
+        self._writers_by_service[service] = writing
+        writing.start()
+
+    async def _left_texts(
+        self, service: ServiceName, kept: progress.ProgressStore
+    ) -> list[LeftText]:
+        found = self._depot.take(service)
+        if found:
+            return found
+        fetched, stored = await defer.gatherResults(
+            [
+                defer.Deferred.fromCoroutine(self._text_sender.fetch(service)),
+                defer.Deferred.fromCoroutine(kept.read()),
+            ]
+        )
+        return text_copies.longest(fetched, stored)
+
+    def _stop_runner(self, service: ServiceName) -> None:
+        known = self.runners_by_service.pop(service, None)
+        if known is not None:
+            known.stop()
+            self._copies_by_service.pop(service).stop()
+            self._copiers_by_service.pop(service).stop()
+            self._writers_by_service.pop(service).stop()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
@@ -22,6 +22,7 @@
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from yuccarill.core.jobs.job import ItemId
@@ -81,6 +82,8 @@
 
     def __init__(self, clock: Any) -> None:
         self._clock = clock
+        # Called before a service's texts are shown to who asks for them.
+        self.on_show: Callable[[ServiceName], None] = lambda service: None
         self._texts_by_service: dict[ServiceName, dict[ItemId, _KeptText]] = {}
 
     async def handle(self, request: SmallRequest) -> Page:
@@ -92,6 +95,7 @@
     def _show(self, request: SmallRequest) -> Page:
         names = urllib.parse.parse_qs(request.query).get('service', [''])
         service = ServiceName(names[0])
+        self.on_show(service)
         kept = self._texts_by_service.get(service, {})
         body = msgspec.msgpack.encode(
             tuple(each.text for each in kept.values())
@@ -143,6 +147,21 @@
             log.info('Texts taken over.', service=service, count=len(found))
         return found
 
+    def kept(self, service: ServiceName) -> list[LeftText]:
+        """Return a service's texts, which go on being kept."""
+        now = self._clock.seconds()
+        kept = self._texts_by_service.get(service, {})
+        return [each.text for each in kept.values() if now < each.until]
+
+    def put(self, service: ServiceName, texts: Iterable[LeftText]) -> None:
+        """Keep texts that were made here, in place of older copies."""
+        until = Instant(self._clock.seconds() + KEPT_SECONDS)
+        kept = self._texts_by_service.setdefault(service, {})
+        for text in texts:
+            # Under a source of its own, so that no holder's events follow.
+            kept[text.item] = _KeptText(text, '', 0, until)
+        self._clock.callLater(KEPT_SECONDS, self._drop_old)
+
     def _drop_old(self) -> None:
         now = self._clock.seconds()
         for kept in self._texts_by_service.values():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -12,24 +11,21 @@
 
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
-from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway.accounts import admission
 from yuccarill.daemon.gateway.accounts import look
 from yuccarill.daemon.gateway.duty import departure
-from yuccarill.daemon.gateway.duty import duties
 from yuccarill.daemon.gateway.duty import session
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import intake
 from yuccarill.daemon.gateway.jobs import job_store
-from yuccarill.daemon.gateway.jobs import progress
-from yuccarill.daemon.gateway.jobs import runner
 from yuccarill.daemon.gateway.jobs import scoring
-from yuccarill.daemon.gateway.jobs import standby
+from yuccarill.daemon.gateway.jobs import service_work
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway.jobs import trainers
 from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon.gateway.quarantine import parts
 from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import front
@@ -37,6 +33,9 @@
 from yuccarill.daemon.gateway.requests import relay
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
+from yuccarill.daemon.gateway.standby import desk
+from yuccarill.daemon.gateway.standby import runner
+from yuccarill.daemon.gateway.standby import witness
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway.store import feed
 from yuccarill.daemon.gateway.store import observer
@@ -54,7 +53,6 @@
     import pathlib
 
     from yuccarill.core.ids import ServiceName
-    from yuccarill.core.jobs.left_text import LeftText
     from yuccarill.platform.settings_file import InstanceSettings
 
 log = logs.for_part('instance')
@@ -85,12 +83,6 @@
         self._path = settings_path
         self._clock = clock
         self._state = state_module.GatewayState(settings)
-        self._duties_by_service: dict[ServiceName, duties.Duty] = {}
-        self._runners_by_service: dict[ServiceName, runner.Runner] = {}
-        self._standbys_by_service: dict[ServiceName, standby.StandbyCopy] = {}
-        self._writers_by_service: dict[
-            ServiceName, progress.ProgressWriter
-        ] = {}
         links = connections.Connections(clock, _count_connection)
         self._way = store_way.StoreWay(self._state, links, clock)
         self._store = store_module.Store(self._way, settings.store_address)
@@ -105,7 +97,6 @@
             clock,
         )
         self._calls = self._quarantine.calls
-        self._engines = engines.Engines(links)
         self._observer = observer.Observer(
             self._state,
             lambda: feed.FeedSource(self._state, background, links, clock),
@@ -121,13 +112,38 @@
             self._quarantine.guard,
             clock,
         )
-        self._jobs = job_store.JobStore(self._store, clock)
+        jobs = job_store.JobStore(self._store, clock)
+        peers = peer_call.PeerCalls(links, clock)
+        self._depot = texts.TextDepot(clock)
+        text_sender = texts.TextSender(self._state, links, clock)
+        self._standbys = desk.StandbyDesk(
+            self._state,
+            self._store,
+            self._depot,
+            witness.Witnesses(self._state, peers, self._observer.least_age),
+            self._standby_runner,
+            clock,
+        )
+        self._work = service_work.ServiceWork(
+            self._state,
+            self._store,
+            jobs,
+            self._calls,
+            self._quarantine.guard,
+            self._sender,
+            engines.Engines(links),
+            self._depot,
+            text_sender,
+            self._standbys,
+            peers,
+            clock,
+        )
         passing_on = relay.Relay(self._state, links, clock)
         taking = intake.Intake(
-            self._jobs, passing_on, self._runners_by_service, clock
+            jobs, passing_on, self._work.runners_by_service, clock
         )
-        desk = trainers.TrainerDesk(
-            taking, passing_on, lambda: self._runners_by_service.values()
+        reading = trainers.TrainerDesk(
+            taking, passing_on, self._work.runners_by_service.values
         )
         self._usage: parts_of_usage.UsageParts | None = None
         if settings.usage is not None:
@@ -158,16 +174,14 @@
             clock,
         )
         self._front = front.Front(
-            self._state, forwarder, desk, admitting, self._observer.age
+            self._state, forwarder, reading, admitting, self._observer.age
         )
-        self._depot = texts.TextDepot(clock)
-        self._text_sender = texts.TextSender(self._state, links, clock)
         self._departure = departure.Departure(
             self._session,
-            self._duties_by_service,
-            self._runners_by_service,
+            self._work.duties_by_service,
+            self._work.runners_by_service,
             self._depot,
-            self._text_sender,
+            text_sender,
             clock,
             () if self._usage is None else (self._usage.duty,),
         )
@@ -202,6 +216,7 @@
         self._observer.listen(self._update)
         self._observer.listen(self._quarantine.records.update)
         self._quarantine.start()
+        self._standbys.start()
         if self._usage is not None:
             self._usage.start()
         # Requests would go out on connections that end in a reset.
@@ -213,10 +228,19 @@
             following.addErrback(self._crashed)
             self._following.append(following)
 
+    def _standby_runner(self, service: ServiceName) -> runner.StandbyRunner:
+        return runner.StandbyRunner(
+            service,
+            self._state,
+            generation.Generator(self._calls, self._clock),
+            self._quarantine.guard,
+            scoring.Scorer(self._state, self._sender, self._clock),
+            self._clock,
+        )
+
     def _way_lost(self) -> None:
         self._observer.refresh()
-        for running in list(self._runners_by_service.values()):
-            running.resume()
+        self._work.resume()
 
     async def _answer_peer(
         self, request: small_server.SmallRequest
@@ -225,6 +249,8 @@
             return await self._feeds.handle(request)
         if request.path == texts.PATH:
             return await self._depot.handle(request)
+        if self._standbys.handles(request.path):
+            return await self._standbys.handle(request)
         if self._quarantine.handles(request.path):
             return await self._quarantine.handle(request)
         if self._usage is not None and self._usage.handles(request.path):
@@ -281,92 +307,9 @@
     def _update(self) -> None:
         checking = defer.ensureDeferred(self._session.check())
         checking.addErrback(self._store_failed)
-        table = self._state.table
-        if table is None:
-            return
         if self._usage is not None:
             self._usage.duty.update()
-        for service in table.services_by_name.values():
-            if service.engine is None:
-                continue
-            if service.name not in self._duties_by_service:
-                self._add_duty(service.name)
-        for duty in list(self._duties_by_service.values()):
-            duty.update()
-        for name, running in list(self._runners_by_service.items()):
-            if self._duties_by_service[name].is_elsewhere:
-                self._stop_runner(name)
-            else:
-                running.survey()
-
-    def _add_duty(self, service: ServiceName) -> None:
-        self._duties_by_service[service] = duties.Duty(
-            service,
-            self._state,
-            self._store,
-            functools.partial(self._duty_changed, service),
-            self._clock,
-        )
-
-    def _duty_changed(self, service: ServiceName) -> None:
-        duty = self._duties_by_service[service]
-        known = self._runners_by_service.get(service)
-        if duty.tenure is None:
-            # A lease that lapsed while the store was away usually comes
-            # back here: what is under way goes on meanwhile.
-            if known is not None and self._state.is_leaving:
-                self._stop_runner(service)
-            return
-        if known is not None and duty.is_continued:
-            known.resume()
-            return
-        self._stop_runner(service)
-        kept = progress.ProgressStore(service, self._store)
-        started = runner.Runner(
-            self._state,
-            duty,
-            self._store,
-            self._jobs,
-            generation.Generator(self._calls, self._clock),
-            self._quarantine.guard,
-            scoring.Scorer(self._state, self._sender, self._clock),
-            self._engines,
-            self._clock,
-            defer.Deferred.fromCoroutine(self._left_texts(service, kept)),
-        )
-        self._runners_by_service[service] = started
-        started.start()
-        copying = standby.StandbyCopy(
-            service, started.open_texts, self._text_sender, self._clock
-        )
-        self._standbys_by_service[service] = copying
-        copying.start()
-        writing = progress.ProgressWriter(
-            duty, kept, started.open_texts, self._store.pause, self._clock
-        )
-        self._writers_by_service[service] = writing
-        writing.start()
-
-    async def _left_texts(
-        self, service: ServiceName, kept: progress.ProgressStore
-    ) -> list[LeftText]:
-        found = self._depot.take(service)
-        if found:
-            return found
-        fetched, stored = await defer.gatherResults(
-            [
-                defer.Deferred.fromCoroutine(self._text_sender.fetch(service)),
-                defer.Deferred.fromCoroutine(kept.read()),
-            ]
-        )
-        return text_copies.longest(fetched, stored)
-
-    def _stop_runner(self, service: ServiceName) -> None:
-        known = self._runners_by_service.pop(service, None)
-        if known is not None:
-            known.stop()
-            self._standbys_by_service.pop(service).stop()
-            self._writers_by_service.pop(service).stop()
+        self._work.update()
 
     def _listen(self, address: str, factory: Any) -> Any:
         host, _, port = address.rpartition(':')
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -0,0 +1,137 @@
+"""Let the next candidate know the open jobs of a holder."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from yuccarill.daemon.gateway import peer_call
+from yuccarill.daemon.gateway.standby import messages
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.core.jobs.job import ItemId
+    from yuccarill.core.jobs.job import Job
+    from yuccarill.core.jobs.job import JobId
+    from yuccarill.daemon.gateway.jobs.texts import TextSender
+    from yuccarill.daemon.gateway.peer_call import PeerCalls
+    from yuccarill.daemon.gateway.state import GatewayState
+
+log = logs.for_part('standby')
+
+# Seconds between messages; each also says that the holder is alive.
+TELL_SECONDS = 0.5
+# Seconds that one may take.
+ANSWER_SECONDS = 0.8
+# Items of a job that goes whole to the standby. 1,024 of some 1 kB are a
+# megabyte, 0.15 s of a link of 60 Mbit/s; a larger one would hold up what
+# else the link carries, and waits for the store as it did before.
+MAX_ITEMS = 1024
+
+
+class JobCopier:
+    """Send a runner's open jobs, whole ones once."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        state: GatewayState,
+        open_jobs: Callable[[], Iterable[tuple[Job, frozenset[ItemId]]]],
+        sender: TextSender,
+        peers: PeerCalls,
+        clock: Any,
+    ) -> None:
+        self._service = service
+        self._state = state
+        # Each open job, and its items that have ended.
+        self._open_jobs = open_jobs
+        self._sender = sender
+        self._peers = peers
+        self._standby = ''
+        # What the standby has, by its answers.
+        self._ended_by_job: dict[JobId, frozenset[ItemId]] = {}
+        self._telling: defer.Deferred[None] | None = None
+        self._ticker = task.LoopingCall(self._tick)
+        self._ticker.clock = clock
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._ticker.start(TELL_SECONDS)
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        if self._ticker.running:
+            self._ticker.stop()
+        if self._telling is not None:
+            self._telling.cancel()
+
+    def _tick(self) -> None:
+        if self._telling is not None:
+            return
+        self._telling = defer.Deferred.fromCoroutine(self._tell())
+        self._telling.addErrback(self._failed)
+        self._telling.addBoth(self._told)
+
+    async def _tell(self) -> None:
+        receivers = self._sender.receivers(self._service)
+        if not receivers:
+            return
+        peer = receivers[0]
+        if peer.instance != self._standby:
+            self._standby = peer.instance
+            self._ended_by_job.clear()
+        ended_by_job = {
+            job.id: (job, ended)
+            for job, ended in self._open_jobs()
+            if len(job.items) <= MAX_ITEMS
+        }
+        message = messages.OpenJobs(
+            service=self._service,
+            holder=self._state.settings.instance,
+            jobs=tuple(
+                self._open_job(job, ended)
+                for job, ended in ended_by_job.values()
+            ),
+        )
+        try:
+            body = await self._peers.call(
+                peer,
+                'POST',
+                messages.PATH,
+                ANSWER_SECONDS,
+                msgspec.msgpack.encode(message),
+            )
+            answer = msgspec.msgpack.decode(body, type=messages.Lacking)
+        except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
+            # It may have some of it: all is sent as a whole again.
+            self._ended_by_job.clear()
+            log.info('Jobs not copied.', peer=self._standby, cause=str(error))
+            return
+        self._ended_by_job = {
+            job_id: ended
+            for job_id, (_, ended) in ended_by_job.items()
+            if job_id not in answer.jobs
+        }
+
+    def _open_job(
+        self, job: Job, ended: frozenset[ItemId]
+    ) -> messages.OpenJob:
+        known = self._ended_by_job.get(job.id)
+        if known is None:
+            return messages.OpenJob(id=job.id, job=job, ended=tuple(ended))
+        return messages.OpenJob(id=job.id, ended=tuple(ended - known))
+
+    def _failed(self, failure: Any) -> None:
+        if not failure.check(defer.CancelledError):
+            log.error('Copy failed.', cause=failure.getTraceback())
+
+    def _told(self, _: object) -> None:
+        self._telling = None
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
@@ -0,0 +1,112 @@
+"""Find out from others whether a holder and the store are lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon.gateway import peer_call
+from yuccarill.daemon.gateway.standby import messages
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.ids import InstanceId
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.peer_call import PeerCalls
+    from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.state import InstanceRecord
+
+log = logs.for_part('standby')
+
+# Instances that are asked. One that is cut off from everybody hears neither
+# its holder nor the store, and would run what the holder still runs; two that
+# answer, and see the same, show that it is not alone.
+WITNESSES = 3
+MIN_ANSWERS = 2
+# Seconds for an answer, and for the question that it needs itself.
+ANSWER_SECONDS = 0.9
+HOLDER_SECONDS = 0.4
+# Seconds without a word of the store after which a witness has lost it: those
+# that read through others hear of it each 1.5 s.
+STORE_AGE = 2.0
+
+
+class Witnesses:
+    """Ask other instances, and be asked."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        peers: PeerCalls,
+        store_age: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._store_age = store_age
+
+    async def are_lost(self, holder: InstanceId) -> bool:
+        """Tell whether others have lost the holder and the store as well."""
+        me = self._state.settings.instance
+        others = [
+            record
+            for record in self._state.serving_instances()
+            if record.instance not in (me, holder)
+        ]
+        count = min(WITNESSES, len(others))
+        asked = self._state.generator.sample(others, count)
+        answers = await defer.gatherResults(
+            [
+                defer.Deferred.fromCoroutine(self._ask(peer, holder))
+                for peer in asked
+            ]
+        )
+        seen = [answer for answer in answers if answer is not None]
+        return len(seen) >= MIN_ANSWERS and all(
+            each.store_age >= STORE_AGE and not each.is_holder_reached
+            for each in seen
+        )
+
+    async def handle(self, request: SmallRequest) -> Page:
+        """Say what is known here of a holder, or only that this is alive."""
+        query = urllib.parse.parse_qs(request.query)
+        holder = query.get('holder', [''])[0]
+        sighting = messages.Sighting(
+            store_age=self._store_age(),
+            is_holder_reached=await self._is_reached(holder),
+        )
+        return Page(
+            status=200,
+            content_type='application/msgpack',
+            body=msgspec.msgpack.encode(sighting),
+        )
+
+    async def _is_reached(self, name: str) -> bool:
+        for record in self._state.instances_by_id.values():
+            if record.instance == name:
+                found = await self._call(record, '', HOLDER_SECONDS)
+                return found is not None
+        return False
+
+    async def _ask(
+        self, peer: InstanceRecord, holder: InstanceId
+    ) -> messages.Sighting | None:
+        query = urllib.parse.urlencode({'holder': holder})
+        return await self._call(peer, f'?{query}', ANSWER_SECONDS)
+
+    async def _call(
+        self, peer: InstanceRecord, query: str, seconds: float
+    ) -> messages.Sighting | None:
+        try:
+            body = await self._peers.call(
+                peer, 'GET', messages.SIGHT_PATH + query, seconds
+            )
+            return msgspec.msgpack.decode(body, type=messages.Sighting)
+        except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
+            log.debug('No answer.', peer=peer.instance, cause=str(error))
+            return None
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -74,6 +74,10 @@
         """Return the seconds since the store was last heard."""
         return max(each.age() for each in self.followers_by_prefix.values())
 
+    def least_age(self) -> float:
+        """Return the seconds since any word of the store came."""
+        return min(each.age() for each in self.followers_by_prefix.values())
+
     def refresh(self) -> None:
         """Read everything again, after the store was away."""
         for each in self.followers_by_prefix.values():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
@@ -12,6 +12,7 @@
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import WindowNumber
 from yuccarill.core.usage import counts as counts_module
+from yuccarill.core.usage import reports
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway.usage import messages
@@ -149,18 +150,20 @@
             body=msgspec.msgpack.encode(answer),
         )
 
-    def shown(self) -> dict[str, object]:
+    def shown(self) -> reports.ShownUsage:
         """Return what an operator may know of the reports."""
-        return {
-            'holder': self.holder(),
-            'is_here': self._is_ready(),
-            'following': self._following,
-            'sent_through': self._sent_through,
-            'reports': [
-                {'window': window, 'requests': sum(report.counts.values())}
+        return reports.ShownUsage(
+            holder=self.holder(),
+            is_here=self._is_ready(),
+            following=self._following,
+            sent_through=self._sent_through,
+            reports=tuple(
+                reports.ShownReport(
+                    window=window, requests=sum(report.counts.values())
+                )
                 for window, report in sorted(self._reports_by_window.items())
-            ],
-        }
+            ),
+        )
 
     def _is_ready(self) -> bool:
         """Tell whether what stands in the store is known under this hold."""
--- a/tools/paired_days.py
+++ b/tools/paired_days.py
@@ -60,7 +60,9 @@
 
 
 def _run(play: Play, bench: str, site: str, root: pathlib.Path, why: str):
-    report = root / 'target' / f'paired-{play.day}-{play.seed}.json'
+    # A day may be a file of one's own.
+    name = pathlib.Path(play.day).stem
+    report = root / 'target' / f'paired-{name}-{play.seed}.json'
     command = [bench, 'run', site, play.day, '--seed', str(play.seed)]
     command += ['--no-cpu', '--jobs', '1', '--report', str(report)]
     command += ['--why', f'{why} [{play.state}]']
