--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_call.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_call.py
@@ -4,6 +4,9 @@
 
 from typing import Any
 from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
 
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
@@ -13,6 +16,9 @@
     from yuccarill.daemon.gateway.state import InstanceRecord
 
 
+T = TypeVar('T')
+
+
 class PeerFailed(Exception):
     """Report a peer that did not do what it was asked."""
 
@@ -55,3 +61,23 @@
         if reply.head.status != 200:
             raise PeerFailed(f'status {reply.head.status}')
         return reply.body
+
+    async def ask(
+        self,
+        peer: InstanceRecord,
+        method: str,
+        target: str,
+        seconds: float,
+        kind: type[T],
+        message: msgspec.Struct | None = None,
+    ) -> T:
+        """Send a message and return the peer's answer, decoded.
+
+        Raises PeerFailed, also for an answer that can't be read.
+        """
+        body = b'' if message is None else msgspec.msgpack.encode(message)
+        answer = await self.call(peer, method, target, seconds, body)
+        try:
+            return msgspec.msgpack.decode(answer, type=kind)
+        except msgspec.MsgspecError as error:
+            raise PeerFailed(str(error)) from error
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -5,7 +5,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -102,15 +101,15 @@
             ),
         )
         try:
-            body = await self._peers.call(
+            answer = await self._peers.ask(
                 peer,
                 'POST',
                 messages.PATH,
                 ANSWER_SECONDS,
-                msgspec.msgpack.encode(message),
+                messages.Lacking,
+                message,
             )
-            answer = msgspec.msgpack.decode(body, type=messages.Lacking)
-        except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
+        except peer_call.PeerFailed as error:
             # It may have some of it: all is sent as a whole again.
             self._ended_by_job.clear()
             log.info('Jobs not copied.', peer=self._standby, cause=str(error))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
@@ -104,10 +104,13 @@
         self, peer: InstanceRecord, query: str, seconds: float
     ) -> messages.Sighting | None:
         try:
-            body = await self._peers.call(
-                peer, 'GET', messages.SIGHT_PATH + query, seconds
+            return await self._peers.ask(
+                peer,
+                'GET',
+                messages.SIGHT_PATH + query,
+                seconds,
+                messages.Sighting,
             )
-            return msgspec.msgpack.decode(body, type=messages.Sighting)
-        except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
+        except peer_call.PeerFailed as error:
             log.debug('No answer.', peer=peer.instance, cause=str(error))
             return None
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/counter.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/counter.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 import uuid
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -141,15 +140,15 @@
     ) -> messages.CountAnswer | None:
         sent_at = self._clock.seconds()
         try:
-            body = await self._peers.call(
+            answer = await self._peers.ask(
                 peer,
                 'POST',
                 messages.PATH,
                 ANSWER_SECONDS,
-                msgspec.msgpack.encode(message),
+                messages.CountAnswer,
+                message,
             )
-            answer = msgspec.msgpack.decode(body, type=messages.CountAnswer)
-        except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
+        except peer_call.PeerFailed as error:
             meters.USAGE_NOT_TOLD.inc()
             log.debug('Usage not told.', peer=peer.instance, cause=str(error))
             return None
