Leave engines alone on which a text has no time to spare

Cause: a change of weights for the step after stops a text for 0.9 s or moves it; the longest texts have a second to spare of eight and decide when their step ends, and were moved once or twice each. Ways: every engine of a model changes, the least busy first (today's); those with a text of that model that ends late if it loses 1.2 s are left alone, as long as they are four of ten at most and serve the step to come.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -31,6 +31,9 @@
 # Seconds before a job is due from which each whole group is awaited: a read
 # of the trainer and two writes of results fit.
 AWAITED_SECONDS = 1.5
+# Seconds to spare below which a text is in a hurry: a change of weights takes
+# 0.9 s, and a move with what it reads again some tenths.
+HURRY_SECONDS = 1.2
 # Seconds an event that stand until the first engine was seen at work.
 DEFAULT_PACE = 0.04
 
@@ -312,6 +315,14 @@
         left = self.lengths.remaining(run.job.model, run.item, run.text.events)
         return pace * left
 
+    def is_hurried(self, run: ItemRun, pace: float, now: Instant) -> bool:
+        """Tell whether a text ends late if it loses a second."""
+        state = self.jobs_by_id.get(run.job.id)
+        if state is None:
+            return False
+        left = self.seconds_left(run, pace)
+        return state.due_at - now - left < HURRY_SECONDS
+
     def expired(self, now: Instant) -> list[ItemRun]:
         """Return the unfinished items whose time is over."""
         return [
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -53,6 +53,8 @@
     pace: float | None = None
     paced_at: Instant = Instant(0.0)
     versions_by_model: dict[ModelName, WeightVersion] = {}
+    # Models of which a text runs here that has no time to spare.
+    hurried: set[ModelName] = set()
     # Models whose weights are being changed here.
     switching: set[ModelName] = set()
     # Those of them whose runs had time to end and have to go elsewhere.
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
@@ -27,6 +27,8 @@
 # Places that a model's engines have for each item of its steps. Most texts
 # end soon and make room for the rest, so fewer than one are enough.
 PLACES_PART = 0.75
+# Part of a model's engines that may be left alone for texts in a hurry.
+SPARED_PART = 0.4
 # Engines that serve a model at least, where there are that many.
 MIN_ENGINES = 2
 
@@ -119,6 +121,7 @@
     for model, engines in assigned.items():
         version = versions_by_model[model]
         serving = [e for e in engines if _serves(e, model, version)]
+        spared = _spared(serving, model, len(engines))
         # The last engine that serves a model goes on until another does.
         left = max(1, len(engines) - 1)
         left -= sum(1 for e in engines if model in e.switching)
@@ -128,6 +131,8 @@
                 continue
             if engine in serving and (left <= 0 or model in held):
                 continue
+            if engine in spared:
+                continue
             left -= 1
             switch = Switch(
                 engine=engine.target.id, model=model, version=version
@@ -158,6 +163,20 @@
     return (engine.version(model) or 0) >= version - 1
 
 
+def _spared(
+    serving: Sequence[EngineState], model: ModelName, count: int
+) -> list[EngineState]:
+    """Return the engines that are left alone for a text in a hurry.
+
+    A change of weights stops the text for a second, or moves it: a new
+    connection, and all that it has read again. The longest texts have a
+    second to spare of eight, and decide when their step ends. The others of a
+    model's engines change meanwhile, if they are enough for the next step.
+    """
+    found = [engine for engine in serving if model in engine.hurried]
+    return found if len(found) <= SPARED_PART * count else []
+
+
 def _urgency(engine: EngineState, known: int, version: WeightVersion) -> float:
     # The engine furthest behind serves nothing until it changes; among the
     # others the one with the least work loses the least.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -245,6 +245,17 @@
         work = self._desk.track(run.job.id, self._run(run, engine))
         work.addBoth(lambda _: self._pump_soon())
 
+    def note_hurry(self) -> None:
+        """Mark the engines whose texts have no time to spare."""
+        now = self._now()
+        pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
+        for engine in self._fleet.engines_by_id.values():
+            engine.hurried.clear()
+        for run, generating in self._generating_by_run.items():
+            model = run.job.model
+            if model is not None and self._board.is_hurried(run, pace, now):
+                generating.engine.hurried.add(model)
+
     def move(self) -> None:
         """Move runs off engines that hold them up."""
         now = self._now()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -207,6 +207,7 @@
         self._fleet.update(
             self._state.targets.ready(self._duty.service).values()
         )
+        self._runs.note_hurry()
         self._switcher.update()
         self._runs.move()
         self._runs.pump()
