Part the store's direct way, moves of runs and reads of jobs from their users

store_way.py, item_runs.py and runner.py each did more than one job. Behaviour stays: 366 tests of the gateway pass, three names in them moved with a constant.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -1,4 +1,4 @@
-"""Run items at engines, and move them off engines that hold them up."""
+"""Run items at engines."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import placing as placing_module
 from yuccarill.daemon.gateway.jobs import generation
+from yuccarill.daemon.gateway.jobs import run_moves
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -67,23 +68,6 @@
     ELSEWHERE = 'elsewhere'
 
 
-class Generating:
-    """Track one run of an item at an engine."""
-
-    def __init__(
-        self, engine: engines_module.EngineState, now: Instant
-    ) -> None:
-        self.engine = engine
-        self.started_at = now
-        self.last_at = now
-        self.is_moved = False
-        self.work: defer.Deferred[generation.Outcome] = defer.Deferred()
-
-    def progress(self, now: Instant) -> None:
-        """Note that an event came."""
-        self.last_at = now
-
-
 class ItemRuns:
     """Run the items that a board has waiting."""
 
@@ -109,7 +93,8 @@
         self._desk = desk
         self._clock = clock
         self._held: list[board_module.ItemRun] = []
-        self._generating_by_run: dict[board_module.ItemRun, Generating] = {}
+        # Moves the runs off engines that hold them up.
+        self.moves = run_moves.RunMoves(board, fleet, clock)
         self._is_stopped = False
         self._is_pumping = False
         self._is_asked = False
@@ -245,64 +230,16 @@
         work = self._desk.track(run.job.id, self._run(run, engine))
         work.addBoth(lambda _: self._pump_soon())
 
-    def note_hurry(self) -> None:
-        """Mark the engines whose texts have no time to spare."""
-        now = self._now()
-        pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
-        for engine in self._fleet.engines_by_id.values():
-            engine.hurried.clear()
-        for run, generating in self._generating_by_run.items():
-            model = run.job.model
-            if model is not None and self._board.is_hurried(run, pace, now):
-                generating.engine.hurried.add(model)
-
-    def move(self) -> None:
-        """Move runs off engines that hold them up."""
-        now = self._now()
-        # Free places go to waiting items first. Moving all runs of a slow
-        # engine for each place that came free moved 85 runs in a second,
-        # most of them back to where they were.
-        waiting = self._board.count_waiting()
-        placing = placing_module.Placing(self._fleet, now)
-        for run, generating in list(self._generating_by_run.items()):
-            engine = generating.engine
-            if not self._fleet.is_held_up(
-                engine,
-                run.job,
-                generating.started_at,
-                generating.last_at,
-                now,
-            ):
-                continue
-            if placing.free_places(run.job, engine) <= waiting:
-                continue
-            waiting += 1
-            placing.moved(run.job)
-            log.info(
-                'Run moved.',
-                item=run.item.id,
-                engine=generating.engine.target.id,
-                pace=generating.engine.pace,
-                usual=self._fleet.usual_pace(now),
-                silent=round(now - generating.last_at, 3),
-            )
-            if self._fleet.is_silent(generating.last_at, now):
-                # Otherwise the next item would wait there as long.
-                generating.engine.fail(now)
-                placing.leave_out(generating.engine)
-            generating.is_moved = True
-            generating.work.cancel()
-
     async def _run(
         self,
         run: board_module.ItemRun,
         engine: engines_module.EngineState,
     ) -> None:
-        generating = Generating(engine, self._now())
+        generating = run_moves.Generating(engine, self._now())
         generating.work = defer.Deferred.fromCoroutine(
             self._generator.run(run, engine, generating.progress)
         )
-        self._generating_by_run[run] = generating
+        self.moves.generating_by_run[run] = generating
         try:
             outcome = await generating.work
         except defer.CancelledError:
@@ -310,7 +247,7 @@
                 raise
             outcome = generation.Outcome.BROKEN
         finally:
-            del self._generating_by_run[run]
+            del self.moves.generating_by_run[run]
             engine.runs_by_model[run.job.model] -= 1
             generating.work.cancel()
         match outcome:
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_reader.py
@@ -0,0 +1,54 @@
+"""Read what stands of a job in the store, however long that takes."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import task
+
+from yuccarill.daemon.gateway.jobs import job_store as job_store_module
+from yuccarill.daemon import logs
+from yuccarill.platform import store as store_module
+
+if TYPE_CHECKING:
+    from yuccarill.core.jobs.job import ItemResult
+    from yuccarill.core.jobs.job import Job
+    from yuccarill.core.jobs.job import JobId
+    from yuccarill.daemon.gateway.jobs.job_store import JobStore
+
+log = logs.for_part('runner')
+
+
+class JobReader:
+    """Read jobs that a runner takes over, again until the store answers."""
+
+    def __init__(self, jobs: JobStore, clock: Any) -> None:
+        self._jobs = jobs
+        self._clock = clock
+
+    async def job(self, job_id: JobId) -> Job | None:
+        """Return a job's content, none if it can't be read at all."""
+        while True:
+            try:
+                return await self._jobs.read_job(job_id)
+            except (store_module.StoreRefused, store_module.StoreUnclear):
+                await self._pause()
+            except msgspec.MsgspecError as error:
+                log.error('Job left out.', job=job_id, cause=str(error))
+                return None
+
+    async def listed(self, job: Job) -> list[ItemResult]:
+        """Return the results that are listed of a job, in their order."""
+        while True:
+            try:
+                found = await self._jobs.read_results(job.id)
+            except (store_module.StoreRefused, store_module.StoreUnclear):
+                await self._pause()
+                continue
+            chunks = sorted(found.chunks_by_position.items())
+            return [r for _, chunk in chunks for r in chunk.results]
+
+    async def _pause(self) -> None:
+        await task.deferLater(self._clock, job_store_module.RETRY_SECONDS)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -16,6 +16,7 @@
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.daemon.gateway.jobs import cleaner
 from yuccarill.daemon.gateway.jobs import item_runs
+from yuccarill.daemon.gateway.jobs import job_reader
 from yuccarill.daemon.gateway.jobs import job_store as job_store_module
 from yuccarill.daemon.gateway.jobs import listing
 from yuccarill.daemon.gateway.jobs import shelf
@@ -76,6 +77,7 @@
         self._state = state
         self._duty = duty
         self._jobs = jobs
+        self._reader = job_reader.JobReader(jobs, clock)
         self._clock = clock
         self._board = board_module.JobBoard()
         self._fleet = engines_module.EngineFleet()
@@ -207,9 +209,9 @@
         self._fleet.update(
             self._state.targets.ready(self._duty.service).values()
         )
-        self._runs.note_hurry()
+        self._runs.moves.note_hurry()
         self._switcher.update()
-        self._runs.move()
+        self._runs.moves.move()
         self._runs.pump()
 
     def _tick(self) -> None:
@@ -235,10 +237,10 @@
             self.track(job, self._take(job))
 
     async def _take(self, job_id: JobId) -> None:
-        job = await self._read(job_id)
+        job = await self._reader.job(job_id)
         if job is None or job_id not in self._works_by_job:
             return
-        await self._begin(job, await self._listed(job))
+        await self._begin(job, await self._reader.listed(job))
 
     async def _begin(self, job: Job, known: list[ItemResult]) -> None:
         found = listing.Listing(
@@ -285,30 +287,6 @@
             self.track(job.id, self._runs.score(run))
         self._runs.pump()
 
-    async def _read(self, job_id: JobId) -> Job | None:
-        while True:
-            try:
-                return await self._jobs.read_job(job_id)
-            except (store_module.StoreRefused, store_module.StoreUnclear):
-                await task.deferLater(
-                    self._clock, job_store_module.RETRY_SECONDS
-                )
-            except msgspec.MsgspecError as error:
-                log.error('Job left out.', job=job_id, cause=str(error))
-                return None
-
-    async def _listed(self, job: Job) -> list[ItemResult]:
-        while True:
-            try:
-                found = await self._jobs.read_results(job.id)
-            except (store_module.StoreRefused, store_module.StoreUnclear):
-                await task.deferLater(
-                    self._clock, job_store_module.RETRY_SECONDS
-                )
-                continue
-            chunks = sorted(found.chunks_by_position.items())
-            return [r for _, chunk in chunks for r in chunk.results]
-
     def _end(self, job: JobId) -> None:
         if self._board.remove(job) is not None:
             log.info('Job ended.', job=job)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/runner.py
@@ -94,7 +94,7 @@
     def survey(self) -> None:
         """Look at engines and runs anew, and start what can be."""
         self._fleet.update(self._state.targets.ready(self._service).values())
-        self._runs.move()
+        self._runs.moves.move()
         self._runs.pump()
 
     def stop(self) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_way.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_way.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 from twisted.internet import task
 
-from yuccarill.core.gateway import watchers
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway.store import direct_way
 from yuccarill.daemon.gateway.store import peer_choice
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
@@ -30,20 +29,6 @@
 
 log = logs.for_part('store way')
 
-# Seconds between tries of the direct way while it is out of order. One that
-# is refused is paid for in full.
-PROBE_SECONDS = 0.6
-# Seconds between them at an instance that nobody waits for: doubled up to
-# this. A fleet of 165 made 2,146 probes in a minute with an outage of 5 s and
-# a third of it cut off for 12 s, by a log of each call; those that watch for
-# the others show the return, and asking them costs nothing.
-MAX_PROBE_SECONDS = 5.0
-# Seconds after a call that somebody waits for in which probes stay frequent.
-AWAITED_SECONDS = 3.0
-# Seconds for which an answer shows that the direct way is in order.
-FRESH_SECONDS = 0.5
-# Seconds that a probe may take.
-PROBE_TIMEOUT = 0.5
 # Seconds for which a peer that did not reach the store either is left out:
 # while the store is away, each try through a peer is a paid call more.
 PEER_OUT_SECONDS = 1.5
@@ -77,11 +62,9 @@
         self._clock = clock
         # Called when the direct way is lost.
         self.on_lost: Callable[[], None] = lambda: None
-        self._is_direct = True
-        self._answered_at = Instant(-math.inf)
-        self._awaited_at = Instant(-math.inf)
-        self._probe_seconds = PROBE_SECONDS
-        self._next_probe: Any = None
+        self._direct = direct_way.DirectWay(state, self._probe, clock)
+        self._direct.on_lost = lambda: self.on_lost()
+        self._direct.on_regained = self._regained
         # Lets one call at a time find out whether the direct way is in order.
         self._trial = defer.DeferredLock()
         self._peers = peer_choice.PeerChoice(state, clock)
@@ -95,13 +78,13 @@
         While the direct way is out of order it is left to the probes.
         Raises as `send` does.
         """
-        if seconds > store_module.CALL_SECONDS or self._is_fresh():
+        if seconds > store_module.CALL_SECONDS or self._direct.is_fresh():
             return await self._send_unawaited(request, seconds)
         # As the store fell silent, each instance followed three prefixes and
         # kept a lease: four calls went out before the first one failed.
         await self._trial.acquire()
         try:
-            if not self._is_fresh():
+            if not self._direct.is_fresh():
                 return await self._send_unawaited(request, seconds)
         finally:
             self._trial.release()
@@ -110,7 +93,7 @@
     async def _send_unawaited(
         self, request: OutgoingRequest, seconds: float
     ) -> Reply:
-        if self._is_direct:
+        if self._direct.is_in_order:
             return await self._send_directly(request, seconds)
         peer = self._peer()
         if peer is None:
@@ -119,8 +102,7 @@
 
     def expect_return(self) -> None:
         """Probe now: another instance reaches the store again."""
-        if not self._is_direct:
-            self._probe_again(0.0)
+        self._direct.probe_now()
 
     async def send(self, request: OutgoingRequest, seconds: float) -> Reply:
         """Return the store's answer.
@@ -128,9 +110,9 @@
         Raises NotConnected if the store did not get the call, else
         ExchangeBroken.
         """
-        self._awaited_at = Instant(self._clock.seconds())
+        self._direct.await_return()
         started_at = self._clock.seconds()
-        if not self._is_direct:
+        if not self._direct.is_in_order:
             peer = self._peer()
             if peer is not None:
                 try:
@@ -152,15 +134,15 @@
             http_exchange.NotConnected,
             http_exchange.ExchangeBroken,
         ) as error:
-            self._lose(repr(error))
+            self._direct.lose(repr(error))
             peer = self._peer()
             if peer is None:
                 raise
             return await self._through_peers(peer, request, seconds)
         if not store_module.is_turned_away(reply.head.status):
-            self._regain()
+            self._direct.regain()
             return reply
-        self._lose(f'status {reply.head.status}')
+        self._direct.lose(f'status {reply.head.status}')
         peer = self._peer()
         if peer is None:
             return reply
@@ -177,7 +159,7 @@
             ),
             body=request.body,
         )
-        if not self._is_direct:
+        if not self._direct.is_in_order:
             return Page(status=STATUS_NOT_REACHED)
         try:
             reply = await self._directly(outgoing, MAX_PASSED_ON)
@@ -188,7 +170,7 @@
         if store_module.is_turned_away(reply.head.status):
             # The next peer that asks is told at once, and the one that asked
             # goes on to another: both would be refused here.
-            self._lose(f'status {reply.head.status}')
+            self._direct.lose(f'status {reply.head.status}')
             return Page(status=STATUS_NOT_REACHED)
         return Page(status=reply.head.status, body=reply.body)
 
@@ -200,7 +182,7 @@
         reads twice a second made 2,400 paid calls in an outage of 4.5 s,
         and met the store with all of them at its return.
         """
-        if self._is_direct or self._peer() is not None:
+        if self._direct.is_in_order or self._peer() is not None:
             await task.deferLater(self._clock, seconds)
             return
         waiting: defer.Deferred[None] = defer.Deferred()
@@ -282,84 +264,23 @@
             return None
         return self._peers.choose()
 
-    def _is_fresh(self) -> bool:
-        now = self._clock.seconds()
-        return self._is_direct and now < self._answered_at + FRESH_SECONDS
-
-    async def _probe(self) -> None:
+    async def _probe(self) -> bool:
+        """Tell whether the store answers directly."""
         host = self._state.settings.store_address
         try:
             reply = await self._directly(
-                store_module.probe(host), PROBE_TIMEOUT
+                store_module.probe(host), direct_way.PROBE_TIMEOUT
             )
         except (http_exchange.NotConnected, http_exchange.ExchangeBroken):
-            return
-        if not store_module.is_turned_away(reply.head.status):
-            self._regain()
+            return False
+        return not store_module.is_turned_away(reply.head.status)
 
-    def _lose(self, cause: str) -> None:
-        if not self._is_direct:
-            return
-        log.warning('Store not reached directly.', cause=cause)
-        self._is_direct = False
-        # Watches under way went there: they may hear nothing for as long as
-        # they wait, while other calls go through peers.
-        self._clock.callLater(0, self.on_lost)
-        # An instance that makes few calls of its own would not notice that
-        # the direct way is back, and would turn its peers' calls away.
-        self._probe_seconds = PROBE_SECONDS
-        self._probe_again(PROBE_SECONDS)
-
-    def _regain(self) -> None:
-        self._answered_at = Instant(self._clock.seconds())
-        if not self._is_direct:
-            log.info('Store reached directly.')
-            self._peers.clear()
-        self._is_direct = True
-        self._stop_probing()
+    def _regained(self) -> None:
+        self._peers.clear()
         for waiting in list(self._waiting):
             self._waiting.discard(waiting)
             waiting.callback(None)
 
-    def _probe_again(self, seconds: float) -> None:
-        self._stop_probing()
-        self._next_probe = self._clock.callLater(seconds, self._probe_now)
-
-    def _stop_probing(self) -> None:
-        timer, self._next_probe = self._next_probe, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
-    def _probe_now(self) -> None:
-        probing = defer.Deferred.fromCoroutine(self._probe())
-        probing.addErrback(
-            lambda failure: log.error(
-                'Probe failed.', cause=failure.getTraceback()
-            )
-        )
-        probing.addBoth(self._probed)
-
-    def _probed(self, _: object) -> None:
-        if self._is_direct:
-            return
-        if self._is_awaited():
-            self._probe_seconds = PROBE_SECONDS
-        else:
-            self._probe_seconds = min(
-                2.0 * self._probe_seconds, MAX_PROBE_SECONDS
-            )
-        self._probe_again(self._probe_seconds)
-
-    def _is_awaited(self) -> bool:
-        """Tell whether somebody waits for the direct way to be back."""
-        if self._clock.seconds() < self._awaited_at + AWAITED_SECONDS:
-            return True
-        # The others go on as soon as their watchers do.
-        names = watchers.watchers(
-            self._state.cores_by_name(), self._state.centres_by_name()
-        )
-        return self._state.settings.instance in names
-
     def _leave_out(self, peer: InstanceRecord) -> None:
         self._peers.leave_out(peer.instance, PEER_OUT_SECONDS)
 
--- a/packages/yuccarill-daemon/tests/gateway/test_store_way.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_way.py
@@ -11,6 +11,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway.store import direct_way
 from yuccarill.daemon.gateway.store import store_way
 
 from . import world
@@ -80,7 +81,7 @@
         self.send()
         self.links.statuses_by_address['store:3'] = 200
         # Without any call of its own.
-        self.run_for(store_way.PROBE_SECONDS + 0.1)
+        self.run_for(direct_way.PROBE_SECONDS + 0.1)
         self.links.sent.clear()
         self.send()
         self.assertEqual(['store:3'], self.links.sent)
@@ -146,7 +147,7 @@
         )
         took = self.pause(0.05)
         self.assertGreater(took, 0.2)
-        self.assertLess(took, 0.2 + store_way.PROBE_SECONDS + 0.1)
+        self.assertLess(took, 0.2 + direct_way.PROBE_SECONDS + 0.1)
 
     def test_a_pause_is_bounded_where_probes_fail(self) -> None:
         # By then peers may be asked again.
@@ -194,7 +195,7 @@
         self.links.statuses_by_address['store:3'] = 503
         self.send()
         self.links.statuses_by_address['store:3'] = 200
-        self.run_for(store_way.PROBE_SECONDS + 0.1)
+        self.run_for(direct_way.PROBE_SECONDS + 0.1)
         page = self.finish(
             self.way.pass_on(
                 small_server.SmallRequest(method='GET', target='/x')
