Wait for the configuration before a call about a job is admitted

Change: such a call waits for the configuration, a second at most, and is then refused as not run. Ruled out: a job that was not stored; it was listed whole by its holder.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
+from twisted.internet import task
 
 from yuccarill.core.accounts import credentials
 from yuccarill.core.accounts import decision
@@ -21,12 +23,17 @@
     from yuccarill.core.accounts.directory import AccountDirectory
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.gateway.routes import RouteTable
     from yuccarill.core.ids import KeyDigest
     from yuccarill.daemon.gateway.accounts.look import ConfigurationLook
     from yuccarill.daemon.gateway.state import GatewayState
 
 # Seconds after which a client whose key can't be judged here may try again.
 RETRY_AFTER = 0.3
+# Seconds that a call about a job waits for the first configuration, which is
+# read within some milliseconds, and between looks at it.
+CONFIGURATION_SECONDS = 1.0
+WAIT_STEP = 0.05
 
 
 class AccountAdmission:
@@ -37,11 +44,13 @@
         state: GatewayState,
         look: ConfigurationLook,
         age: Callable[[], float],
+        clock: Any,
     ) -> None:
         self._state = state
         self._look = look
         # Seconds since the configuration was last heard of.
         self._age = age
+        self._clock = clock
 
     async def admit(
         self, route: Route, request: ClientRequest
@@ -53,10 +62,25 @@
         return await self._admit(request, route.is_open)
 
     async def admit_job_call(self, request: ClientRequest) -> ClientRequest:
-        """Return a call about a job with its account; raises as `admit`."""
-        table = self._state.table
-        is_open = table is not None and table.is_open_to_jobs(request.host)
-        return await self._admit(request, is_open)
+        """Return a call about a job with its account; raises as `admit`.
+
+        Raises NoConfiguration where none comes within a second: without it
+        nobody knows whether there are accounts, and a reader without one was
+        told that its job does not exist.
+        """
+        table = await self._table()
+        return await self._admit(request, table.is_open_to_jobs(request.host))
+
+    async def _table(self) -> RouteTable:
+        """Wait for the configuration of an instance that has just started."""
+        give_up_at = self._clock.seconds() + CONFIGURATION_SECONDS
+        while (table := self._state.table) is None:
+            if self._clock.seconds() >= give_up_at:
+                raise errors.NoConfiguration(
+                    'No configuration is known here yet.', RETRY_AFTER
+                )
+            await task.deferLater(self._clock, WAIT_STEP)
+        return table
 
     async def _admit(
         self, request: ClientRequest, is_open: bool
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -168,6 +168,7 @@
                 clock,
             ),
             self._observer.configuration_age,
+            clock,
         )
         forwarder = forwarding.Forwarder(
             self._state,
--- a/packages/yuccarill-daemon/tests/gateway/test_admission.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_admission.py
@@ -67,6 +67,7 @@
                 self.known, self.reads, self.learn, self.clock
             ),
             lambda: 0.5,
+            self.clock,
         )
 
     def learn(self, entry: routes.RouteTable) -> None:
@@ -172,6 +173,43 @@
         for each in waiting:
             self.refused_with(each, errors.KeyUnknown, errors.NotRun)
 
+    def job_call(self) -> defer.Deferred[ClientRequest]:
+        request = ClientRequest(
+            id=RequestId('j'),
+            method='GET',
+            host='t.example',
+            path='/x',
+            target='/x',
+            headers=(),
+            body=b'',
+            arrived_at=Instant(0.0),
+            credentials=(KEY,),
+        )
+        return defer.Deferred.fromCoroutine(
+            self.admission.admit_job_call(request)
+        )
+
+    def test_a_reader_at_an_instance_that_has_just_started(self) -> None:
+        """A trainer was told that its accepted job did not exist.
+
+        1. A job of an account is accepted and runs.
+        2. Its trainer reads at an instance that knows no configuration yet.
+        3. Taken for a deployment without accounts, the reader had none, and
+           the job was another's to it.
+        """
+        found, self.known.table = self.known.table, None
+        waiting = self.job_call()
+        self.run_for(0.3)
+        self.known.table = found
+        self.run_for(0.1)
+        self.assertEqual('a', waiting.result.account)
+
+    def test_where_no_configuration_comes_nobody_is_let_in(self) -> None:
+        self.known.table = None
+        waiting = self.job_call()
+        self.run_for(admission.CONFIGURATION_SECONDS + 0.1)
+        self.refused_with(waiting, errors.NoConfiguration)
+
     def test_a_relayed_call_is_admitted_anew(self) -> None:
         """Nobody becomes an account by saying that a call was relayed.
 
