Divide a service of a thousand engines among a holder for each model

Change: the fleet writes once among how many holders a service is divided; engines belong to a part by their id, so that no two holders ever order one, and jobs by their model. Before that is known nobody contends, and a job waits or is refused as not run. A fleet below a thousand engines has one part, whose keys are as before. Shared out by models, each step has a third of the engines whatever it needs: that binds now.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
@@ -273,7 +273,7 @@
         await task.deferLater(self._clock, max(0.0, wait))
 
     def _has_targets(self) -> bool:
-        return bool(self._state.targets.ready(self.service))
+        return bool(self._state.engines(self.service))
 
     async def _take(self) -> None:
         if self.service not in self._state.duties_by_service:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
@@ -39,6 +39,7 @@
     from yuccarill.daemon.gateway.jobs.job_store import Summary
     from yuccarill.daemon.gateway.jobs.runner import Runner
     from yuccarill.daemon.gateway.requests.relay import Relay
+    from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.ports import ResultsQuery
 
 log = logs.for_part('jobs')
@@ -48,6 +49,8 @@
 # before the same store, and it comes back only once.
 ACCEPT_PART = 0.75
 RETRY_SECONDS = 0.2
+# Seconds between looks whether a service's division is known.
+DIVISION_SECONDS = 0.05
 # Seconds that a peer may take to store a job in this instance's place.
 RELAY_SECONDS = 2.0
 # Seconds that a relayed submission is tried; its sender tries others then.
@@ -95,11 +98,13 @@
 
     def __init__(
         self,
+        state: GatewayState,
         store: JobStore,
         relay: Relay,
         runners_by_service: Mapping[ServiceName, Runner],
         clock: Any,
     ) -> None:
+        self._state = state
         self._store = store
         self._relay = relay
         self._runners_by_service = runners_by_service
@@ -121,11 +126,12 @@
         """
         if request.method != 'POST':
             raise errors.WrongMethod('Batch jobs are submitted by POST.')
-        job = _job(route, request)
+        await self._wait_for_division(route, request)
+        job = self._job(route, request)
         runner = self._runners_by_service.get(job.service)
         if runner is None and not relay_module.is_relayed(request):
             # The instance that runs the job then need not read it back.
-            holder = self._relay.holder(request.host)
+            holder = self._relay.holder_of(job.service)
             if holder is not None:
                 answer = await self._relay.send(holder, request, RELAY_SECONDS)
                 if answer is not None and answer.status == 202:
@@ -244,6 +250,52 @@
             ) from error
         log.info('Job ended by its trainer.', job=job_id)
 
+    async def _wait_for_division(
+        self, route: Route, request: ClientRequest
+    ) -> None:
+        """Wait until it is known whose jobs a route's are.
+
+        An instance that has just started knows its routes a moment before.
+        Accepted for a holder that there is not, a job would never be run.
+        Raises NotRun if that takes longer than the trainer waits.
+        """
+        give_up_at = requests.time_limit(route, request)
+        for service in route.services[:1]:
+            while service not in self._state.partitions_by_service:
+                if self._clock.seconds() >= give_up_at - RETRY_SECONDS:
+                    raise errors.NotRun(
+                        'The job was not stored: nobody runs its service yet.',
+                        RETRY_AFTER,
+                    )
+                await task.deferLater(self._clock, DIVISION_SECONDS)
+
+    def _job(self, route: Route, request: ClientRequest) -> Job:
+        submitted = wire_jobs.submission(
+            request.body, has_account=request.account is not None
+        )
+        if not route.services:
+            raise errors.NoTarget('The route has no service.', RETRY_AFTER)
+        now = WallTime(time.time())
+        due_after = route.due_after or DEFAULT_DUE
+        retention = route.retention or DEFAULT_RETENTION
+        return Job(
+            id=JobId(request.id),
+            service=self._state.part_of(route.services[0], submitted.model),
+            host=request.host,
+            route=route.name,
+            account=request.account,
+            step=submitted.step,
+            model=submitted.model,
+            min_version=submitted.min_version,
+            wanted_groups=submitted.wanted_groups,
+            is_single_version=route.is_single_version,
+            max_attempts=route.max_attempts,
+            submitted_at=now,
+            due_at=WallTime(now + due_after),
+            retained_until=WallTime(now + retention),
+            items=submitted.items,
+        )
+
     async def _accept(
         self, job: Job, request: ClientRequest, try_until: Instant
     ) -> bool:
@@ -317,31 +369,3 @@
     # Told as not found: whether another account has such a job is not told.
     if owner is not None and owner != account:
         raise errors.UnknownStep('There is no such batch job.')
-
-
-def _job(route: Route, request: ClientRequest) -> Job:
-    submitted = wire_jobs.submission(
-        request.body, has_account=request.account is not None
-    )
-    if not route.services:
-        raise errors.NoTarget('The route has no service.', RETRY_AFTER)
-    now = WallTime(time.time())
-    due_after = route.due_after or DEFAULT_DUE
-    retention = route.retention or DEFAULT_RETENTION
-    return Job(
-        id=JobId(request.id),
-        service=route.services[0],
-        host=request.host,
-        route=route.name,
-        account=request.account,
-        step=submitted.step,
-        model=submitted.model,
-        min_version=submitted.min_version,
-        wanted_groups=submitted.wanted_groups,
-        is_single_version=route.is_single_version,
-        max_attempts=route.max_attempts,
-        submitted_at=now,
-        due_at=WallTime(now + due_after),
-        retained_until=WallTime(now + retention),
-        items=submitted.items,
-    )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import defer
 
+from yuccarill.core.gateway import partitions
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
@@ -179,7 +180,8 @@
         if self._guard.ledger.is_clear:
             return False
         content = self._content(run)
-        if self._guard.is_admitted(content, self._service):
+        service = partitions.service_of(self._service)
+        if self._guard.is_admitted(content, service):
             return False
         if self._guard.ledger.verdict(content) is Verdict.QUARANTINED:
             # Its group can't be whole, and goes after those that can.
@@ -217,7 +219,7 @@
         route = table.find(run.job.host, path) if table else None
         if route is None:
             return Permission.REVOKED
-        if self._service in route.services:
+        if partitions.service_of(self._service) in route.services:
             return Permission.GRANTED
         return Permission.ELSEWHERE
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -206,9 +206,7 @@
         """
         if self._is_stopped:
             return
-        self._fleet.update(
-            self._state.targets.ready(self._duty.service).values()
-        )
+        self._fleet.update(self._state.engines(self._duty.service))
         self._runs.moves.note_hurry()
         self._switcher.update()
         self._runs.moves.move()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -8,7 +8,9 @@
 
 from twisted.internet import defer
 
+from yuccarill.core.gateway import partitions
 from yuccarill.core.jobs import text_copies
+from yuccarill.daemon.gateway.duty import division
 from yuccarill.daemon.gateway.duty import duties
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import progress
@@ -66,6 +68,7 @@
         self._peers = peers
         self._holders = holders
         self._clock = clock
+        self._division = division.Division(state, store, self.update, clock)
         self.duties_by_service: dict[ServiceName, duties.Duty] = {}
         self.runners_by_service: dict[ServiceName, runner.Runner] = {}
         self._copies_by_service: dict[ServiceName, standby.StandbyCopy] = {}
@@ -81,8 +84,13 @@
         for service in services.values():
             if service.engine is None:
                 continue
-            if service.name not in self.duties_by_service:
-                self._add_duty(service.name)
+            count = self._state.partitions_by_service.get(service.name)
+            if count is None:
+                self._division.decide(service)
+                continue
+            for part in partitions.names(service.name, count):
+                if part not in self.duties_by_service:
+                    self._add_duty(part)
         for duty in list(self.duties_by_service.values()):
             duty.update()
         for name, running in list(self.runners_by_service.items()):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -143,7 +143,7 @@
         )
         passing_on = relay.Relay(self._state, links, clock)
         taking = intake.Intake(
-            jobs, passing_on, self._work.runners_by_service, clock
+            self._state, jobs, passing_on, self._work.runners_by_service, clock
         )
         reading = trainers.TrainerDesk(
             taking, passing_on, self._work.runners_by_service.values
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
@@ -49,7 +49,16 @@
     def holder(self, host: str) -> InstanceRecord | None:
         """Return the other instance that runs a host's batch jobs."""
         service = self._service(host)
-        duty = service and self._state.duties_by_service.get(service)
+        if service is None:
+            return None
+        if self._state.partitions_by_service.get(service, 1) > 1:
+            # Whose a job is stands with it in the store.
+            return None
+        return self.holder_of(service)
+
+    def holder_of(self, part: ServiceName) -> InstanceRecord | None:
+        """Return the other instance that runs the jobs of a service's part."""
+        duty = self._state.duties_by_service.get(part)
         if not duty or duty.instance == self._state.settings.instance:
             return None
         for record in self._state.instances_by_id.values():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/runner.py
@@ -93,7 +93,7 @@
 
     def survey(self) -> None:
         """Look at engines and runs anew, and start what can be."""
-        self._fleet.update(self._state.targets.ready(self._service).values())
+        self._fleet.update(self._state.engines(self._service))
         self._runs.moves.move()
         self._runs.pump()
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from yuccarill.core.gateway import partitions
 from yuccarill.core.gateway.targets import TargetList
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import TargetId
@@ -16,8 +17,10 @@
 if TYPE_CHECKING:
     from yuccarill.core.gateway.leadership import LastHolder
     from yuccarill.core.gateway.routes import RouteTable
+    from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import InstanceId
+    from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import ServiceName
     from yuccarill.platform.settings_file import InstanceSettings
 
@@ -73,6 +76,10 @@
     known_instances_by_id: dict[InstanceId, InstanceRecord] = (
         dataclasses.field(default_factory=dict)
     )
+    # Among how many holders each service is divided, once that is decided.
+    partitions_by_service: dict[ServiceName, int] = dataclasses.field(
+        default_factory=dict
+    )
     duties_by_service: dict[ServiceName, DutyRecord] = dataclasses.field(
         default_factory=dict
     )
@@ -87,6 +94,30 @@
     # Written by the process.
     is_leaving: bool = False
 
+    def engines(self, part: ServiceName) -> list[ListedTarget]:
+        """Return the ready engines of a service's part."""
+        service = partitions.service_of(part)
+        ready = self.targets.ready(service)
+        count = self.partitions_by_service.get(service, 1)
+        if count == 1:
+            return list(ready.values())
+        return [
+            engine
+            for engine in ready.values()
+            if partitions.has_engine(part, count, engine.id)
+        ]
+
+    def part_of(
+        self, service: ServiceName, model: ModelName | None
+    ) -> ServiceName:
+        """Return the part of a service that runs a model's jobs."""
+        count = self.partitions_by_service.get(service, 1)
+        table = self.table
+        known = None if table is None else table.services_by_name.get(service)
+        engine = None if known is None else known.engine
+        models = () if engine is None else engine.models
+        return partitions.of_model(service, model, models, count)
+
     def remembered_instances(self) -> list[InstanceRecord]:
         """Return the instances that serve, or were listed until lately.
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -217,6 +217,12 @@
                     msgspec.structs.replace(record, revision=change.revision)
                 )
 
+        elif key.startswith(keys.PARTITION_PREFIX):
+            service = ServiceName(key[len(keys.PARTITION_PREFIX) :])
+            if not isinstance(change, store_module.Removal):
+                state.partitions_by_service[service] = msgspec.msgpack.decode(
+                    change.value, type=int
+                )
         elif key.startswith(keys.QUARANTINE_PREFIX):
             content = ContentDigest(key[len(keys.QUARANTINE_PREFIX) :])
             if isinstance(change, store_module.Removal):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/weights/weight_switcher.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.gateway import partitions
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import step_hold
 from yuccarill.core.jobs import weights
@@ -109,7 +110,12 @@
         for running in list(self._running):
             running.cancel()
 
-    def _is_served(self, model: str) -> bool:
+    def _is_served(self, model: ModelName) -> bool:
+        part = self._duty.service
+        service = partitions.service_of(part)
+        if self._state.part_of(service, model) != part:
+            # Another holder's engines follow it.
+            return False
         return any(
             model in engine.target.versions_by_model
             for engine in self._fleet.engines_by_id.values()
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_division.py
@@ -0,0 +1,86 @@
+"""Test that a fleet decides once how a service is divided among holders."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yuccarill.core.gateway import routes
+from yuccarill.core.ids import ModelName
+from yuccarill.daemon.gateway.duty import division
+from yuccarill.platform import keys
+
+from . import world
+
+KEY = keys.partitions(world.SERVICE)
+SERVICE = routes.Service(
+    name=world.SERVICE,
+    engine=routes.EngineTraits(
+        slots=4, models=(ModelName('m0'), ModelName('m1'), ModelName('m2'))
+    ),
+)
+
+
+class DivisionTest(world.WorldTest):
+    def start(self, name: str, engines: int) -> division.Division:
+        state = self.state(name)
+        for each in 'abc':
+            world.list_instance(state, each)
+        for number in range(engines - 1):
+            state.targets.put(world.engine(f'more{number}'))
+        found = division.Division(
+            state, self.store(), lambda: found.decide(SERVICE), self.clock
+        )
+        found.decide(SERVICE)
+        return found
+
+    def decided(self) -> int | None:
+        entry = self.keys.entries_by_key.get(KEY)
+        return None if entry is None else msgspec.msgpack.decode(entry.value)
+
+    def test_a_small_service_is_not_divided(self) -> None:
+        self.start('a', 45)
+        self.run_for(3.0)
+        self.assertEqual(1, self.decided())
+
+    def test_a_large_one_has_a_holder_for_each_model(self) -> None:
+        self.start('a', 1200)
+        self.run_for(3.0)
+        self.assertEqual(3, self.decided())
+
+    def test_what_was_decided_stays(self) -> None:
+        """Two divisions at a time would let two holders order one engine.
+
+        1. Instances that know different engines decide at the same moment.
+        2. The store takes the first word, and all go by it.
+        """
+        self.start('a', 45)
+        self.start('b', 1200)
+        self.start('c', 1200)
+        self.run_for(0.5)
+        self.assertIsNone(self.decided())
+        self.run_for(5.0)
+        first = self.decided()
+        revision = self.keys.entries_by_key[KEY].revision
+        self.start('b', 1200)
+        self.run_for(5.0)
+        self.assertEqual(first, self.decided())
+        self.assertEqual(revision, self.keys.entries_by_key[KEY].revision)
+
+    def test_engines_that_are_still_coming_are_waited_for(self) -> None:
+        found = self.start('a', 10)
+        self.run_for(0.8)
+        for number in range(1200):
+            found._state.targets.put(world.engine(f'late{number}'))
+        found.decide(SERVICE)
+        self.run_for(3.0)
+        self.assertEqual(3, self.decided())
+
+    def test_nobody_decides_without_engines(self) -> None:
+        state = self.state('a')
+        state.targets.remove(world.engine('e1').id)
+        found = division.Division(
+            state, self.store(), lambda: found.decide(SERVICE), self.clock
+        )
+        found.decide(SERVICE)
+        self.run_for(5.0)
+        self.assertIsNone(self.decided())
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -45,7 +45,7 @@
 
     answer: TargetAnswer | None = None
 
-    def holder(self, host: str) -> None:
+    def holder_of(self, part: str) -> None:
         return None
 
     def peer(self) -> object | None:
@@ -64,7 +64,7 @@
 
     def intake_of(self, memory: memory_store.MemoryStore) -> intake.Intake:
         jobs = job_store.JobStore(memory, self.clock)
-        return intake.Intake(jobs, self.peers, {}, self.clock)
+        return intake.Intake(self.state('a'), jobs, self.peers, {}, self.clock)
 
     def request(self, body: bytes = BODY) -> ClientRequest:
         now = self.clock.seconds()
@@ -118,6 +118,46 @@
                 with self.assertRaises(errors.UnknownStep):
                     self.finish(work())
 
+    def test_a_job_goes_to_the_part_that_runs_its_model(self) -> None:
+        state = self.state('a')
+        state.partitions_by_service[world.SERVICE] = 3
+        jobs = job_store.JobStore(self.memory, self.clock)
+        self.intake = intake.Intake(state, jobs, self.peers, {}, self.clock)
+        self.submit()
+        part = state.part_of(world.SERVICE, world.MODEL)
+        self.assertNotEqual(world.SERVICE, part)
+        self.assertIn(keys.work(part, JobId('j')), self.keys.entries_by_key)
+
+    def test_a_job_waits_until_it_is_known_who_runs_it(self) -> None:
+        """A job accepted for a holder that there is not is never run.
+
+        1. All instances start; one knows its routes and not the division.
+        2. A trainer submits to it. It waits, and stores the job for the part
+           that its model belongs to.
+        """
+        state = self.state('a')
+        state.partitions_by_service.clear()
+        jobs = job_store.JobStore(self.memory, self.clock)
+        self.intake = intake.Intake(state, jobs, self.peers, {}, self.clock)
+        work = defer.Deferred.fromCoroutine(
+            self.intake.submit(world.batch_route(), self.request())
+        )
+        self.run_for(1.0)
+        self.assertEqual({}, self.keys.entries_by_key)
+        state.partitions_by_service[world.SERVICE] = 1
+        self.run_for(0.1)
+        self.assertEqual(202, work.result.status)
+
+    def test_a_job_that_nobody_runs_is_refused_as_not_run(self) -> None:
+        state = self.state('a')
+        state.partitions_by_service.clear()
+        jobs = job_store.JobStore(self.memory, self.clock)
+        self.intake = intake.Intake(state, jobs, self.peers, {}, self.clock)
+        with self.assertRaises(errors.NotRun):
+            self.submit()
+        self.run_for(5.0)
+        self.assertEqual({}, self.keys.entries_by_key)
+
     def test_a_job_that_comes_again_is_accepted_once(self) -> None:
         self.submit()
         before = self.keys.revision
@@ -135,6 +175,7 @@
         offered: list[JobId] = []
         runner = mock.Mock(offer=lambda job: offered.append(job.id))
         self.intake = intake.Intake(
+            self.state('a'),
             job_store.JobStore(self.memory, self.clock),
             self.peers,
             {world.SERVICE: runner},
@@ -148,6 +189,7 @@
         # Another instance may have run it since: the store tells.
         runner = mock.Mock()
         self.intake = intake.Intake(
+            self.state('a'),
             job_store.JobStore(self.memory, self.clock),
             self.peers,
             {world.SERVICE: runner},
--- a/packages/yuccarill-daemon/tests/gateway/world.py
+++ b/packages/yuccarill-daemon/tests/gateway/world.py
@@ -116,6 +116,7 @@
     def state(self, name: str) -> state_module.GatewayState:
         found = state_module.GatewayState(settings(name), random.Random(name))
         found.is_current = True
+        found.partitions_by_service[SERVICE] = 1
         found.targets.put(engine('e1'))
         return found
 
