--- a/packages/yuccarill-core/tests/gateway/test_partitions.py
+++ b/packages/yuccarill-core/tests/gateway/test_partitions.py
@@ -1,7 +1,7 @@
 """Test how a large service is divided among several holders.
 
 The pattern is that of the users' sweep at 300 instances: 1,700 engines, three
-trainers. One holder sent 17.9 MB a second and served 0.33 of what came, and one
+trainers. One holder sent 17.9 MB a second, served 0.33 of what came, and one
 item was lost to its readers; three served 0.64, and broke no promise.
 """
 
