Part attempts from the sending of requests

Cause: sender, exchange and tries named each other; a newcomer went back up from an exchange to the sender to see what one attempt does. Change: Attempts chooses a target, sends it one attempt and learns from it; tries and exchange use it, and the sender is what the rest uses. Moved, nothing decided anew.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
@@ -11,13 +11,14 @@
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway.requests import tries
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ServiceName
-    from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.daemon.gateway.requests.attempting import Attempts
     from yuccarill.platform.calls import TargetCall
 
 # Seconds after which a refused request may come back: long enough for a
@@ -55,19 +56,21 @@
 
     def __init__(
         self,
-        sender: Sender,
+        attempting: Attempts,
         service: ServiceName,
         call: TargetCall,
         plan: attempts.AttemptPlan,
         record: SendRecord,
     ) -> None:
-        self._sender = sender
+        self._attempting = attempting
         self._service = service
         self._call = call
         self._plan = plan
         self._record = record
         # The plan counts the attempts.
-        self._tries = sender.tries(service, call, sys.maxsize)
+        self._tries = tries.TargetTries(
+            attempting, service, call.content, sys.maxsize
+        )
         self._refusal: errors.RequestQuarantined | None = None
         self._running: list[defer.Deferred[None]] = []
         self._success: TargetAnswer | None = None
@@ -75,8 +78,8 @@
 
     async def run(self) -> TargetAnswer:
         while self._success is None:
-            self._plan.may_hedge = self._sender.may_hedge(self._call)
-            match self._plan.next(self._sender.now()):
+            self._plan.may_hedge = self._attempting.may_hedge(self._call)
+            match self._plan.next(self._attempting.now()):
                 case attempts.Next.START:
                     self._start()
                 case attempts.Next.WAIT:
@@ -96,7 +99,7 @@
             # More attempts would find none either.
             self._plan.max_attempts = self._plan.started
             return
-        self._plan.start(self._sender.now())
+        self._plan.start(self._attempting.now())
         self._record.attempts += 1
         running = defer.Deferred.fromCoroutine(self._attempt(target))
         if not running.called:
@@ -119,10 +122,10 @@
             self._running.remove(running)
 
     async def _attempt(self, target: ListedTarget) -> None:
-        sent_at = self._sender.now()
+        sent_at = self._attempting.now()
         self._record.sent_at.append(sent_at)
         try:
-            answer = await self._sender.attempt(
+            answer = await self._attempting.attempt(
                 target, self._call, self._plan.deadline
             )
         except calls_module.CallFailed as error:
@@ -157,7 +160,7 @@
 
     async def _sleep(self) -> None:
         self._wake = defer.Deferred()
-        timer = self._sender.wake_at(self._plan.wakes_at(), self._wake_up)
+        timer = self._attempting.wake_at(self._plan.wakes_at(), self._wake_up)
         try:
             await self._wake
         finally:
@@ -180,6 +183,6 @@
             raise errors.NotRun(
                 f'The request was not run: {cause}.', RETRY_AFTER
             )
-        if self._sender.now() >= self._plan.deadline:
+        if self._attempting.now() >= self._plan.deadline:
             raise errors.DeadlinePassed(f'No answer came in time: {cause}.')
         raise errors.OutcomeUnknown(f'No whole answer came: {cause}.')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/tries.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/tries.py
@@ -9,8 +9,7 @@
     from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
-    from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
-    from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.daemon.gateway.requests.attempting import Attempts
 
 
 class TargetTries:
@@ -18,14 +17,13 @@
 
     def __init__(
         self,
-        sender: Sender,
-        guard: ContentGuard,
+        attempting: Attempts,
         service: ServiceName,
         content: ContentDigest,
         limit: int,
     ) -> None:
-        self._sender = sender
-        self._guard = guard
+        self._attempting = attempting
+        self._guard = attempting.guard
         self._service = service
         self._content = content
         self._limit = limit
@@ -41,7 +39,7 @@
         if self._sent >= self._limit:
             return None
         self._guard.admit(self._content, self._service)
-        target = self._sender.choose(
+        target = self._attempting.choose(
             self._service,
             frozenset(self._tried),
             self._guard.elsewhere(self._content),
