--- a/packages/yuccarill-core/src/yuccarill/core/jobs/standby.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/standby.py
@@ -12,7 +12,7 @@
 SILENT_SECONDS = 1.2
 # Seconds after the store's return for which a standby goes on where nobody
 # takes the duty: the holder's lease of 2.5 s ends, and a successor is there.
-# Less than the pages leave before they hold an instance to its reach of all
+# Less than the platform gives an instance that was cut off to be reached by all
 # others again, so a holder that was only cut off never runs beside it then.
 RETURN_SECONDS = 2.8
 
@@ -24,8 +24,8 @@
     While the store is there, a lease decides who runs: a holder that is cut
     off from its standby alone goes on, and both would send one text to two
     engines. While it is away nobody can take the duty, and what the holder
-    had under way would wait for its return and the end of a lease, 9.5 s of
-    10 in one play of two.
+    had under way would wait for its return and the end of a lease: 9.5 s, in
+    one of two runs in which the store was away for 10 s.
     """
 
     def __init__(self) -> None:
