--- a/packages/yuccarill-core/src/yuccarill/core/jobs/standby.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/standby.py
@@ -12,8 +12,8 @@
 SILENT_SECONDS = 1.2
 # Seconds after the store's return for which a standby goes on where nobody
 # takes the duty: the holder's lease of 2.5 s ends, and a successor is there.
-# Less than the platform gives an instance that was cut off to be reached by all
-# others again, so a holder that was only cut off never runs beside it then.
+# Less than the platform gives an instance that was cut off to be reached by
+# all others again, so a holder that was only cut off never runs beside it.
 RETURN_SECONDS = 2.8
 
 
