Decide on a service's division by all of its engines

Change: a hundred engines or more have to be all for 3.2 s, two such looks; fewer for a second, as before. What was written is logged, with the count.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/partitions.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/partitions.py
@@ -18,6 +18,15 @@
 # 17.9 MB a second on its link; three served 0.63 and 0.64. Engines that are
 # shared out by models serve each step with a third of them, whatever it needs.
 LARGE_ENGINES = 1000
+# Engines from which on a service may turn out to be as large as that.
+_MANY_ENGINES = 100
+# Seconds in which no engine more has to be listed before it is decided. Few
+# that start together are listed within a second. Of many most instances hear
+# from a peer's copy, which they look at each 1.5 s; by one second, one holder
+# got all 1,710 engines of a fleet that was just installed, and served 0.32 of
+# what came.
+_FEW_SETTLE_SECONDS = 1.0
+_MANY_SETTLE_SECONDS = 3.2
 # Between a service's name and the number of a part; the names that operators
 # give have none.
 _SIGN = ':'
@@ -28,6 +37,13 @@
     return max(1, models) if engines >= LARGE_ENGINES else 1
 
 
+def settle_seconds(engines: int) -> float:
+    """Return how long so many engines have to be all that are listed."""
+    if engines < _MANY_ENGINES:
+        return _FEW_SETTLE_SECONDS
+    return _MANY_SETTLE_SECONDS
+
+
 def name(service: ServiceName, number: int, count: int) -> ServiceName:
     """Return the name of a part, the service's own if it is the only one."""
     if count == 1:
--- a/packages/yuccarill-core/tests/gateway/test_partitions.py
+++ b/packages/yuccarill-core/tests/gateway/test_partitions.py
@@ -28,6 +28,14 @@
     ) -> None:
         self.assertEqual(expected, partitions.count_for(engines, models))
 
+    # Engines that are listed, seconds in which there must be no more of them:
+    # a second where they are few, two looks at a peer's copy of 1.5 s else.
+    @params((1, 1.0), (99, 1.0), (100, 3.2), (570, 3.2), (1710, 3.2))
+    def test_how_long_engines_have_to_be_all(
+        self, engines: int, expected: float
+    ) -> None:
+        self.assertEqual(expected, partitions.settle_seconds(engines))
+
     def test_a_service_without_models_has_one(self) -> None:
         self.assertEqual(1, partitions.count_for(1000, 0))
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/division.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/division.py
@@ -24,11 +24,10 @@
 
 log = logs.for_part('duty')
 
-# Seconds in which no engine more is listed before the first instance decides:
-# a fleet that starts lists its engines over a second.
-SETTLED_SECONDS = 1.0
 # Seconds that each further candidate waits for the ones before it.
 RANK_SECONDS = 0.3
+# Seconds before a division that was not written is tried again.
+RETRY_SECONDS = 1.0
 
 
 class Division:
@@ -66,14 +65,16 @@
             since = now
         self._counts_by_service[service.name] = (found, since)
         rank = self._rank(service.name)
-        left = since + SETTLED_SECONDS + RANK_SECONDS * rank - now
+        settled = partitions.settle_seconds(found)
+        left = since + settled + RANK_SECONDS * rank - now
         if found == 0:
             return
         if left > 0.0:
             self._look_again(left)
         elif service.name not in self._writing:
             models = () if service.engine is None else service.engine.models
-            self._write(service.name, partitions.count_for(found, len(models)))
+            count = partitions.count_for(found, len(models))
+            self._write(service.name, count, found)
 
     def _rank(self, service: ServiceName) -> int:
         ordered = candidates.ordered(self._state.cores_by_name(), service)
@@ -83,7 +84,7 @@
         if self._timer is None or not self._timer.active():
             self._timer = self._clock.callLater(seconds, self._on_time)
 
-    def _write(self, service: ServiceName, count: int) -> None:
+    def _write(self, service: ServiceName, count: int, engines: int) -> None:
         self._writing.add(service)
         key = keys.partitions(service)
         writing = defer.Deferred.fromCoroutine(
@@ -100,13 +101,20 @@
                 ],
             )
         )
-        log.info('Service divided.', service=service, parts=count)
-        writing.addErrback(self._failed)
-        writing.addBoth(self._written, service)
+        writing.addCallbacks(
+            lambda _: log.info(
+                'Service divided.',
+                service=service,
+                parts=count,
+                engines=engines,
+            ),
+            self._failed,
+        )
+        writing.addBoth(self._ended, service)
 
-    def _written(self, _: object, service: ServiceName) -> None:
+    def _ended(self, _: object, service: ServiceName) -> None:
         self._writing.discard(service)
-        self._look_again(SETTLED_SECONDS)
+        self._look_again(RETRY_SECONDS)
 
     def _failed(self, failure: Any) -> None:
         # Another one decided, or the store is away: the entry will tell.
