--- a/packages/yuccarill-core/src/yuccarill/core/gateway/partitions.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/partitions.py
@@ -14,10 +14,10 @@
     from yuccarill.core.ids import TargetId
 
 # Engines of a service from which on its models get a holder each. One holder
-# served 0.98 of what came before 570 engines, and 0.32 and 0.33 before 1,710,
-# with 17 MB a second on its link; three served 0.63, and 0.64 and 0.82. Engines
-# that are shared out by models serve each step with a third of them, whatever
-# it needs.
+# served 0.98 of what came before 570 engines, and 0.32 and 0.33 before 1,710
+# in two runs, with 17 MB a second on its link; three served 0.63, and 0.64 and
+# 0.82. Engines that are shared out by models serve each step with a third of
+# them, whatever it needs.
 LARGE_ENGINES = 1000
 # Engines from which on a service may turn out to be as large as that.
 _MANY_ENGINES = 100
