--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Divide a service's capacity among instances and accounts."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/flow/__init__.py
@@ -0,0 +1,1 @@
+"""Bound what is held for slow readers and writers."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how many targets of a service there are to be."""
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Estimate how fast targets work."""
