--- a/packages/yuccarill-core/src/yuccarill/core/gateway/routes.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/routes.py
@@ -9,6 +9,7 @@
 
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import ServiceName
+from yuccarill.core.scaling.plan import ScalingBounds
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -87,6 +88,8 @@
     # Connections that one target takes from all senders together.
     max_connections: int = 64
     engine: EngineTraits | None = None
+    # None where the number of its targets is not ordered.
+    scaling: ScalingBounds | None = None
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/targets.py
@@ -11,6 +11,7 @@
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import WeightVersion
+from yuccarill.core.scaling.plan import TargetKind
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,6 +46,7 @@
     data_centre: DataCentreId
     slots: int
     is_leaving: bool = False
+    kind: TargetKind = TargetKind.REGULAR
     start: TargetStart = TargetStart()
     versions_by_model: dict[ModelName, WeightVersion] = {}
 
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -115,6 +115,11 @@
         self._usual: float | None = None
         self._usual_at = Instant(-1.0)
 
+    @property
+    def running(self) -> int:
+        """Count the runs at all engines."""
+        return sum(each.running for each in self.engines_by_id.values())
+
     def is_current(self, engine: EngineState) -> bool:
         """Tell whether an engine still is the process that is listed."""
         return self.engines_by_id.get(engine.target.id) is engine
--- a/packages/yuccarill-core/src/yuccarill/core/scaling/plan.py
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/plan.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from yuccarill.core.ids import DataCentreId
-from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 
 
@@ -22,6 +21,7 @@
 class ScalingBounds(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what the configuration allows in each data centre."""
 
+    # Targets of both kinds together.
     least: int
     most: int
     # Seconds from an order until a new target serves.
@@ -31,6 +31,10 @@
     # Part of that price for a revocable target; none if there are none.
     revocable_part: float | None = None
 
+    def price(self, centre: DataCentreId) -> float:
+        """Return what a second of a regular target costs."""
+        return self.prices_by_centre.get(centre, 1.0)
+
 
 class TargetOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Say how many targets there are to be in one data centre."""
@@ -52,16 +56,3 @@
     REFUSED = 'refused'
     # It may have been taken.
     UNKNOWN = 'unknown'
-
-
-class WorkMeasure(msgspec.Struct, frozen=True, kw_only=True):
-    """Say how much work a service was asked for lately."""
-
-    # Places that were in use on the average and at the most.
-    mean_busy: float
-    peak_busy: float
-    # Work that waits now, in places times seconds.
-    backlog: float
-    measured_at: Instant
-    # A whole step of each trainer lies in the measure.
-    is_whole: bool
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/sizing.py
@@ -0,0 +1,109 @@
+"""Decide how many targets a service needs, and where."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.scaling.plan import TargetKind
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
+    from yuccarill.core.scaling.plan import ScalingBounds
+
+Place = tuple[DataCentreId, TargetKind]
+Counts = dict[Place, int]
+
+
+class SizingPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Set how much of the capacity may be in use."""
+
+    # Part of the places that may be busy on the average: a step comes all at
+    # once, and has twice the places that its mean takes.
+    busy_part: float = 0.5
+    # The same for regular targets alone, should the revocable ones go.
+    regular_busy_part: float = 0.8
+
+
+class Size(msgspec.Struct, frozen=True, kw_only=True):
+    """Say how many targets a service needs."""
+
+    total: int
+    # How many of them must not be revocable.
+    regular: int
+
+
+def size(
+    policy: SizingPolicy, bounds: ScalingBounds, wanted: float, slots: int
+) -> Size:
+    """Return what serves so many wanted places."""
+    total = _targets(wanted, slots, policy.busy_part)
+    regular = total
+    if bounds.revocable_part is not None:
+        regular = _targets(wanted, slots, policy.regular_busy_part)
+    return Size(total=total, regular=min(total, regular))
+
+
+def place(
+    needed: Size,
+    bounds: ScalingBounds,
+    centres: Collection[DataCentreId],
+    unavailable: Mapping[TargetKind, Collection[DataCentreId]],
+) -> Counts:
+    """Return how many targets of each kind each data centre is to have."""
+    regular = spread(
+        needed.regular,
+        {centre: (bounds.least, bounds.most) for centre in centres},
+        bounds,
+        unavailable.get(TargetKind.REGULAR, ()),
+    )
+    counts: Counts = {
+        (centre, TargetKind.REGULAR): count
+        for centre, count in regular.items()
+    }
+    if bounds.revocable_part is None:
+        return counts
+    revocable = spread(
+        needed.total - sum(regular.values()),
+        {centre: (0, bounds.most - regular[centre]) for centre in centres},
+        bounds,
+        unavailable.get(TargetKind.REVOCABLE, ()),
+    )
+    for centre, count in revocable.items():
+        counts[centre, TargetKind.REVOCABLE] = count
+    return counts
+
+
+def spread(
+    count: int,
+    limits_by_centre: Mapping[DataCentreId, tuple[int, int]],
+    bounds: ScalingBounds,
+    unavailable: Collection[DataCentreId] = (),
+) -> dict[DataCentreId, int]:
+    """Divide targets evenly between least and most, the cheapest first.
+
+    A data centre that has none to give keeps its least, and the others take
+    its part.
+    """
+    counts = {centre: limits[0] for centre, limits in limits_by_centre.items()}
+    by_price = sorted(counts, key=lambda c: (bounds.price(c), c))
+    for _ in range(count - sum(counts.values())):
+        open_centres = [
+            centre
+            for centre in by_price
+            if centre not in unavailable
+            and counts[centre] < limits_by_centre[centre][1]
+        ]
+        if not open_centres:
+            break
+        counts[min(open_centres, key=lambda c: counts[c])] += 1
+    return counts
+
+
+def _targets(wanted: float, slots: int, busy_part: float) -> int:
+    return max(1, math.ceil(wanted / busy_part / max(1, slots)))
--- /dev/null
+++ b/packages/yuccarill-core/tests/scaling/test_sizing.py
@@ -0,0 +1,116 @@
+"""Test how many targets a load gets, and in which data centres."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.scaling import plan
+from yuccarill.core.scaling.plan import TargetKind
+from yuccarill.core.scaling import sizing
+
+A, B, C = (DataCentreId(name) for name in 'abc')
+CENTRES = (A, B, C)
+PRICES = {A: 1.0, B: 0.8, C: 1.25}
+
+
+def bounds(
+    least: int = 1, most: int = 16, revocable_part: float | None = None
+) -> plan.ScalingBounds:
+    return plan.ScalingBounds(
+        least=least,
+        most=most,
+        boot_seconds=4.0,
+        prices_by_centre=PRICES,
+        revocable_part=revocable_part,
+    )
+
+
+class SizeTest(unittest.TestCase):
+    # Wanted places, places of a target, part for revocable ones, and how many
+    # targets of all and of regular ones that makes.
+    @params(
+        (0.0, 6, None, 1, 1),
+        (3.0, 6, None, 1, 1),
+        (3.1, 6, None, 2, 2),
+        (36.0, 6, None, 12, 12),
+        (36.0, 6, 0.15, 12, 8),
+        (0.1, 6, 0.15, 1, 1),
+    )
+    def test_half_of_the_places_are_busy(
+        self,
+        wanted: float,
+        slots: int,
+        revocable: float | None,
+        total: int,
+        regular: int,
+    ) -> None:
+        found = sizing.size(
+            sizing.SizingPolicy(),
+            bounds(revocable_part=revocable),
+            wanted,
+            slots,
+        )
+        self.assertEqual((total, regular), (found.total, found.regular))
+
+
+class SpreadTest(unittest.TestCase):
+    # Targets, least and most of a data centre, those with none to give, and
+    # the targets of a, b and c.
+    @params(
+        (3, 1, 16, (), (1, 1, 1)),
+        (4, 1, 16, (), (1, 2, 1)),
+        (5, 1, 16, (), (2, 2, 1)),
+        (12, 1, 16, (), (4, 4, 4)),
+        (1, 1, 16, (), (1, 1, 1)),
+        (0, 0, 16, (), (0, 0, 0)),
+        (9, 1, 16, (B,), (4, 1, 4)),
+        (9, 1, 3, (), (3, 3, 3)),
+        (99, 1, 3, (), (3, 3, 3)),
+        (9, 1, 16, CENTRES, (1, 1, 1)),
+    )
+    def test_data_centres_get_the_same(
+        self,
+        count: int,
+        least: int,
+        most: int,
+        unavailable: tuple[DataCentreId, ...],
+        expected: tuple[int, ...],
+    ) -> None:
+        limits = dict.fromkeys(CENTRES, (least, most))
+        found = sizing.spread(count, limits, bounds(), unavailable)
+        self.assertEqual(expected, tuple(found[c] for c in CENTRES))
+
+
+class PlaceTest(unittest.TestCase):
+    @params(
+        # Revocable ones fill up what regular ones leave.
+        (12, 8, {}, (3, 3, 2), (1, 2, 1)),
+        # Where none are to be had, the others take them.
+        (12, 8, {TargetKind.REVOCABLE: (B,)}, (3, 3, 2), (2, 0, 2)),
+        # Both kinds together keep within the most.
+        (40, 8, {}, (3, 3, 2), (7, 7, 8)),
+    )
+    def test_kinds(
+        self,
+        total: int,
+        regular: int,
+        unavailable: dict[TargetKind, tuple[DataCentreId, ...]],
+        regulars: tuple[int, ...],
+        revocables: tuple[int, ...],
+    ) -> None:
+        found = sizing.place(
+            sizing.Size(total=total, regular=regular),
+            bounds(most=10, revocable_part=0.15),
+            CENTRES,
+            unavailable,
+        )
+        for kind, counts in (
+            (TargetKind.REGULAR, regulars),
+            (TargetKind.REVOCABLE, revocables),
+        ):
+            self.assertEqual(
+                counts, tuple(found[c, kind] for c in CENTRES), kind
+            )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -13,6 +13,7 @@
 
 from yuccarill.core import errors
 from yuccarill.daemon.gateway import log_sink
+from yuccarill.daemon.gateway import options
 from yuccarill.daemon.gateway import process as process_module
 from yuccarill.daemon import logs
 from yuccarill.daemon.settings import LogLevel
@@ -39,11 +40,22 @@
     envvar='YUCCARILL_LOG_LEVEL',
     help='The lowest level of log lines that are written.',
 )
+@click.option(
+    '--target-orders',
+    type=click.Choice([mode.value for mode in options.TargetOrderMode]),
+    default=options.TargetOrderMode.OFF.value,
+    show_default=True,
+    envvar='YUCCARILL_TARGET_ORDERS',
+    help='Which targets are ordered for services that allow it.',
+)
 @click.option(
     '--check-settings', is_flag=True, help='Check the settings and end.'
 )
 def main(
-    given_file: pathlib.Path | None, log_level: str, check_settings: bool
+    given_file: pathlib.Path | None,
+    log_level: str,
+    target_orders: str,
+    check_settings: bool,
 ) -> None:
     """Run one instance of yuccarill on the users' platform."""
     path, settings = _read(given_file)
@@ -52,7 +64,10 @@
         return
     sink = log_sink.LogSink(STDOUT, reactor)
     logs.configure_stream(sink, LogLevel(log_level))
-    process = process_module.GatewayProcess(settings, path)
+    switches = options.Options(
+        target_orders=options.TargetOrderMode(target_orders)
+    )
+    process = process_module.GatewayProcess(settings, path, options=switches)
     exit_code = 0
     is_stopping = False
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -159,6 +159,10 @@
         self._requests.refresh()
         self.survey()
 
+    def work(self) -> tuple[int, int]:
+        """Return the places in use, and the items that wait for one."""
+        return self._fleet.running, self._board.count_waiting()
+
     def left_texts(self) -> list[LeftText]:
         """Return the texts that another instance would go on with."""
         return self._board.left(self._listed_items())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -30,6 +30,8 @@
     from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
+    from yuccarill.daemon.gateway.scaling.parts import ScalingParts
+    from yuccarill.daemon.gateway.scaling.scaler import Scaler
     from yuccarill.daemon.gateway.standby.desk import StandbyDesk
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.engines import Engines
@@ -53,6 +55,7 @@
         standbys: StandbyDesk,
         peers: PeerCalls,
         holders: HolderCalls,
+        scaling: ScalingParts,
         clock: Any,
     ) -> None:
         self._state = state
@@ -67,6 +70,7 @@
         self._standbys = standbys
         self._peers = peers
         self._holders = holders
+        self._scaling = scaling
         self._clock = clock
         self._division = division.Division(state, store, self.update, clock)
         self.duties_by_service: dict[ServiceName, duties.Duty] = {}
@@ -76,6 +80,7 @@
         self._writers_by_service: dict[
             ServiceName, progress.ProgressWriter
         ] = {}
+        self._scalers_by_service: dict[ServiceName, Scaler] = {}
 
     def update(self) -> None:
         """Compare what is held with what is known."""
@@ -167,6 +172,10 @@
         )
         self._writers_by_service[service] = writing
         writing.start()
+        scaler = self._scaling.scaler(duty, started.work)
+        if scaler is not None:
+            self._scalers_by_service[service] = scaler
+            scaler.start()
 
     async def _left_texts(
         self, service: ServiceName, kept: progress.ProgressStore
@@ -189,3 +198,6 @@
             self._copies_by_service.pop(service).stop()
             self._copiers_by_service.pop(service).stop()
             self._writers_by_service.pop(service).stop()
+            scaler = self._scalers_by_service.pop(service, None)
+            if scaler is not None:
+                scaler.stop()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -120,6 +120,13 @@
     registry=REGISTRY,
 )
 
+TARGET_ORDERS = prometheus_client.Counter(
+    'yuccarill_target_orders',
+    'Orders of targets by outcome',
+    ('outcome',),
+    registry=REGISTRY,
+)
+
 
 def exposition() -> bytes:
     """Return every metric as text."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/options.py
@@ -0,0 +1,22 @@
+"""What an operator switches on and off."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class TargetOrderMode(enum.Enum):
+    """Say which targets are ordered for services that allow it."""
+
+    OFF = 'off'
+    REGULAR = 'regular'
+    # Revocable ones beside those that carry the work.
+    MIXED = 'mixed'
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the switches of one process."""
+
+    target_orders: TargetOrderMode = TargetOrderMode.OFF
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -26,6 +26,7 @@
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway.jobs import trainers
 from yuccarill.daemon.gateway import meters
+from yuccarill.daemon.gateway import options as options_module
 from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon.gateway.quarantine import parts
 from yuccarill.daemon.gateway.requests import forwarding
@@ -34,6 +35,7 @@
 from yuccarill.daemon.gateway.requests import relay
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
+from yuccarill.daemon.gateway.scaling import parts as scaling_parts
 from yuccarill.daemon.gateway.standby import desk
 from yuccarill.daemon.gateway.standby import runner
 from yuccarill.daemon.gateway.standby import witness
@@ -80,6 +82,7 @@
         settings: InstanceSettings,
         settings_path: pathlib.Path,
         clock: Any = default_reactor,
+        options: options_module.Options = options_module.Options(),
     ) -> None:
         self._path = settings_path
         self._clock = clock
@@ -139,6 +142,9 @@
             self._standbys,
             peers,
             self._holders,
+            scaling_parts.ScalingParts(
+                options.target_orders, self._state, links, clock
+            ),
             clock,
         )
         passing_on = relay.Relay(self._state, links, clock)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Order targets of services that are billed by the second."""
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/gateway/test_scaling.py
@@ -0,0 +1,165 @@
+"""Test that targets are ordered under the duty alone, whatever fails.
+
+The platform takes no two holders in turn for one service and data centre, and
+no call under a lower token than it has seen.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+import msgspec
+from nose2.tools import params
+from twisted.internet import task
+
+from yuccarill.core.gateway import routes
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Epoch
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.scaling import plan
+from yuccarill.core.scaling.plan import OrderEnd
+from yuccarill.core.scaling import scaling as scaling_module
+from yuccarill.daemon.gateway.scaling import scaler
+from yuccarill.daemon.gateway import state as state_module
+
+from . import world
+
+CENTRE = DataCentreId('d')
+
+
+@dataclasses.dataclass
+class Tenure:
+    epoch: Epoch = Epoch(7)
+
+
+class HeldDuty:
+    """Stand in for a duty."""
+
+    service = world.SERVICE
+
+    def __init__(self) -> None:
+        self.tenure: Tenure | None = Tenure()
+        self.is_usable = True
+        self.orders = 0
+
+    def may_order(self) -> bool:
+        return self.tenure is not None and self.is_usable
+
+    def order(self) -> None:
+        self.orders += 1
+
+
+class Platform:
+    """Take orders, answering each after a while."""
+
+    def __init__(self, clock: task.Clock) -> None:
+        self._clock = clock
+        self.taken: list[tuple[plan.TargetOrder, str, int]] = []
+        self.under_way = 0
+        self.most_under_way = 0
+        self.seconds = 0.01
+        self.end = OrderEnd.ACCEPTED
+
+    async def send(
+        self, order: plan.TargetOrder, holder: InstanceId, epoch: Epoch
+    ) -> OrderEnd:
+        self.taken.append((order, holder, epoch))
+        self.under_way += 1
+        self.most_under_way = max(self.under_way, self.most_under_way)
+        await task.deferLater(self._clock, self.seconds)
+        self.under_way -= 1
+        return self.end
+
+
+class ScalerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = task.Clock()
+        self.duty = HeldDuty()
+        self.platform = Platform(self.clock)
+        self.state = state_module.GatewayState(world.settings('a'))
+        self.state.targets.put(world.engine('e1'))
+        self.state.partitions_by_service[world.SERVICE] = 1
+        self.configure(plan.ScalingBounds(least=1, most=8, boot_seconds=4.0))
+        self.work = (4, 20)
+        self.scaler = scaler.Scaler(
+            self.duty,
+            self.state,
+            self.platform,
+            lambda: self.work,
+            scaling_module.ScalingPolicy(),
+            self.clock,
+            uses_revocable=False,
+        )
+
+    def configure(self, bounds: plan.ScalingBounds | None) -> None:
+        engine = routes.EngineTraits(slots=4, models=(world.MODEL,))
+        service = routes.Service(
+            name=world.SERVICE, engine=engine, scaling=bounds
+        )
+        self.state.table = routes.RouteTable(
+            1, [], [service], routes.ClientLimits()
+        )
+
+    def run_for(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+    def test_orders_name_holder_and_epoch(self) -> None:
+        self.scaler.start()
+        self.run_for(0.5)
+        order, holder, epoch = self.platform.taken[0]
+        self.assertEqual((CENTRE, 8), (order.data_centre, order.count))
+        self.assertEqual(('a', 7), (holder, epoch))
+        self.assertEqual(len(self.platform.taken), self.duty.orders)
+
+    @params('no duty', 'no lease', 'no bounds', 'stopped')
+    def test_nothing_is_ordered(self, why: str) -> None:
+        """Guards against orders of two holders in turn."""
+        match why:
+            case 'no duty':
+                self.duty.tenure = None
+            case 'no lease':
+                self.duty.is_usable = False
+            case 'no bounds':
+                self.configure(None)
+        self.scaler.start()
+        if why == 'stopped':
+            self.scaler.stop()
+            self.clock.advance(0.0)
+            self.platform.taken.clear()
+        self.run_for(5.0)
+        self.assertEqual([], self.platform.taken)
+
+    def test_a_duty_that_is_lost_between_two_orders(self) -> None:
+        """Guards against an order that follows the loss of the duty."""
+        self.state.targets.put(
+            msgspec.structs.replace(
+                world.engine('e2'), data_centre=DataCentreId('other')
+            )
+        )
+        self.platform.seconds = 1.0
+        self.scaler.start()
+        self.run_for(0.5)
+        self.assertEqual(1, len(self.platform.taken))
+        self.duty.is_usable = False
+        self.run_for(5.0)
+        self.assertEqual(1, len(self.platform.taken))
+
+    def test_a_slow_interface_gets_one_order_at_a_time(self) -> None:
+        """Guards against calls that pile up at an interface that is slow."""
+        self.platform.seconds = 3.0
+        self.platform.end = OrderEnd.UNKNOWN
+        self.scaler.start()
+        self.run_for(20.0)
+        self.assertEqual(1, self.platform.most_under_way)
+        self.assertGreater(len(self.platform.taken), 3)
+
+    def test_an_end_while_an_order_is_under_way(self) -> None:
+        """Guards against a holder that goes on after its stop."""
+        self.platform.seconds = 1.0
+        self.scaler.start()
+        self.run_for(0.5)
+        self.scaler.stop()
+        self.run_for(5.0)
+        self.assertEqual(1, len(self.platform.taken))
