Let a successor see what was ordered before it orders targets

Cause: a new holder knew only what was listed. While targets that the last holder had ordered were starting, an order for a few more than were listed named fewer than had been ordered, and took them back.

Change: numbers change only after the time of a start.

--- a/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
@@ -49,11 +49,14 @@
         self._policy = policy
         # What stands at the platform as far as it is known here.
         self._counts: Counts = {}
-        # Places for which an order was sent from here.
+        # When the next order may be sent, for places that got one from here.
         self._may_order_at: dict[Place, Instant] = {}
         self._unavailable_until: dict[Place, Instant] = {}
         # Since when a place has had fewer targets than were ordered.
         self._missing_since: dict[Place, Instant] = {}
+        self._listed: Counts = {}
+        # When all that an earlier holder ordered is listed.
+        self._settled_at: Instant | None = None
         self._shrink_at: Instant | None = None
 
     def orders(
@@ -65,11 +68,15 @@
         now: Instant,
     ) -> list[TargetOrder]:
         """Return the orders to send, at most one a place."""
-        self._adopt(listed)
+        self._listed = listed
+        if self._settled_at is None:
+            self._settled_at = Instant(now + bounds.boot_seconds)
+        self._adopt()
         if not self._counts:
             return []
-        found = self._missing(bounds, listed, now)
-        found.update(self._changes(bounds, slots, measure, now))
+        found = self._missing(bounds, now)
+        if now >= self._settled_at:
+            found.update(self._changes(bounds, slots, measure, now))
         return [
             TargetOrder(
                 service=self._service,
@@ -103,9 +110,9 @@
             case OrderEnd.BUSY | OrderEnd.UNKNOWN:
                 pass
 
-    def _adopt(self, listed: Counts) -> None:
+    def _adopt(self) -> None:
         """Take the most that was listed for ordered, until one is sent."""
-        for place, count in listed.items():
+        for place, count in self._listed.items():
             if place not in self._may_order_at:
                 known = self._counts.get(place, 0)
                 self._counts[place] = max(known, count)
@@ -166,18 +173,18 @@
         for (centre, kind), until in self._unavailable_until.items():
             if now < until:
                 unavailable.setdefault(kind, set()).add(centre)
-        centres = {centre for centre, _ in self._counts}
-        return sizing.place(needed, bounds, centres, unavailable)
+        return sizing.place(needed, bounds, self._centres(), unavailable)
 
-    def _missing(
-        self, bounds: ScalingBounds, listed: Counts, now: Instant
-    ) -> Counts:
+    def _centres(self) -> set[DataCentreId]:
+        return {centre for centre, _ in self._counts}
+
+    def _missing(self, bounds: ScalingBounds, now: Instant) -> Counts:
         """Return the places that still lack what was ordered."""
         found: Counts = {}
         patience = bounds.boot_seconds + self._policy.missing_after
         for place in self._may_order_at:
             count = self._counts.get(place, 0)
-            if listed.get(place, 0) >= count:
+            if self._listed.get(place, 0) >= count:
                 self._missing_since.pop(place, None)
                 continue
             since = self._missing_since.setdefault(place, now)
