Make up for targets that are lost where none are to be had

Cause: after a 409 to the repeated number, the lost targets still counted, so that the other data centres took no part of them. Losses in a data centre that had got no order from this holder were never ordered again. A data centre that answered 409 was placed at its least, and what still ran there was given up.

Change: a 409 to a number that is no larger takes what is listed for what stands; missing targets are looked for in all data centres; one that has no more to give keeps what stands there.

--- a/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
@@ -107,6 +107,9 @@
             case OrderEnd.UNAVAILABLE:
                 until = Instant(now + self._policy.unavailable_for)
                 self._unavailable_until[place] = until
+                if order.count <= self._counts.get(place, 0):
+                    # What was ordered before is lost as well.
+                    self._counts[place] = self._listed.get(place, 0)
             case OrderEnd.BUSY | OrderEnd.UNKNOWN:
                 pass
 
@@ -173,7 +176,9 @@
         for (centre, kind), until in self._unavailable_until.items():
             if now < until:
                 unavailable.setdefault(kind, set()).add(centre)
-        return sizing.place(needed, bounds, self._centres(), unavailable)
+        return sizing.place(
+            needed, bounds, self._centres(), unavailable, self._counts
+        )
 
     def _centres(self) -> set[DataCentreId]:
         return {centre for centre, _ in self._counts}
@@ -182,8 +187,7 @@
         """Return the places that still lack what was ordered."""
         found: Counts = {}
         patience = bounds.boot_seconds + self._policy.missing_after
-        for place in self._may_order_at:
-            count = self._counts.get(place, 0)
+        for place, count in self._counts.items():
             if self._listed.get(place, 0) >= count:
                 self._missing_since.pop(place, None)
                 continue
--- a/packages/yuccarill-core/src/yuccarill/core/scaling/sizing.py
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/sizing.py
@@ -54,11 +54,26 @@
     bounds: ScalingBounds,
     centres: Collection[DataCentreId],
     unavailable: Mapping[TargetKind, Collection[DataCentreId]],
+    standing: Counts,
 ) -> Counts:
-    """Return how many targets of each kind each data centre is to have."""
+    """Return how many targets of each kind each data centre is to have.
+
+    One that has no more to give keeps what stands there.
+    """
+    kept = {
+        (centre, kind): min(bounds.most, standing.get((centre, kind), 0))
+        for kind, lacking in unavailable.items()
+        for centre in lacking
+    }
     regular = spread(
         needed.regular,
-        {centre: (bounds.least, bounds.most) for centre in centres},
+        {
+            centre: (
+                kept.get((centre, TargetKind.REGULAR), bounds.least),
+                bounds.most,
+            )
+            for centre in centres
+        },
         bounds,
         unavailable.get(TargetKind.REGULAR, ()),
     )
@@ -70,7 +85,13 @@
         return counts
     revocable = spread(
         needed.total - sum(regular.values()),
-        {centre: (0, bounds.most - regular[centre]) for centre in centres},
+        {
+            centre: _up_to(
+                kept.get((centre, TargetKind.REVOCABLE), 0),
+                bounds.most - regular[centre],
+            )
+            for centre in centres
+        },
         bounds,
         unavailable.get(TargetKind.REVOCABLE, ()),
     )
@@ -105,5 +126,9 @@
     return counts
 
 
+def _up_to(least: int, most: int) -> tuple[int, int]:
+    return min(least, most), most
+
+
 def _targets(wanted: float, slots: int, busy_part: float) -> int:
     return max(1, math.ceil(wanted / busy_part / max(1, slots)))
--- a/packages/yuccarill-core/tests/scaling/test_scaling.py
+++ b/packages/yuccarill-core/tests/scaling/test_scaling.py
@@ -201,3 +201,13 @@
         world.listed = {(centre, REGULAR): 8 for centre in CENTRES}
         world.play(2.0, 30)
         self.assertEqual([], world.sent)
+
+    def test_targets_that_are_taken_back_are_made_up_for(self) -> None:
+        """Guards against a lost data centre that goes on to count."""
+        world = World()
+        world.play(BOOT, 72)
+        world.listed[CENTRES[0], REGULAR] = 0
+        world.lacking.add(CENTRES[0])
+        world.play(10.0, 72)
+        self.assertEqual(0, world.listed[CENTRES[0], REGULAR])
+        self.assertGreaterEqual(world.total, 24)
--- a/packages/yuccarill-core/tests/scaling/test_sizing.py
+++ b/packages/yuccarill-core/tests/scaling/test_sizing.py
@@ -106,6 +106,7 @@
             bounds(most=10, revocable_part=0.15),
             CENTRES,
             unavailable,
+            {},
         )
         for kind, counts in (
             (TargetKind.REGULAR, regulars),
@@ -114,3 +115,16 @@
             self.assertEqual(
                 counts, tuple(found[c, kind] for c in CENTRES), kind
             )
+
+    def test_a_data_centre_that_gives_no_more_keeps_its_targets(self) -> None:
+        """Guards against a lack that gives up what still runs."""
+        found = sizing.place(
+            sizing.Size(total=15, regular=15),
+            bounds(),
+            CENTRES,
+            {TargetKind.REGULAR: (B,)},
+            {(B, TargetKind.REGULAR): 5},
+        )
+        self.assertEqual(
+            [5, 5, 5], [found[c, TargetKind.REGULAR] for c in CENTRES]
+        )
