Count targets that are listed beyond an order

Cause: an order without an answer that was carried out, or one of an earlier holder that was carried out late, left more targets than were counted; with no further change wanted they were paid for without end.

Change: what stays listed beyond an order for the time of a start counts as ordered.

--- a/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
@@ -54,6 +54,8 @@
         self._unavailable_until: dict[Place, Instant] = {}
         # Since when a place has had fewer targets than were ordered.
         self._missing_since: dict[Place, Instant] = {}
+        # Since when a place has had more targets than were ordered.
+        self._surplus_since: dict[Place, Instant] = {}
         self._listed: Counts = {}
         # When all that an earlier holder ordered is listed.
         self._settled_at: Instant | None = None
@@ -71,7 +73,7 @@
         self._listed = listed
         if self._settled_at is None:
             self._settled_at = Instant(now + bounds.boot_seconds)
-        self._adopt()
+        self._adopt(bounds, now)
         if not self._counts:
             return []
         found = self._missing(bounds, now)
@@ -113,12 +115,21 @@
             case OrderEnd.BUSY | OrderEnd.UNKNOWN:
                 pass
 
-    def _adopt(self) -> None:
-        """Take the most that was listed for ordered, until one is sent."""
-        for place, count in self._listed.items():
-            if place not in self._may_order_at:
-                known = self._counts.get(place, 0)
-                self._counts[place] = max(known, count)
+    def _adopt(self, bounds: ScalingBounds, now: Instant) -> None:
+        """Take the most that was listed for ordered, until one is sent.
+
+        Afterwards, what stays listed beyond an order was ordered too: by an
+        order without an answer, or by an earlier holder.
+        """
+        patience = bounds.boot_seconds + self._policy.missing_after
+        self._surplus_since = {
+            place: self._surplus_since.get(place, now)
+            for place, count in self._listed.items()
+            if count > self._counts.get(place, 0)
+        }
+        for place, since in self._surplus_since.items():
+            if place not in self._may_order_at or now >= since + patience:
+                self._counts[place] = self._listed[place]
 
     def _changes(
         self,
--- a/packages/yuccarill-core/tests/scaling/test_scaling.py
+++ b/packages/yuccarill-core/tests/scaling/test_scaling.py
@@ -211,3 +211,15 @@
         world.play(10.0, 72)
         self.assertEqual(0, world.listed[CENTRES[0], REGULAR])
         self.assertGreaterEqual(world.total, 24)
+
+    def test_targets_of_an_order_without_an_answer_are_given_up(self) -> None:
+        """Guards against targets that are paid for and never counted."""
+        world = World(2)
+        world.play(BOOT, 90)
+        world.end = OrderEnd.UNKNOWN
+        world.play(STEP, 90)
+        self.assertGreaterEqual(world.total, 30)
+        world.end = OrderEnd.ACCEPTED
+        world.measure = measure_module.WorkMeasure(WINDOW, IDLE)
+        world.play(120.0, 15)
+        self.assertLessEqual(world.total, 6)
