Keep orders of targets to bounds that change

Cause: a number was repeated above a most that was lowered; a raised least was not ordered; more regular targets beside revocable ones went above the most of both; revocable targets that may not be ordered counted, and each shrinking ordered more regular ones.

Change: orders keep to the bounds of the moment, both kinds together; the least of each data centre is part of what is needed; kinds that may not be ordered are left alone and not counted.

--- a/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
+++ b/packages/yuccarill-core/src/yuccarill/core/scaling/scaling.py
@@ -10,6 +10,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.scaling.plan import OrderEnd
+from yuccarill.core.scaling.plan import TargetKind
 from yuccarill.core.scaling.plan import TargetOrder
 from yuccarill.core.scaling import sizing
 
@@ -17,7 +18,6 @@
     from yuccarill.core.ids import DataCentreId
     from yuccarill.core.scaling.measure import WorkMeasure
     from yuccarill.core.scaling.plan import ScalingBounds
-    from yuccarill.core.scaling.plan import TargetKind
     from yuccarill.core.scaling.sizing import Counts
     from yuccarill.core.scaling.sizing import Place
 
@@ -70,7 +70,8 @@
         now: Instant,
     ) -> list[TargetOrder]:
         """Return the orders to send, at most one a place."""
-        self._listed = listed
+        self._listed = _usable(listed, bounds)
+        self._counts = _usable(self._counts, bounds)
         if self._settled_at is None:
             self._settled_at = Instant(now + bounds.boot_seconds)
         self._adopt(bounds, now)
@@ -84,7 +85,7 @@
                 service=self._service,
                 data_centre=centre,
                 kind=kind,
-                count=count,
+                count=self._within(bounds, (centre, kind), count),
             )
             for (centre, kind), count in found.items()
             if now >= self._may_order_at.get((centre, kind), now)
@@ -138,9 +139,7 @@
         measure: WorkMeasure,
         now: Instant,
     ) -> Counts:
-        needed = sizing.size(
-            self._policy.sizing, bounds, measure.wanted, slots
-        )
+        needed = self._needed(bounds, measure.wanted, slots)
         ordered = sum(self._counts.values())
         if needed.total > ordered:
             self._shrink_at = None
@@ -163,6 +162,16 @@
             if count != self._counts.get(place, 0)
         }
 
+    def _needed(
+        self, bounds: ScalingBounds, wanted: float, slots: int
+    ) -> sizing.Size:
+        """Return what serves the work, and the least of each data centre."""
+        found = sizing.size(self._policy.sizing, bounds, wanted, slots)
+        least = bounds.least * len(self._centres())
+        return sizing.Size(
+            total=max(found.total, least), regular=max(found.regular, least)
+        )
+
     def _smaller(self, needed: sizing.Size, ordered: int) -> sizing.Size:
         """Return a size on the way to what is needed."""
         least = math.ceil(ordered * (1.0 - self._policy.shrink_part))
@@ -194,6 +203,18 @@
     def _centres(self) -> set[DataCentreId]:
         return {centre for centre, _ in self._counts}
 
+    def _within(self, bounds: ScalingBounds, place: Place, count: int) -> int:
+        """Return what an order may name beside those of the other kind."""
+        others = sum(
+            known
+            for other, known in self._counts.items()
+            if other[0] == place[0] and other != place
+        )
+        known = min(bounds.most, self._counts.get(place, 0))
+        most = max(known, bounds.most - others)
+        least = bounds.least if place[1] is TargetKind.REGULAR else 0
+        return min(max(count, least), most)
+
     def _missing(self, bounds: ScalingBounds, now: Instant) -> Counts:
         """Return the places that still lack what was ordered."""
         found: Counts = {}
@@ -207,3 +228,12 @@
                 self._missing_since[place] = now
                 found[place] = count
         return found
+
+
+def _usable(counts: Counts, bounds: ScalingBounds) -> Counts:
+    """Return the places of the kinds that may be ordered."""
+    return {
+        place: count
+        for place, count in counts.items()
+        if place[1] is TargetKind.REGULAR or bounds.revocable_part is not None
+    }
--- a/packages/yuccarill-core/tests/scaling/test_scaling.py
+++ b/packages/yuccarill-core/tests/scaling/test_scaling.py
@@ -10,6 +10,7 @@
 
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from yuccarill.core.ids import DataCentreId
@@ -223,3 +224,40 @@
         world.measure = measure_module.WorkMeasure(WINDOW, IDLE)
         world.play(120.0, 15)
         self.assertLessEqual(world.total, 6)
+
+    def test_orders_keep_to_bounds_that_change(self) -> None:
+        """Guards against orders above a most that was lowered."""
+        world = World()
+        world.play(BOOT, 72)
+        world.bounds = msgspec.structs.replace(world.bounds, most=3)
+        world.listed = {(centre, REGULAR): 2 for centre in CENTRES}
+        world.play(20.0, 72)
+        self.assertEqual({3}, {order.count for _, order in world.sent})
+
+    def test_a_least_that_is_raised(self) -> None:
+        """Guards against data centres that stay below a new least."""
+        world = World(2)
+        world.play(BOOT, 18)
+        world.bounds = msgspec.structs.replace(world.bounds, least=4)
+        world.play(2.0, 18)
+        self.assertEqual({4}, set(world.listed.values()))
+
+    def test_both_kinds_keep_to_the_most_together(self) -> None:
+        """Guards against more regular targets beside revocable ones."""
+        world = World()
+        world.bounds = msgspec.structs.replace(
+            world.bounds, revocable_part=0.2
+        )
+        for centre in CENTRES:
+            world.listed[centre, TargetKind.REVOCABLE] = 8
+        world.play(60.0, 900)
+        world.play(60.0, 180)
+        world.play(60.0, 900)
+        self.assertLessEqual(world.total, 48)
+
+    def test_revocable_targets_that_may_not_be_ordered(self) -> None:
+        """Guards against numbers that swing beside targets left alone."""
+        world = World(4)
+        world.listed[CENTRES[0], TargetKind.REVOCABLE] = 12
+        world.play(60.0, 36)
+        self.assertEqual([], world.sent)
