Blame runs that were given up, and part items that are suspected

By the instances' logs its answer could not be taken (not signed), so its run was given up before the engine ended under it, it was among the contents of no end, and it went to three engines within 10 ms. The sound items beside it were blamed; one of them was held in all jobs.

- Runs that were given up count at an end of their target for 2 s.
Where one failed, the target is looked at 1.5 s later, and its content waits for that.
- Items that are watched go to the engines with the fewest others, and suspects share none, so that each tells for itself.
- A suspect that shares its ends with others waits for 2 s at most.
- A finished run that leaves one cause has it told and recorded at once.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
@@ -188,6 +188,9 @@
             end.target for end in self._ends if content in end.contents
         )
 
+    def suspects(self) -> frozenset[ContentDigest]:
+        return self._judgement.suspects()
+
     def quarantined(self) -> Collection[ContentDigest]:
         return self._until_by_content.keys()
 
@@ -234,23 +237,27 @@
 
 
 def _chances(ends: list[_End]) -> list[dict[ContentDigest, int]]:
-    """Number what counts as one for each content of each end.
+    """Number what counts as one for the contents of each end.
 
     A request may be at two targets, the second attempt beside the first. A
     service whose targets all ended in one moment had such a request two
     thirds of the way into quarantine by one chance, and the next such moment
     had it refused for an hour. What really ends its targets is found all the
-    same, by one end more where both attempts ended theirs together.
+    same, by one end more where both attempts ended theirs together. Ends that
+    such a request joins are one for all that was there: a sound content that
+    two requests have would count twice beside it.
     """
-    found: list[dict[ContentDigest, int]] = []
-    last_by_request: dict[tuple[ContentDigest, RequestId], int] = {}
+    numbers: list[int] = []
+    first_by_request: dict[tuple[ContentDigest, RequestId], int] = {}
     for number, end in enumerate(ends):
-        chances = dict.fromkeys(end.contents, number)
+        numbers.append(number)
         for content, request in end.contents.items():
             if request is None:
                 continue
-            last = last_by_request.setdefault((content, request), number)
-            if abs(end.at - ends[last].at) < MOMENT_SECONDS:
-                chances[content] = last
-        found.append(chances)
-    return found
+            first = first_by_request.setdefault((content, request), number)
+            if abs(end.at - ends[first].at) < MOMENT_SECONDS:
+                numbers[number] = min(numbers[number], numbers[first])
+    return [
+        dict.fromkeys(end.contents, chance)
+        for end, chance in zip(ends, numbers, strict=True)
+    ]
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/suspicion.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/suspicion.py
@@ -46,6 +46,13 @@
     def verdict(self, content: ContentDigest) -> Verdict:
         return self.verdicts_by_content.get(content, Verdict.CLEAR)
 
+    def suspects(self) -> frozenset[ContentDigest]:
+        return frozenset(
+            content
+            for content, verdict in self.verdicts_by_content.items()
+            if verdict is Verdict.SUSPECT
+        )
+
 
 class _End(NamedTuple):
     """Hold the contents of one end, each with the chance it counts for."""
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/placing.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/placing.py
@@ -4,9 +4,13 @@
 
 import heapq
 import itertools
+import types
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
     from yuccarill.core.ids import Instant
     from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import TargetId
@@ -47,13 +51,44 @@
             tuple[ModelName | None, WeightVersion], _FreePlaces
         ] = {}
 
-    def choose(self, job: Job) -> EngineState | None:
-        """Return the engine with a free place that will be fastest."""
+    def choose(
+        self,
+        job: Job,
+        others: Mapping[TargetId, int] = types.MappingProxyType({}),
+        barred: Collection[TargetId] = (),
+    ) -> EngineState | None:
+        """Return the engine with a free place that will be fastest.
+
+        Engines that run others which an item had better not share are taken
+        last, those with the fewest first; barred ones are not taken.
+        """
+        heap = self._heap_for(job)
+        shared: list[_Entry] = []
+        engine = self._first(heap, job)
+        avoided = others.keys() | set(barred)
+        while engine is not None and engine.target.id in avoided:
+            shared.append(heapq.heappop(heap))
+            engine = self._first(heap, job)
+        for entry in shared:
+            heapq.heappush(heap, entry)
+        if engine is not None:
+            return engine
+        allowed = [e for e in shared if e[2].target.id not in barred]
+        # Entries are in the order of their cost.
+        least = min(
+            allowed, key=lambda e: others[e[2].target.id], default=None
+        )
+        return None if least is None else least[2]
+
+    def _heap_for(self, job: Job) -> list[_Entry]:
         needs = (job.model, job.min_version)
         heap = self._heaps_by_needs.get(needs)
         if heap is None:
             heap = self._heap(job)
             self._heaps_by_needs[needs] = heap
+        return heap
+
+    def _first(self, heap: list[_Entry], job: Job) -> EngineState | None:
         while heap:
             cost, _, engine = heap[0]
             if not self._fleet.can_run(engine, job, self._now):
--- a/packages/yuccarill-core/tests/gateway/test_end_ledger.py
+++ b/packages/yuccarill-core/tests/gateway/test_end_ledger.py
@@ -69,6 +69,36 @@
         self.end(40.0, 't25', 'x')
         self.assertEqual(Verdict.QUARANTINED, self.ledger.verdict(X))
 
+    def test_a_moment_counts_alike_for_all_that_were_there(self) -> None:
+        """A sound item was held that two jobs have, and the guilty one not.
+
+        1. A request ends three targets in a moment: one chance.
+        2. Two others of one content were at two of these: one chance too.
+        3. Another end has both: neither is the likelier cause.
+        """
+        ends = (('t0', 'r1'), ('t1', ''), ('t2', 'r2'))
+        for number, (target, beside) in enumerate(ends):
+            requests = {X: RequestId('r'), P: RequestId(beside)}
+            known = {c: r for c, r in requests.items() if r}
+            told = EndReport(
+                target=TargetId(target),
+                contents=tuple(known),
+                requests_by_content=known,
+            )
+            self.ledger.report(told, Instant(1.0 + 0.01 * number))
+        self.end(5.0, 't3', 'x', 'p')
+        self.assertEqual(Verdict.SUSPECT, self.ledger.verdict(X))
+        self.assertEqual(Verdict.SUSPECT, self.ledger.verdict(P))
+
+    def test_blame_falls_on_what_is_always_there(self) -> None:
+        """A content that others of its kind finish elsewhere is no cause."""
+        for number in range(3):
+            self.end(float(number), f't{number}', 'x', 'p')
+        self.assertEqual(Verdict.SUSPECT, self.ledger.verdict(P))
+        self.ledger.completed(P, Instant(3.0))
+        self.assertEqual(Verdict.CLEAR, self.ledger.verdict(P))
+        self.assertEqual(Verdict.QUARANTINED, self.ledger.verdict(X))
+
     def test_reports_of_one_end_are_put_together(self) -> None:
         self.end(1.0, 't', 'x')
         self.end(1.1, 't', 'p')
--- a/packages/yuccarill-core/tests/jobs/test_placing.py
+++ b/packages/yuccarill-core/tests/jobs/test_placing.py
@@ -86,6 +86,28 @@
                 if draw.random() < 0.05:
                     chosen.fail(NOW)
 
+    # Other contents at engines, those barred, and the choice among e0, of
+    # one run, e1 and e2.
+    @params(
+        ({}, (), 'e1'),
+        ({'e1': 1}, (), 'e2'),
+        ({'e1': 1, 'e2': 1}, (), 'e0'),
+        ({'e0': 2, 'e1': 3, 'e2': 1}, (), 'e2'),
+        ({'e0': 2, 'e1': 3, 'e2': 1}, ('e2',), 'e0'),
+        ({'e0': 1, 'e1': 1, 'e2': 1}, ('e0', 'e1', 'e2'), None),
+    )
+    def test_engines_without_others_come_first(
+        self, others: dict, barred: tuple[str, ...], expected: str | None
+    ) -> None:
+        fleet = items.make_fleet(
+            *(items.make_target(f'e{number}') for number in range(3))
+        )
+        fleet.engines_by_id['e0'].runs_by_model[ModelName('m')] += 1
+        found = placing.Placing(fleet, NOW)
+        for _ in range(2):
+            engine = found.choose(items.make_job(model='m'), others, barred)
+            self.assertEqual(expected, engine and engine.target.id)
+
     def test_free_places_are_those_of_the_others(self) -> None:
         for seed in range(100):
             draw = random.Random(seed)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -11,19 +11,18 @@
 from twisted.internet import defer
 
 from yuccarill.core.gateway import partitions
-from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import placing as placing_module
 from yuccarill.daemon.gateway.jobs import generation
+from yuccarill.daemon.gateway.jobs import item_holds
 from yuccarill.daemon.gateway.jobs import run_moves
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import WeightVersion
@@ -89,11 +88,10 @@
         self._board = board
         self._fleet = fleet
         self._generator = generator
-        self._guard = guard
         self._scorer = scorer
         self._desk = desk
         self._clock = clock
-        self._held: list[board_module.ItemRun] = []
+        self._holds = item_holds.ItemHolds(service, board, guard)
         # Moves the runs off engines that hold them up.
         self.moves = run_moves.RunMoves(board, fleet, clock)
         self._is_stopped = False
@@ -154,63 +152,23 @@
         full: set[tuple[ModelName | None, WeightVersion]] = set()
         pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
         placing = placing_module.Placing(self._fleet, now)
-        self._resume_held()
+        self._holds.resume()
         for run in self._board.waiting(pace):
             needs = (run.job.model, run.job.min_version)
-            if needs in full or self._is_held_back(run):
+            if needs in full or self._holds.is_held_back(run):
                 continue
             match self._permission(run):
                 case Permission.GRANTED:
-                    engine = placing.choose(run.job)
-                    if engine is None:
-                        full.add(needs)
-                    else:
+                    engine = self._holds.choose(run, placing)
+                    if engine is not None:
                         self._start(run, engine)
+                    elif not self._holds.is_suspect(run):
+                        full.add(needs)
                 case Permission.REVOKED:
                     self._desk.finish(run, run.given_up(), 'its route is gone')
                 case Permission.ELSEWHERE:
                     continue
 
-    def _is_held_back(self, run: board_module.ItemRun) -> bool:
-        """Tell whether an item may not be run now for what it did.
-
-        Nobody may give it up before its job's time is over, or has its
-        result; until then it waits, and its job is whole without its group.
-        """
-        if self._guard.ledger.is_clear:
-            return False
-        content = self._content(run)
-        service = partitions.service_of(self._service)
-        if self._guard.is_admitted(content, service):
-            return False
-        if self._guard.ledger.verdict(content) is Verdict.QUARANTINED:
-            # Its group can't be whole, and goes after those that can.
-            self._board.jobs_by_id[run.job.id].hold(run)
-            self._held.append(run)
-            log.info(
-                'Item held back.',
-                item=run.item.id,
-                job=run.job.id,
-                content=content,
-            )
-        return True
-
-    def _resume_held(self) -> None:
-        """Let items wait for an engine again that are quarantined no more."""
-        for run in list(self._held):
-            verdict = self._guard.ledger.verdict(self._content(run))
-            state = self._board.jobs_by_id.get(run.job.id)
-            if state is not None and verdict is Verdict.QUARANTINED:
-                continue
-            self._held.remove(run)
-            if state is not None:
-                state.resume(run)
-
-    def _content(self, run: board_module.ItemRun) -> ContentDigest:
-        if run.content is None:
-            run.content = generation.content_of(run)
-        return run.content
-
     def _permission(self, run: board_module.ItemRun) -> Permission:
         # Items are bound by the configuration in force as requests are: an
         # item must not reach a service that its route no longer names.
@@ -265,6 +223,7 @@
                 self._desk.finish(run, run.given_up(), 'impossible')
             case generation.Outcome.BROKEN:
                 run.state = board_module.RunState.WAITING
+                self._holds.note_broken(run)
 
     async def score(self, run: board_module.ItemRun) -> None:
         """Get the score of a whole text, and finish its item."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import collections
 from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from yuccarill.core import errors
+from yuccarill.core.gateway import abandoned
 from yuccarill.core.gateway import end_ledger
+from yuccarill.core.gateway import parting
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.gateway import meters
@@ -18,9 +19,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from yuccarill.core.gateway.end_ledger import EndReport
     from yuccarill.core.ids import ContentDigest
+    from yuccarill.core.ids import RequestId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.state import GatewayState
@@ -31,6 +34,9 @@
 # lives: crashed processes are back after some seconds, and whoever else calls
 # the service needs that one.
 TRIAL_PAUSE = 5.0
+# The same where others are as likely the cause: a sound request must not wait
+# for longer than its caller can bear, 3 s.
+SHARED_TRIAL_PAUSE = 2.0
 # Living targets that there have to be for a suspect to go out earlier.
 TRIAL_TARGETS = 2
 # Seconds after which a suspect that was held back may come again.
@@ -64,11 +70,11 @@
         self.on_quarantined: Callable[[ContentDigest], None] = lambda c: None
         # Called with what others have found.
         self.on_learnt: Callable[[ContentDigest], None] = lambda c: None
-        # Contents that are not clear, by the targets that run them for this
-        # instance.
-        self._runs_by_target: dict[
-            TargetId, collections.Counter[ContentDigest]
-        ] = {}
+        # Called with targets that others have seen end.
+        self.on_end_learnt: Callable[[TargetId], None] = lambda t: None
+        # Contents that are not clear and run for this instance.
+        self._parting = parting.Parting()
+        self.abandoned = abandoned.AbandonedRuns()
         # Until when suspects are held back that others have sent on.
         self._tried_until: dict[ContentDigest, Instant] = {}
         self._names_by_content: dict[ContentDigest, str] = {}
@@ -111,13 +117,20 @@
         A request that was beside the cause of an end would be beside it at
         the next target too, where both are sent at once, and look the same.
         """
-        if self.ledger.is_clear:
+        return frozenset(self.others(content))
+
+    def others(self, content: ContentDigest) -> Mapping[TargetId, int]:
+        """Count the contents at each target that a content might end with."""
+        return {} if self.ledger.is_clear else self._parting.others(content)
+
+    def barred(self, content: ContentDigest) -> frozenset[TargetId]:
+        """Return the targets that a content may not share.
+
+        Two suspects that run beside each other would tell nothing.
+        """
+        if self.ledger.verdict(content) is not Verdict.SUSPECT:
             return frozenset()
-        return frozenset(
-            target
-            for target, running in self._runs_by_target.items()
-            if running.keys() - {content}
-        )
+        return self._parting.targets_with(self.ledger.suspects() - {content})
 
     def begin(self, target: TargetId, content: ContentDigest) -> bool:
         """Note a run of a content that is not clear; tell if it was noted."""
@@ -126,20 +139,28 @@
             return False
         if verdict is Verdict.SUSPECT:
             self.on_trial(content)
-        running = self._runs_by_target.setdefault(
-            target, collections.Counter()
-        )
-        running[content] += 1
+        self._parting.begin(target, content)
         return True
 
     def finish(self, target: TargetId, content: ContentDigest) -> None:
         """Note that a run which was noted is over."""
-        running = self._runs_by_target[target]
-        running[content] -= 1
-        if not running[content]:
-            del running[content]
-        if not running:
-            del self._runs_by_target[target]
+        self._parting.finish(target, content)
+
+    def gave_up(
+        self,
+        target: TargetId,
+        content: ContentDigest,
+        request: RequestId,
+        is_failed: bool,
+    ) -> None:
+        """Note a run that is broken off here, and may go on there."""
+        self.abandoned.note(target, content, request, is_failed, self._now())
+
+    def is_unsettled(self, content: ContentDigest) -> bool:
+        """Tell whether targets may yet end under runs that failed."""
+        count = self.abandoned.unsettled(content, self._now())
+        is_clear = self.ledger.verdict(content) is Verdict.CLEAR
+        return count >= (abandoned.MAX_UNSETTLED if is_clear else 1)
 
     def tried_elsewhere(self, content: ContentDigest) -> None:
         """Hold a suspect back that another instance has sent on."""
@@ -151,6 +172,12 @@
         if self.ledger.completed(content, self._now()):
             log.info('Cleared by a finished run.', content=content)
             self.on_completed(content)
+        self._tell_quarantined()
+
+    def completed_elsewhere(self, content: ContentDigest) -> None:
+        """Take a run that a target finished for another instance."""
+        self.ledger.completed(content, self._now())
+        self._note_learnt()
 
     def name(self, content: ContentDigest, name: str) -> None:
         """Keep host and path of a content for people to read."""
@@ -171,14 +198,14 @@
         told = msgspec.structs.replace(report, contents=suspected)
         self.ledger.report(told, self._now())
         self.on_end(told)
-        for content in self._note_quarantined():
-            self.on_quarantined(content)
+        self._tell_quarantined()
 
     def take(self, reports: Iterable[EndReport]) -> None:
         """Take ends that others have seen."""
         now = self._now()
         for report in reports:
             self.ledger.report(report, now)
+            self.on_end_learnt(report.target)
         self._note_learnt()
 
     def quarantine(self, content: ContentDigest, seconds: float) -> None:
@@ -207,19 +234,25 @@
         self._count()
 
     def _may_try(self, content: ContentDigest, service: ServiceName) -> bool:
-        if any(content in runs for runs in self._runs_by_target.values()):
+        if self._parting.is_running(content) or self.is_unsettled(content):
             # One run tells as much as two, and ends one target less.
             return False
         now = self._now()
         if now < self._tried_until.get(content, now):
             return False
         last_end = self.ledger.last_end(content)
-        if last_end is None or now >= last_end + TRIAL_PAUSE:
+        is_alone = self.ledger.suspects() == {content}
+        pause = TRIAL_PAUSE if is_alone else SHARED_TRIAL_PAUSE
+        if last_end is None or now >= last_end + pause:
             return True
         ready = self._state.targets.ready(service).keys()
         ended = self.ledger.ended_since(Instant(now - TRIAL_PAUSE))
         return len(ready - ended) >= TRIAL_TARGETS
 
+    def _tell_quarantined(self) -> None:
+        for content in self._note_quarantined():
+            self.on_quarantined(content)
+
     def _note_learnt(self) -> None:
         for content in self._note_quarantined():
             self.on_learnt(content)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/reports.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/reports.py
@@ -160,7 +160,7 @@
 
     def _take(self, message: EndMessage) -> None:
         for content in message.completed:
-            self._guard.ledger.completed(content, self._clock.seconds())
+            self._guard.completed_elsewhere(content)
         for content in message.tried:
             self._guard.tried_elsewhere(content)
         for each in message.quarantined:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -38,6 +38,9 @@
 # Seconds for which a lost connection waits for word that its process ended:
 # another one is there and listed some 4 s after it.
 LISTED_SECONDS = 8.0
+# Seconds after which a target is looked at where a call was given up. It may
+# still have been at work on it, and is back some seconds after it ended.
+GIVEN_UP_SECONDS = 1.5
 # Losses that wait so; a network that cuts connections makes many.
 MAX_DOUBTS = 256
 
@@ -70,6 +73,8 @@
         self._doubts: collections.deque[_Doubt] = collections.deque(
             maxlen=MAX_DOUBTS
         )
+        self._looks_due: set[TargetId] = set()
+        guard.on_end_learnt = self.learnt
 
     async def lost(
         self,
@@ -94,9 +99,64 @@
         looking.addErrback(self._failed, loss)
         return await ended
 
+    def gave_up(self, target: ListedTarget) -> None:
+        """Look later whether a target ended under a call given up here."""
+        if target.id not in self._looks_due:
+            self._looks_due.add(target.id)
+            self._clock.callLater(GIVEN_UP_SECONDS, self._look_late, target)
+
+    def learnt(self, target: TargetId) -> None:
+        """Add to an end what this instance had given up at the target."""
+        given_up = self._guard.abandoned.take(target, self._now())
+        if given_up:
+            self._ended_given_up(target, given_up)
+
+    def _look_late(self, target: ListedTarget) -> None:
+        self._looks_due.discard(target.id)
+        given_up = self._guard.abandoned.take(target.id, self._now())
+        if given_up:
+            looking = defer.Deferred.fromCoroutine(
+                self._look_given_up(target, given_up)
+            )
+            looking.addErrback(self._look_failed)
+
+    async def _look_given_up(
+        self, target: ListedTarget, given_up: dict[ContentDigest, RequestId]
+    ) -> None:
+        if await self._calls.has_ended(target):
+            self._ended_given_up(target.id, given_up)
+        else:
+            self._doubts.append(_Doubt(target, given_up, self._now()))
+
+    def _ended_given_up(
+        self, target: TargetId, given_up: dict[ContentDigest, RequestId]
+    ) -> None:
+        log.info(
+            'Target ended after calls were given up.',
+            target=target,
+            contents=tuple(given_up),
+        )
+        self._guard.target_ended(
+            EndReport(
+                target=target,
+                contents=tuple(given_up),
+                requests_by_content=given_up,
+            )
+        )
+
+    def _look_failed(self, failure: Any) -> None:
+        log.error('Look failed.', cause=failure.getTraceback())
+
     async def _look(self, loss: _Loss) -> None:
         target = loss.target
         has_ended = await self._calls.has_ended(target)
+        given_up = self._guard.abandoned.take(target.id, self._now())
+        # Those that were lost come first: of many, not all are kept.
+        loss.requests_by_content |= {
+            content: request
+            for content, request in given_up.items()
+            if content not in loss.requests_by_content
+        }
         contents = tuple(loss.requests_by_content)
         meters.LOSSES.labels(target.service, has_ended).inc()
         log.info(
@@ -155,7 +215,7 @@
         return Instant(self._clock.seconds())
 
     def _failed(self, failure: Any, loss: _Loss) -> None:
-        log.error('Look failed.', cause=failure.getTraceback())
+        self._look_failed(failure)
         self._end(loss, has_ended=False)
 
     def _end(self, loss: _Loss, has_ended: bool) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
@@ -5,6 +5,8 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from twisted.internet import defer
+
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
@@ -85,6 +87,17 @@
 
     @contextlib.contextmanager
     def _noted(self, target: ListedTarget, call: TargetCall) -> Iterator[None]:
+        try:
+            with self._kept_apart(target, call):
+                yield
+        except defer.CancelledError:
+            self._guard.gave_up(target.id, call.content, call.id, False)
+            raise
+
+    @contextlib.contextmanager
+    def _kept_apart(
+        self, target: ListedTarget, call: TargetCall
+    ) -> Iterator[None]:
         if self._guard.ledger.is_clear:
             yield
             return
@@ -107,7 +120,13 @@
         call: TargetCall,
         error: calls_module.CallFailed,
     ) -> None:
-        if not error.is_lost:
+        if error.is_refused:
+            self._ends.learnt(target.id)
+        if error.end is calls_module.CallEnd.NOT_SENT:
             return
         self._guard.name(call.content, call.name)
+        if not error.is_lost:
+            self._guard.gave_up(target.id, call.content, call.id, True)
+            self._ends.gave_up(target)
+            return
         await self._ends.lost(target, call.content, call.id)
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -42,6 +42,7 @@
 from . import world
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from yuccarill.core.jobs.left_text import LeftText
@@ -87,6 +88,8 @@
     named_version: int = 99
     # Items that end the engine which begins to run them.
     crashing: set[str] = dataclasses.field(default_factory=set)
+    # Items that do so after an answer that can't be taken.
+    refused: set[str] = dataclasses.field(default_factory=set)
 
     async def generate(
         self,
@@ -100,13 +103,17 @@
         first = call.after_event or 0
         if self.clock.seconds() < found.away_until:
             await self._sleep(0.001)
-            raise calls.CallFailed(calls.CallEnd.NOT_SENT, 'refused')
+            raise calls.CallFailed(
+                calls.CallEnd.NOT_SENT, 'refused', is_refused=True
+            )
         self.runs.append((call.id, first))
         if call.id in self.crashing:
             await self._sleep(CRASH_SECONDS)
-            found.ends += 1
-            found.away_until = self.clock.seconds() + AWAY_SECONDS
+            self._end(found)
             raise _lost()
+        if call.id in self.refused:
+            self.clock.callLater(CRASH_SECONDS, self._end, found)
+            raise calls.CallFailed(calls.CallEnd.BROKEN, 'not signed')
         if found.is_dark:
             await self._sleep(progress_seconds)
             raise calls.CallFailed(calls.CallEnd.BROKEN, 'silent')
@@ -123,6 +130,11 @@
             raise calls.CallFailed(calls.CallEnd.BROKEN, str(error)) from error
         return answer
 
+    def _end(self, engine: Engine) -> None:
+        if self.clock.seconds() >= engine.away_until:
+            engine.ends += 1
+            engine.away_until = self.clock.seconds() + AWAY_SECONDS
+
     async def _events(
         self, engine: Engine, first: int, sink: calls.GenerationSink
     ) -> None:
@@ -273,8 +285,13 @@
         return found
 
     def submit(
-        self, name: str = 'j', groups: int = 2, min_version: int = 1
+        self,
+        name: str = 'j',
+        groups: int = 2,
+        min_version: int = 1,
+        others: Collection[str] = (),
     ) -> Job:
+        """Submit a job; some items ask something else than the rest."""
         now = self.clock.seconds()
         job = Job(
             id=JobId(name),
@@ -289,15 +306,16 @@
             retained_until=WallTime(now + 40.0),
             items=tuple(
                 Item(
-                    id=ItemId(f'{name}-{group}-{place}'),
+                    id=ItemId(item),
                     path=f'/train/{group}/{place}',
                     headers=(),
-                    body=b'prompt',
+                    body=b'other' if item in others else b'prompt',
                     tokens=10,
                     group=GroupId(f'{name}-{group}'),
                 )
                 for group in range(groups)
                 for place in range(2)
+                if (item := f'{name}-{group}-{place}')
             ),
         )
         jobs = job_store.JobStore(self.store(), self.clock)
--- a/packages/yuccarill-daemon/tests/gateway/test_quarantine.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_quarantine.py
@@ -13,6 +13,7 @@
 from yuccarill.core.gateway.end_ledger import EndReport
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import ContentDigest
+from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import WallTime
 from yuccarill.daemon.adapters.small_server import SmallRequest
@@ -108,6 +109,44 @@
         self.guarding.finish(TargetId('t1'), X)
         self.assertEqual(frozenset(), self.guarding.elsewhere(other))
 
+    def test_suspects_do_not_share_a_target(self) -> None:
+        for number in range(2):
+            self.guarding.target_ended(report(number, 'x', 'a'))
+        self.guarding.begin(TargetId('t1'), X)
+        other = ContentDigest('a')
+        self.assertEqual({'t1'}, self.guarding.barred(other))
+        self.assertEqual(frozenset(), self.guarding.barred(X))
+        clear = ContentDigest('c')
+        self.assertEqual(frozenset(), self.guarding.barred(clear))
+        self.assertEqual({'t1': 1}, self.guarding.others(clear))
+
+    def test_a_finished_run_tells_the_cause(self) -> None:
+        """Nobody was told of a quarantine until the next target ended.
+
+        1. Three targets end under the same two contents.
+        2. One of these is finished elsewhere, which leaves the other.
+        """
+        told = mock.Mock()
+        self.guarding.on_quarantined = told
+        for number in range(3):
+            self.guarding.target_ended(report(number, 'x', 'a'))
+        told.assert_not_called()
+        self.guarding.completed(ContentDigest('a'))
+        told.assert_called_once_with(X)
+
+    # Failed runs whose targets may yet end, ends before, whether it waits.
+    @params((1, 0, False), (2, 0, True), (1, 1, True))
+    def test_runs_that_were_given_up_are_waited_for(
+        self, runs: int, ends: int, waits: bool
+    ) -> None:
+        """A request went to all targets while the first one was crashing."""
+        for number in range(ends):
+            self.guarding.target_ended(report(number))
+        for number in range(runs):
+            target = TargetId(f'u{number}')
+            self.guarding.gave_up(target, X, RequestId('r'), True)
+        self.assertEqual(waits, self.guarding.is_unsettled(X))
+
     def test_what_a_target_finished_is_not_told(self) -> None:
         told = mock.Mock()
         self.guarding.on_end = told
--- a/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
@@ -4,19 +4,24 @@
 
 import dataclasses
 
+import msgspec
 from nose2.tools import params
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.gateway.end_ledger import EndReport
+from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import TargetId
 from yuccarill.daemon.gateway.quarantine import guard
 from yuccarill.daemon.gateway.quarantine import target_ends
 
 from . import world
 
 TARGET = world.engine('x')
+X = ContentDigest('content')
 
 
 @dataclasses.dataclass
@@ -62,6 +67,33 @@
             self.finish(ends.lost(TARGET, ContentDigest('a'), RequestId('r')))
         self.assertEqual(2, looks.count)
 
+    # Whether a process listens after a call was given up, the verdict then,
+    # and once another process is listed there.
+    @params(
+        (False, Verdict.WATCHED, Verdict.WATCHED),
+        (True, Verdict.CLEAR, Verdict.WATCHED),
+    )
+    def test_a_target_ends_under_a_call_that_was_given_up(
+        self, has_listener: bool, seen: Verdict, listed: Verdict
+    ) -> None:
+        """A request ended targets whose answers were not taken."""
+        ends = self.ends(Looks(self.clock, has_listener))
+        self.guard.gave_up(TARGET.id, X, RequestId('r'), True)
+        ends.gave_up(TARGET)
+        self.run_for(target_ends.GIVEN_UP_SECONDS + 0.05)
+        self.assertEqual(seen, self.guard.ledger.verdict(X))
+        ends.started(msgspec.structs.replace(TARGET, id=TargetId('y')))
+        self.assertEqual(listed, self.guard.ledger.verdict(X))
+
+    def test_an_end_that_others_see_counts_for_calls_given_up_here(
+        self,
+    ) -> None:
+        self.ends(Looks(self.clock, has_listener=False))
+        self.guard.gave_up(TARGET.id, X, RequestId('r'), False)
+        other = EndReport(target=TARGET.id, contents=(ContentDigest('a'),))
+        self.guard.take([other])
+        self.assertEqual(Verdict.WATCHED, self.guard.ledger.verdict(X))
+
 
 async def _result(work: defer.Deferred) -> object:
     return await work
