Spare the last target, and doubt what falls silent behind its port

With ports that stay open while a process is down, a request that crashes its targets ended all three of a service within 0.12 s (hedged at 60 ms, an end is known only 3.5 s later, by the list).

- A target that lost a connection and answers nothing since is silent.
What was lost there is not sent twice at once, not to the last target after two, and not at all after three until the list tells or 5 s are over.
Instances tell each other from the second on.
- The last target is spared by ends, not by chances.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/abandoned.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/abandoned.py
@@ -23,6 +23,7 @@
     target: TargetId
     content: ContentDigest
     request: RequestId
+    began_at: Instant
     until: Instant
     # Broken off for what its target sent, or did not send.
     is_failed: bool
@@ -44,6 +45,7 @@
         content: ContentDigest,
         request: RequestId,
         is_failed: bool,
+        began_at: Instant,
         now: Instant,
     ) -> None:
         """Note a run of which no answer is awaited any more."""
@@ -52,7 +54,7 @@
             self._settle(self._runs.popleft())
         until = Instant(now + ABANDONED_SECONDS)
         self._runs.append(
-            _AbandonedRun(target, content, request, until, is_failed)
+            _AbandonedRun(target, content, request, began_at, until, is_failed)
         )
         self._failed[content] += is_failed
 
@@ -62,7 +64,7 @@
         return self._failed.get(content, 0)
 
     def take(
-        self, target: TargetId, now: Instant
+        self, target: TargetId, ended_at: Instant, now: Instant
     ) -> dict[ContentDigest, RequestId]:
         """Return and forget what a target was at work on as it ended."""
         self._expire(now)
@@ -70,7 +72,12 @@
         for run in found:
             self._runs.remove(run)
             self._settle(run)
-        return {run.content: run.request for run in found}
+        # One that began later met no process, or another one.
+        return {
+            run.content: run.request
+            for run in found
+            if run.began_at <= ended_at
+        }
 
     def _expire(self, now: Instant) -> None:
         while self._runs and now >= self._runs[0].until:
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/end_ledger.py
@@ -173,10 +173,26 @@
         until = self._until_by_content.get(content, now)
         return max(0.0, until - now)
 
-    def last_end(self, content: ContentDigest) -> Instant | None:
-        """Return when a target last ended under a content."""
-        found = [end.at for end in self._ends if content in end.contents]
-        return max(found, default=None)
+    def targets_since(
+        self, content: ContentDigest, since: Instant
+    ) -> dict[TargetId, Instant]:
+        """Return the targets that ended under a content, with the times."""
+        return {
+            end.target: end.at
+            for end in self._ends
+            if end.at >= since and content in end.contents
+        }
+
+    def counts_since(
+        self, since: Instant
+    ) -> collections.Counter[ContentDigest]:
+        """Count the ends of each content at an instant or later."""
+        return collections.Counter(
+            content
+            for end in self._ends
+            if end.at >= since
+            for content in end.contents
+        )
 
     def ended_since(self, since: Instant) -> set[TargetId]:
         """Return the targets that ended at an instant or later."""
--- /dev/null
+++ b/packages/yuccarill-core/tests/gateway/test_spared_targets.py
@@ -0,0 +1,121 @@
+"""Test which requests are kept from a service's last living target.
+
+The pattern: a request ends or silences one target of a small service after the
+other within a second; processes are back after 3 s. Whoever else calls the
+service needs the one that is left, and a sound request that was beside the
+cause must not wait for longer than 3 s.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.gateway import doubts
+from yuccarill.core.gateway import end_ledger
+from yuccarill.core.gateway import spared_targets
+from yuccarill.core.gateway.targets import ListedTarget
+from yuccarill.core.ids import ContentDigest
+from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import TargetId
+
+X = ContentDigest('x')
+P = ContentDigest('p')
+MAX_DELAY = 3.0
+
+
+def target(name: str, address: str = '') -> ListedTarget:
+    return ListedTarget(
+        id=TargetId(name),
+        service=ServiceName('s'),
+        address=address or f'{name}:80',
+        data_centre=DataCentreId('d'),
+        slots=4,
+    )
+
+
+class SparedTargetsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = end_ledger.EndLedger()
+        self.doubts = doubts.Doubts()
+        self.spared = spared_targets.SparedTargets(self.ledger, self.doubts)
+
+    def lose(self, number: int, at: float, has_ended: bool, *contents) -> None:
+        found = dict.fromkeys(contents, RequestId('r'))
+        if has_ended:
+            report = end_ledger.EndReport(
+                target=TargetId(f't{number}'),
+                contents=tuple(found),
+                requests_by_content=found,
+            )
+            self.ledger.report(report, Instant(at))
+        else:
+            self.doubts.add(target(f't{number}'), found, Instant(at))
+
+    def are_at_risk(self, content: str, targets: int, at: float) -> bool:
+        ready = {TargetId(f't{number}') for number in range(targets)}
+        found = ContentDigest(content)
+        return self.spared.are_at_risk(found, ready, Instant(at))
+
+    # Targets, of which some were lost in a moment, and whether the request
+    # has to leave the others alone; by closed ports, and by open ones.
+    @params(
+        (3, 1, False, False),
+        (3, 2, True, True),
+        (4, 2, False, False),
+        (16, 2, False, False),
+        (16, 3, False, True),
+    )
+    def test_losses(
+        self, targets: int, lost: int, ended: bool, silent: bool
+    ) -> None:
+        """The third target ended 0.1 s after two that were one chance."""
+        for has_ended, expected in ((True, ended), (False, silent)):
+            self.setUp()
+            for number in range(lost):
+                self.lose(number, 1.0 + 0.01 * number, has_ended, X)
+            self.assertEqual(expected, self.are_at_risk('x', targets, 1.1))
+            self.assertFalse(self.are_at_risk('p', targets, 1.1))
+
+    @params((True,), (False,))
+    def test_a_sound_request_beside_the_cause_waits_for_less(
+        self, has_ended: bool
+    ) -> None:
+        for number in range(2):
+            self.lose(number, 1.0, has_ended, X, P)
+        self.assertTrue(self.are_at_risk('p', 3, 1.1))
+        self.assertFalse(self.are_at_risk('p', 3, 1.0 + MAX_DELAY))
+
+    def test_one_that_was_there_each_time_waits_for_longer(self) -> None:
+        self.lose(0, 1.0, True, X, P)
+        self.lose(1, 1.0, True, X)
+        self.assertTrue(self.are_at_risk('x', 3, 1.0 + MAX_DELAY))
+        self.assertFalse(self.are_at_risk('p', 3, 1.1))
+
+    def test_a_target_that_answers_was_not_lost(self) -> None:
+        """Connections were cut, and the callers of a small service refused."""
+        for number in range(2):
+            self.lose(number, 1.0, False, X)
+        self.doubts.answered(TargetId('t0'))
+        self.assertFalse(self.are_at_risk('x', 3, 1.1))
+
+
+class DoubtsTest(unittest.TestCase):
+    # The process that is listed next, when, and whether it settles the loss.
+    @params(
+        (target('u', 't:80'), 4.0, True),
+        (target('t'), 4.0, False),
+        (target('u'), 4.0, False),
+        (target('u', 't:80'), 9.1, False),
+    )
+    def test_the_list_settles(
+        self, listed: ListedTarget, at: float, settles: bool
+    ) -> None:
+        found = doubts.Doubts()
+        found.add(target('t'), {X: RequestId('r')}, Instant(1.0))
+        self.assertEqual(settles, bool(found.settle(listed, Instant(at))))
+        self.assertEqual([], found.settle(listed, Instant(at)))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_holds.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_holds.py
@@ -41,7 +41,7 @@
         """
         if not run.text.events and self._is_unsettled(run):
             return True
-        if self._guard.ledger.is_clear:
+        if self._guard.ledger.is_clear and self._guard.doubts.is_empty:
             return False
         content = _content(run)
         if self._guard.is_admitted(content, self._service):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/desk.py
@@ -11,7 +11,7 @@
 from yuccarill.core.gateway.end_ledger import QuarantinedContent
 from yuccarill.core.ids import ContentDigest
 from yuccarill.daemon.adapters.small_server import Page
-from yuccarill.daemon.gateway.quarantine import reports
+from yuccarill.daemon.gateway.quarantine import end_messages
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
 
@@ -72,7 +72,7 @@
             return _refused(
                 errors.UnknownPath('No such content is in quarantine.')
             )
-        self._told.tell(reports.EndMessage(released=(content,)))
+        self._told.tell(end_messages.EndMessage(released=(content,)))
         try:
             await self._records.remove(content)
         except (
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -9,10 +9,13 @@
 
 from yuccarill.core import errors
 from yuccarill.core.gateway import abandoned
+from yuccarill.core.gateway import doubts
 from yuccarill.core.gateway import end_ledger
 from yuccarill.core.gateway import parting
+from yuccarill.core.gateway import spared_targets
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
 
@@ -22,23 +25,14 @@
     from collections.abc import Mapping
 
     from yuccarill.core.gateway.end_ledger import EndReport
+    from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ContentDigest
-    from yuccarill.core.ids import RequestId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.state import GatewayState
 
 log = logs.for_part('quarantine')
 
-# Seconds after an end in which a suspect is kept from the last target that
-# lives: crashed processes are back after some seconds, and whoever else calls
-# the service needs that one.
-TRIAL_PAUSE = 5.0
-# The same where others are as likely the cause: a sound request must not wait
-# for longer than its caller can bear, 3 s.
-SHARED_TRIAL_PAUSE = 2.0
-# Living targets that there have to be for a suspect to go out earlier.
-TRIAL_TARGETS = 2
 # Seconds after which a suspect that was held back may come again.
 TRIAL_RETRY = 1.0
 # Seconds for which a suspect is held back that another instance has just sent
@@ -65,16 +59,21 @@
         self.ledger = ledger or end_ledger.EndLedger()
         # Called with what this instance has seen, and the others have not.
         self.on_end: Callable[[EndReport], None] = lambda report: None
+        self.on_doubted: Callable[[tuple[EndReport, ...]], None] = (
+            lambda reports: None
+        )
         self.on_completed: Callable[[ContentDigest], None] = lambda c: None
         self.on_trial: Callable[[ContentDigest], None] = lambda c: None
         self.on_quarantined: Callable[[ContentDigest], None] = lambda c: None
         # Called with what others have found.
         self.on_learnt: Callable[[ContentDigest], None] = lambda c: None
-        # Called with targets that others have seen end.
-        self.on_end_learnt: Callable[[TargetId], None] = lambda t: None
+        # Called with ends that others have seen.
+        self.on_end_learnt: Callable[[EndReport], None] = lambda report: None
         # Contents that are not clear and run for this instance.
         self._parting = parting.Parting()
         self.abandoned = abandoned.AbandonedRuns()
+        self.doubts = doubts.Doubts()
+        self._spared = spared_targets.SparedTargets(self.ledger, self.doubts)
         # Until when suspects are held back that others have sent on.
         self._tried_until: dict[ContentDigest, Instant] = {}
         self._names_by_content: dict[ContentDigest, str] = {}
@@ -91,7 +90,7 @@
         meters.HELD_BACK.labels(verdict.value).inc()
         seconds = TRIAL_RETRY
         if verdict is Verdict.QUARANTINED:
-            seconds = self.ledger.seconds_left(content, self._now())
+            seconds = self.ledger.seconds_left(content, self.now())
         targets = ', '.join(self.ledger.targets(content)[-SHOWN_TARGETS:])
         raise errors.RequestQuarantined(
             f'The request was not run: targets ended under its like '
@@ -103,13 +102,15 @@
         self, content: ContentDigest, service: ServiceName
     ) -> bool:
         """Tell whether a content may be sent on now."""
-        match self.ledger.verdict(content):
-            case Verdict.CLEAR | Verdict.WATCHED:
-                return True
-            case Verdict.SUSPECT:
-                return self._may_try(content, service)
-            case Verdict.QUARANTINED:
-                return False
+        verdict = self.ledger.verdict(content)
+        if verdict is Verdict.QUARANTINED:
+            return False
+        if verdict is Verdict.SUSPECT and not self._may_try(content):
+            return False
+        if verdict is Verdict.CLEAR and self.doubts.is_empty:
+            return True
+        ready = self._state.targets.ready(service).keys()
+        return not self._spared.are_at_risk(content, ready, self.now())
 
     def elsewhere(self, content: ContentDigest) -> frozenset[TargetId]:
         """Return the targets that a content had better not share.
@@ -119,6 +120,11 @@
         """
         return frozenset(self.others(content))
 
+    def may_run_twice(self, content: ContentDigest) -> bool:
+        """Tell whether two targets may run a content at once."""
+        is_clear = self.ledger.verdict(content) is Verdict.CLEAR
+        return is_clear and not self.doubts.lost(content, self.now())
+
     def others(self, content: ContentDigest) -> Mapping[TargetId, int]:
         """Count the contents at each target that a content might end with."""
         return {} if self.ledger.is_clear else self._parting.others(content)
@@ -152,31 +158,56 @@
         content: ContentDigest,
         request: RequestId,
         is_failed: bool,
+        began_at: Instant,
     ) -> None:
         """Note a run that is broken off here, and may go on there."""
-        self.abandoned.note(target, content, request, is_failed, self._now())
+        self.abandoned.note(
+            target, content, request, is_failed, began_at, self.now()
+        )
+
+    def doubted(
+        self,
+        target: ListedTarget,
+        requests_by_content: dict[ContentDigest, RequestId],
+    ) -> None:
+        """Note lost calls of a target whose port is open all the same."""
+        now = self.now()
+        self.doubts.add(target, requests_by_content, now)
+        for content in requests_by_content:
+            lost = self.doubts.reports(content, now)
+            if len(lost) >= spared_targets.LOST_TARGETS:
+                self.on_doubted(lost)
+
+    def doubted_elsewhere(self, reports: Iterable[EndReport]) -> None:
+        """Take calls that another instance lost."""
+        now = self.now()
+        for report in reports:
+            target = self._state.targets.targets_by_id.get(report.target)
+            if target is not None:
+                lost = dict.fromkeys(report.contents, RequestId(''))
+                self.doubts.add(target, lost, Instant(now - report.age))
 
     def is_unsettled(self, content: ContentDigest) -> bool:
         """Tell whether targets may yet end under runs that failed."""
-        count = self.abandoned.unsettled(content, self._now())
+        count = self.abandoned.unsettled(content, self.now())
         is_clear = self.ledger.verdict(content) is Verdict.CLEAR
         return count >= (abandoned.MAX_UNSETTLED if is_clear else 1)
 
     def tried_elsewhere(self, content: ContentDigest) -> None:
         """Hold a suspect back that another instance has sent on."""
-        until = Instant(self._now() + TRIAL_SECONDS)
+        until = Instant(self.now() + TRIAL_SECONDS)
         self._tried_until[content] = until
 
     def completed(self, content: ContentDigest) -> None:
         """Note that a target finished a run of a content."""
-        if self.ledger.completed(content, self._now()):
+        if self.ledger.completed(content, self.now()):
             log.info('Cleared by a finished run.', content=content)
             self.on_completed(content)
         self._tell_quarantined()
 
     def completed_elsewhere(self, content: ContentDigest) -> None:
         """Take a run that a target finished for another instance."""
-        self.ledger.completed(content, self._now())
+        self.ledger.completed(content, self.now())
         self._note_learnt()
 
     def name(self, content: ContentDigest, name: str) -> None:
@@ -191,41 +222,41 @@
 
     def target_ended(self, report: EndReport) -> None:
         """Take an end that this instance has seen, and tell the others."""
-        completed = self.ledger.known_completed(report.contents, self._now())
+        completed = self.ledger.known_completed(report.contents, self.now())
         suspected = tuple(c for c in report.contents if c not in completed)
         if not suspected:
             return
         told = msgspec.structs.replace(report, contents=suspected)
-        self.ledger.report(told, self._now())
+        self.ledger.report(told, self.now())
         self.on_end(told)
         self._tell_quarantined()
 
     def take(self, reports: Iterable[EndReport]) -> None:
         """Take ends that others have seen."""
-        now = self._now()
+        now = self.now()
         for report in reports:
             self.ledger.report(report, now)
-            self.on_end_learnt(report.target)
+            self.on_end_learnt(report)
         self._note_learnt()
 
     def quarantine(self, content: ContentDigest, seconds: float) -> None:
         """Refuse a content that another instance found to be a cause."""
-        self.ledger.quarantine(content, seconds, self._now())
+        self.ledger.quarantine(content, seconds, self.now())
         self._note_learnt()
 
     def release(self, content: ContentDigest) -> None:
         """Let a content be sent on again."""
-        self.ledger.release(content, self._now())
+        self.ledger.release(content, self.now())
         self._known.discard(content)
         log.info('Released.', content=content)
         self._count()
 
     def expire(self) -> None:
         """Drop what no longer counts."""
-        for content in self.ledger.expire(self._now()):
+        for content in self.ledger.expire(self.now()):
             self._known.discard(content)
             log.info('Quarantine over.', content=content)
-        now = self._now()
+        now = self.now()
         self._tried_until = {
             content: until
             for content, until in self._tried_until.items()
@@ -233,21 +264,12 @@
         }
         self._count()
 
-    def _may_try(self, content: ContentDigest, service: ServiceName) -> bool:
+    def _may_try(self, content: ContentDigest) -> bool:
         if self._parting.is_running(content) or self.is_unsettled(content):
             # One run tells as much as two, and ends one target less.
             return False
-        now = self._now()
-        if now < self._tried_until.get(content, now):
-            return False
-        last_end = self.ledger.last_end(content)
-        is_alone = self.ledger.suspects() == {content}
-        pause = TRIAL_PAUSE if is_alone else SHARED_TRIAL_PAUSE
-        if last_end is None or now >= last_end + pause:
-            return True
-        ready = self._state.targets.ready(service).keys()
-        ended = self.ledger.ended_since(Instant(now - TRIAL_PAUSE))
-        return len(ready - ended) >= TRIAL_TARGETS
+        now = self.now()
+        return now >= self._tried_until.get(content, now)
 
     def _tell_quarantined(self) -> None:
         for content in self._note_quarantined():
@@ -266,7 +288,7 @@
                 content=content,
                 request=self.name_of(content),
                 targets=self.ledger.targets(content),
-                seconds=self.ledger.seconds_left(content, self._now()),
+                seconds=self.ledger.seconds_left(content, self.now()),
             )
         self._known = set(self.ledger.quarantined())
         self._count()
@@ -275,5 +297,5 @@
     def _count(self) -> None:
         meters.QUARANTINED.set(len(self.ledger.quarantined()))
 
-    def _now(self) -> Instant:
+    def now(self) -> Instant:
         return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/reports.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/reports.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 from typing import Any
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -16,6 +15,10 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import peer_call
+from yuccarill.daemon.gateway.quarantine import end_messages
+from yuccarill.daemon.gateway.quarantine.end_messages import EndMessage
+from yuccarill.daemon.gateway.quarantine.end_messages import Quarantined
+from yuccarill.daemon.gateway.quarantine.end_messages import Told
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -48,38 +51,11 @@
 EXPIRE_SECONDS = 30.0
 
 
-class Quarantined(msgspec.Struct, frozen=True, kw_only=True):
-    """Name a content that is refused, and for how much longer."""
-
-    content: ContentDigest
-    seconds: float
-
-
-class EndMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what one instance tells another."""
-
-    ends: tuple[EndReport, ...] = ()
-    # Contents of runs that a target finished.
-    completed: tuple[ContentDigest, ...] = ()
-    # Suspects that the sender has just sent on.
-    tried: tuple[ContentDigest, ...] = ()
-    quarantined: tuple[Quarantined, ...] = ()
-    released: tuple[ContentDigest, ...] = ()
-
-
-class _Told(NamedTuple):
-    """Hold a message that waits for a peer."""
-
-    message: EndMessage
-    # When it was first to be sent.
-    at: Instant
-
-
 @dataclasses.dataclass
 class _Outbox:
     """Hold what a peer is still to be told; one call at a time goes to it."""
 
-    waiting: list[_Told] = dataclasses.field(default_factory=list)
+    waiting: list[Told] = dataclasses.field(default_factory=list)
     is_sending: bool = False
 
 
@@ -109,6 +85,7 @@
     def start(self) -> None:
         """Begin to exchange."""
         self._guard.on_end = self._tell_end
+        self._guard.on_doubted = self._tell_doubts
         self._guard.on_completed = self._tell_completed
         self._guard.on_trial = self._tell_trial
         self._expiring.start(EXPIRE_SECONDS, now=False)
@@ -117,7 +94,7 @@
 
     def tell(self, message: EndMessage) -> None:
         """Tell every other instance."""
-        told = _Told(message, Instant(self._clock.seconds()))
+        told = Told(message, Instant(self._clock.seconds()))
         me = self._state.settings.instance
         for name in self._state.instances_by_id:
             if name == me:
@@ -167,6 +144,7 @@
             self._guard.quarantine(each.content, each.seconds)
         for content in message.released:
             self._guard.release(content)
+        self._guard.doubted_elsewhere(message.doubts)
         self._guard.take(message.ends)
 
     def _everything(self) -> EndMessage:
@@ -183,6 +161,9 @@
     def _tell_end(self, report: EndReport) -> None:
         self.tell(EndMessage(ends=(report,)))
 
+    def _tell_doubts(self, doubts: tuple[EndReport, ...]) -> None:
+        self.tell(EndMessage(doubts=doubts))
+
     def _tell_completed(self, content: ContentDigest) -> None:
         self.tell(EndMessage(completed=(content,)))
 
@@ -202,7 +183,9 @@
                 continue
             count = len(waiting)
             try:
-                answer = await self._send(peer, _merged(waiting, now))
+                answer = await self._send(
+                    peer, end_messages.merged(waiting, now)
+                )
             except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
                 cause = str(error)
                 await task.deferLater(self._clock, RETRY_SECONDS)
@@ -263,23 +246,6 @@
             log.error('Exchange failed.', cause=failure.getTraceback())
 
 
-def _merged(waiting: list[_Told], now: Instant) -> EndMessage:
-    """Return what waits for a peer as one message."""
-    return EndMessage(
-        ends=tuple(
-            msgspec.structs.replace(end, age=end.age + now - told.at)
-            for told in waiting
-            for end in told.message.ends
-        ),
-        completed=tuple(c for told in waiting for c in told.message.completed),
-        tried=tuple(c for told in waiting for c in told.message.tried),
-        quarantined=tuple(
-            each for told in waiting for each in told.message.quarantined
-        ),
-        released=tuple(c for told in waiting for c in told.message.released),
-    )
-
-
 def _page(message: EndMessage) -> Page:
     return Page(
         status=200,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from typing import Any
 from typing import TYPE_CHECKING
@@ -17,6 +16,7 @@
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from yuccarill.core.gateway.doubts import Doubt
     from yuccarill.core.ids import RequestId
     from yuccarill.core.ids import TargetId
     from yuccarill.daemon.gateway.quarantine.guard import ContentGuard
@@ -35,23 +35,9 @@
     waiting: list[defer.Deferred[bool]]
 
 
-# Seconds for which a lost connection waits for word that its process ended:
-# another one is there and listed some 4 s after it.
-LISTED_SECONDS = 8.0
 # Seconds after which a target is looked at where a call was given up. It may
 # still have been at work on it, and is back some seconds after it ended.
 GIVEN_UP_SECONDS = 1.5
-# Losses that wait so; a network that cuts connections makes many.
-MAX_DOUBTS = 256
-
-
-@dataclasses.dataclass
-class _Doubt:
-    """Keep a loss whose process may have ended all the same."""
-
-    target: ListedTarget
-    requests_by_content: dict[ContentDigest, RequestId]
-    at: Instant
 
 
 class TargetEnds:
@@ -70,11 +56,8 @@
         self._guard = guard
         self._clock = clock
         self._losses_by_target: dict[TargetId, _Loss] = {}
-        self._doubts: collections.deque[_Doubt] = collections.deque(
-            maxlen=MAX_DOUBTS
-        )
         self._looks_due: set[TargetId] = set()
-        guard.on_end_learnt = self.learnt
+        guard.on_end_learnt = self._learnt
 
     async def lost(
         self,
@@ -105,31 +88,38 @@
             self._looks_due.add(target.id)
             self._clock.callLater(GIVEN_UP_SECONDS, self._look_late, target)
 
-    def learnt(self, target: TargetId) -> None:
+    def refused(self, target: TargetId) -> None:
+        """Take word that no process listens where a target was."""
+        given_up = self._given_up(target, self._now())
+        if given_up:
+            self._ended_given_up(target, given_up, 0.0)
+
+    def _learnt(self, report: EndReport) -> None:
         """Add to an end what this instance had given up at the target."""
-        given_up = self._guard.abandoned.take(target, self._now())
+        ended_at = Instant(self._now() - report.age)
+        given_up = self._given_up(report.target, ended_at)
         if given_up:
-            self._ended_given_up(target, given_up)
+            self._ended_given_up(report.target, given_up, report.age)
 
     def _look_late(self, target: ListedTarget) -> None:
         self._looks_due.discard(target.id)
-        given_up = self._guard.abandoned.take(target.id, self._now())
-        if given_up:
-            looking = defer.Deferred.fromCoroutine(
-                self._look_given_up(target, given_up)
-            )
-            looking.addErrback(self._look_failed)
+        looking = defer.Deferred.fromCoroutine(self._look_given_up(target))
+        looking.addErrback(self._look_failed)
 
-    async def _look_given_up(
-        self, target: ListedTarget, given_up: dict[ContentDigest, RequestId]
-    ) -> None:
+    async def _look_given_up(self, target: ListedTarget) -> None:
         if await self._calls.has_ended(target):
-            self._ended_given_up(target.id, given_up)
-        else:
-            self._doubts.append(_Doubt(target, given_up, self._now()))
+            self.refused(target.id)
+
+    def _given_up(
+        self, target: TargetId, ended_at: Instant
+    ) -> dict[ContentDigest, RequestId]:
+        return self._guard.abandoned.take(target, ended_at, self._now())
 
     def _ended_given_up(
-        self, target: TargetId, given_up: dict[ContentDigest, RequestId]
+        self,
+        target: TargetId,
+        given_up: dict[ContentDigest, RequestId],
+        age: float,
     ) -> None:
         log.info(
             'Target ended after calls were given up.',
@@ -141,6 +131,7 @@
                 target=target,
                 contents=tuple(given_up),
                 requests_by_content=given_up,
+                age=age,
             )
         )
 
@@ -150,7 +141,7 @@
     async def _look(self, loss: _Loss) -> None:
         target = loss.target
         has_ended = await self._calls.has_ended(target)
-        given_up = self._guard.abandoned.take(target.id, self._now())
+        given_up = self._given_up(target.id, self._now())
         # Those that were lost come first: of many, not all are kept.
         loss.requests_by_content |= {
             content: request
@@ -174,27 +165,16 @@
                 )
             )
         else:
-            self._doubts.append(
-                _Doubt(target, loss.requests_by_content, self._now())
-            )
+            self._guard.doubted(target, loss.requests_by_content)
         self._end(loss, has_ended)
 
     def started(self, target: ListedTarget) -> None:
         """Take word of the list that a process has started somewhere."""
         now = self._now()
-        for doubt in list(self._doubts):
-            if now >= doubt.at + LISTED_SECONDS:
-                self._doubts.remove(doubt)
-                continue
-            is_there = doubt.target.address == target.address
-            is_same = doubt.target.id == target.id
-            if is_there and not (
-                is_same and doubt.target.is_same_start(target)
-            ):
-                self._doubts.remove(doubt)
-                self._ended_behind(doubt, now)
-
-    def _ended_behind(self, doubt: _Doubt, now: Instant) -> None:
+        for doubt in self._guard.doubts.settle(target, now):
+            self._ended_behind(doubt, now)
+
+    def _ended_behind(self, doubt: Doubt, now: Instant) -> None:
         contents = tuple(doubt.requests_by_content)
         log.info(
             'Target ended behind its port.',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
@@ -51,15 +51,16 @@
 
         Raises CallFailed.
         """
+        began_at = self._guard.now()
         with self._noted(target, call):
             try:
                 answer = await self._calls.send(
                     target, call, answer_by, is_fresh
                 )
             except calls_module.CallFailed as error:
-                await self._failed(target, call, error)
+                await self._failed(target, call, error, began_at)
                 raise
-        self._answered(call, answer)
+        self._answered(target, call, answer)
         return answer
 
     async def generate(
@@ -74,24 +75,28 @@
 
         Raises CallFailed.
         """
+        began_at = self._guard.now()
         with self._noted(engine, call):
             try:
                 answer = await self._calls.generate(
                     engine, call, answer_by, progress_seconds, sink
                 )
             except calls_module.CallFailed as error:
-                await self._failed(engine, call, error)
+                await self._failed(engine, call, error, began_at)
                 raise
-        self._answered(call, answer)
+        self._answered(engine, call, answer)
         return answer
 
     @contextlib.contextmanager
     def _noted(self, target: ListedTarget, call: TargetCall) -> Iterator[None]:
+        began_at = self._guard.now()
         try:
             with self._kept_apart(target, call):
                 yield
         except defer.CancelledError:
-            self._guard.gave_up(target.id, call.content, call.id, False)
+            self._guard.gave_up(
+                target.id, call.content, call.id, False, began_at
+            )
             raise
 
     @contextlib.contextmanager
@@ -108,7 +113,11 @@
             if is_noted:
                 self._guard.finish(target.id, call.content)
 
-    def _answered(self, call: TargetCall, answer: TargetAnswer) -> None:
+    def _answered(
+        self, target: ListedTarget, call: TargetCall, answer: TargetAnswer
+    ) -> None:
+        if not answer.is_other:
+            self._guard.doubts.answered(target.id)
         # A 500 may come from a target that fails whatever it gets, and a 504
         # from one that was stopped before it came to what ends it.
         if not answer.not_run and not answer.is_server_error:
@@ -119,14 +128,17 @@
         target: ListedTarget,
         call: TargetCall,
         error: calls_module.CallFailed,
+        began_at: Instant,
     ) -> None:
         if error.is_refused:
-            self._ends.learnt(target.id)
+            self._ends.refused(target.id)
         if error.end is calls_module.CallEnd.NOT_SENT:
             return
         self._guard.name(call.content, call.name)
         if not error.is_lost:
-            self._guard.gave_up(target.id, call.content, call.id, True)
+            self._guard.gave_up(
+                target.id, call.content, call.id, True, began_at
+            )
             self._ends.gave_up(target)
             return
         await self._ends.lost(target, call.content, call.id)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/attempting.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/attempting.py
@@ -8,7 +8,6 @@
 from twisted.internet import defer
 
 from yuccarill.core.calls import pool as pool_module
-from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
@@ -49,7 +48,7 @@
 
     def may_hedge(self, call: TargetCall) -> bool:
         """Tell whether two targets may run a request at once."""
-        return self.guard.ledger.verdict(call.content) is Verdict.CLEAR
+        return self.guard.may_run_twice(call.content)
 
     def choose(
         self,
