Doubt only what a silent target was at work on

An open port breaks off what comes after its process ended. A sound request beside the cause waits for 2.8 s, so that the first targets are nearly back by then.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/doubts.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/doubts.py
@@ -18,6 +18,9 @@
 LISTED_SECONDS = 8.0
 # Losses that wait so; a network that cuts connections makes many.
 MAX_DOUBTS = 256
+# Seconds within which the connections of one process break. What is lost at a
+# silent target later met no process.
+LOSS_SECONDS = 0.1
 
 
 class Doubt(msgspec.Struct, kw_only=True):
@@ -49,6 +52,14 @@
         at: Instant,
     ) -> None:
         """Note calls that were lost at a target whose port is open."""
+        self._expire(at)
+        if any(
+            each.is_silent
+            and each.target.id == target.id
+            and at >= each.at + LOSS_SECONDS
+            for each in self._doubts
+        ):
+            return
         self._doubts.append(
             Doubt(
                 target=target,
@@ -63,6 +74,11 @@
             if doubt.target.id == target:
                 doubt.is_silent = False
 
+    def completed(self, content: ContentDigest) -> None:
+        """Note that a target finished a run of a content."""
+        for doubt in self._doubts:
+            doubt.requests_by_content.pop(content, None)
+
     def settle(self, target: ListedTarget, now: Instant) -> list[Doubt]:
         """Return and forget the losses of the process before a new one."""
         self._expire(now)
--- a/packages/yuccarill-core/src/yuccarill/core/gateway/spared_targets.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/spared_targets.py
@@ -20,14 +20,14 @@
 TRIAL_PAUSE = 5.0
 # The same where others are as likely the cause: a sound request must not wait
 # for longer than its caller can bear, 3 s.
-SHARED_TRIAL_PAUSE = 2.0
+SHARED_TRIAL_PAUSE = 2.8
 # Living targets that there have to be for it to go out earlier.
 TRIAL_TARGETS = 2
 # Targets that ended under a request, or fell silent, before it is kept back.
 LOST_TARGETS = 2
-# Targets that fell silent under a request before it is kept from all others,
-# until the list tells whether they ended.
-SILENT_TARGETS = 3
+# Ends, of which some are not certain, after which a request is kept from all
+# targets until the list tells.
+DOUBTFUL_ENDS = 3
 
 
 class SparedTargets:
@@ -58,7 +58,8 @@
         pause = TRIAL_PAUSE if is_alone else SHARED_TRIAL_PAUSE
         if now >= max(lost.values()) + pause:
             return False
-        if len(silent) >= SILENT_TARGETS:
+        ends = len(self._ledger.targets(content))
+        if silent and len(silent) + ends >= DOUBTFUL_ENDS:
             return True
         ended = self._ledger.ended_since(since)
         living = ready - ended - self._doubts.silent_targets(now)
--- a/packages/yuccarill-core/tests/gateway/test_spared_targets.py
+++ b/packages/yuccarill-core/tests/gateway/test_spared_targets.py
@@ -105,6 +105,31 @@
 
 
 class DoubtsTest(unittest.TestCase):
+    # Seconds from the first loss at a target to another one, whether the
+    # target answered between, and whether the later one counts.
+    @params(
+        (0.01, False, True),
+        (0.5, False, False),
+        (0.5, True, True),
+    )
+    def test_calls_that_met_no_process_do_not_count(
+        self, seconds: float, has_answered: bool, counts: bool
+    ) -> None:
+        """Sound requests were held that an open port had broken off."""
+        found = doubts.Doubts()
+        found.add(target('t'), {X: RequestId('r')}, Instant(1.0))
+        if has_answered:
+            found.answered(TargetId('t'))
+        at = Instant(1.0 + seconds)
+        found.add(target('t'), {P: RequestId('q')}, at)
+        self.assertEqual(counts, bool(found.lost(P, at)))
+
+    def test_what_a_target_finished_is_not_doubted(self) -> None:
+        found = doubts.Doubts()
+        found.add(target('t'), {X: RequestId('r')}, Instant(1.0))
+        found.completed(X)
+        self.assertEqual([], found.lost(X, Instant(1.0)))
+
     # The process that is listed next, when, and whether it settles the loss.
     @params(
         (target('u', 't:80'), 4.0, True),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -25,7 +25,6 @@
     from collections.abc import Mapping
 
     from yuccarill.core.gateway.end_ledger import EndReport
-    from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import TargetId
@@ -165,19 +164,6 @@
             target, content, request, is_failed, began_at, self.now()
         )
 
-    def doubted(
-        self,
-        target: ListedTarget,
-        requests_by_content: dict[ContentDigest, RequestId],
-    ) -> None:
-        """Note lost calls of a target whose port is open all the same."""
-        now = self.now()
-        self.doubts.add(target, requests_by_content, now)
-        for content in requests_by_content:
-            lost = self.doubts.reports(content, now)
-            if len(lost) >= spared_targets.LOST_TARGETS:
-                self.on_doubted(lost)
-
     def doubted_elsewhere(self, reports: Iterable[EndReport]) -> None:
         """Take calls that another instance lost."""
         now = self.now()
@@ -200,6 +186,7 @@
 
     def completed(self, content: ContentDigest) -> None:
         """Note that a target finished a run of a content."""
+        self.doubts.completed(content)
         if self.ledger.completed(content, self.now()):
             log.info('Cleared by a finished run.', content=content)
             self.on_completed(content)
@@ -207,6 +194,7 @@
 
     def completed_elsewhere(self, content: ContentDigest) -> None:
         """Take a run that a target finished for another instance."""
+        self.doubts.completed(content)
         self.ledger.completed(content, self.now())
         self._note_learnt()
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/target_ends.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from yuccarill.core.gateway.end_ledger import EndReport
+from yuccarill.core.gateway import spared_targets
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import Instant
@@ -165,9 +166,36 @@
                 )
             )
         else:
-            self._guard.doubted(target, loss.requests_by_content)
+            self._doubt(target, loss.requests_by_content)
         self._end(loss, has_ended)
 
+    def _doubt(
+        self,
+        target: ListedTarget,
+        requests_by_content: dict[ContentDigest, RequestId],
+    ) -> None:
+        """Note lost calls of a target whose port is open all the same."""
+        now = self._now()
+        doubts = self._guard.doubts
+        completed = self._guard.ledger.known_completed(
+            requests_by_content, now
+        )
+        lost = {
+            content: request
+            for content, request in requests_by_content.items()
+            if content not in completed
+        }
+        doubts.add(target, lost, now)
+        for content in lost:
+            told = doubts.reports(content, now)
+            if len(told) >= spared_targets.LOST_TARGETS:
+                log.info(
+                    'Lost at targets that are silent.',
+                    content=content,
+                    targets=tuple(each.target for each in told),
+                )
+                self._guard.on_doubted(told)
+
     def started(self, target: ListedTarget) -> None:
         """Take word of the list that a process has started somewhere."""
         now = self._now()
