--- a/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_target_ends.py
@@ -8,6 +8,8 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core.gateway.end_ledger import EndReport
+from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import RequestId
@@ -17,6 +19,7 @@
 from . import world
 
 TARGET = world.engine('x')
+X = ContentDigest('content')
 
 
 @dataclasses.dataclass
@@ -62,6 +65,29 @@
             self.finish(ends.lost(TARGET, ContentDigest('a'), RequestId('r')))
         self.assertEqual(2, looks.count)
 
+    # Whether a process listens after a call was given up, the verdict then.
+    @params((False, Verdict.WATCHED), (True, Verdict.CLEAR))
+    def test_a_target_ends_under_a_call_that_was_given_up(
+        self, has_listener: bool, expected: Verdict
+    ) -> None:
+        """A request ended targets whose answers were not taken."""
+        ends = self.ends(Looks(self.clock, has_listener))
+        now = self.guard.now()
+        self.guard.gave_up(TARGET.id, X, RequestId('r'), True, now)
+        ends.gave_up(TARGET)
+        self.run_for(target_ends.GIVEN_UP_SECONDS + 0.05)
+        self.assertEqual(expected, self.guard.ledger.verdict(X))
+
+    def test_an_end_that_others_see_counts_for_calls_given_up_here(
+        self,
+    ) -> None:
+        self.ends(Looks(self.clock, has_listener=False))
+        now = self.guard.now()
+        self.guard.gave_up(TARGET.id, X, RequestId('r'), False, now)
+        other = EndReport(target=TARGET.id, contents=(ContentDigest('a'),))
+        self.guard.take([other])
+        self.assertEqual(Verdict.WATCHED, self.guard.ledger.verdict(X))
+
 
 async def _result(work: defer.Deferred) -> object:
     return await work
