Take a holder that started again for lost

Cause: a standby asks two others whether they reach the holder. They ask its peer port, and the new process answers. It has no configuration, no jobs and no way to the store, and can't say so.

A holder tells its standby which process it is, and each answer about sight names the process that gave it. A holder that is reached under another process counts as lost. Where its new process takes the duty back, its first message, or its question for the texts, ends the standby's runs as before.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -95,6 +95,7 @@
         message = messages.OpenJobs(
             service=self._service,
             holder=self._state.settings.instance,
+            incarnation=self._state.incarnation,
             jobs=tuple(
                 self._open_job(job, ended)
                 for job, ended in ended_by_job.values()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
@@ -45,6 +46,7 @@
     """Hold what is known of one service's holder."""
 
     holder: InstanceId
+    incarnation: Incarnation
     jobs_by_id: dict[JobId, Job] = dataclasses.field(default_factory=dict)
     ended_by_job: dict[JobId, set[ItemId]] = dataclasses.field(
         default_factory=dict
@@ -106,9 +108,9 @@
 
     def _take(self, message: messages.OpenJobs) -> tuple[JobId, ...]:
         known = self._services_by_name.get(message.service)
-        if known is None or known.holder != message.holder:
+        if known is None or known.incarnation != message.incarnation:
             self.stop(message.service)
-            known = _Service(message.holder)
+            known = _Service(message.holder, message.incarnation)
             self._services_by_name[message.service] = known
         known.watch.heard(self._now())
         if known.runner is not None:
@@ -200,7 +202,7 @@
     async def _find_out(self, known: _Service) -> None:
         if self._store_age() < witness.STORE_AGE:
             known.watch.looked(True, self._now())
-        elif await self._witnesses.are_lost(known.holder):
+        elif await self._witnesses.are_lost(known.holder, known.incarnation):
             known.watch.looked(False, self._now())
 
     def _looked(self, _: object, known: _Service) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/messages.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.jobs.job import ItemId
@@ -32,6 +33,8 @@
     service: ServiceName
     holder: InstanceId
     jobs: tuple[OpenJob, ...]
+    # The process that holds them; one started again has lost its texts.
+    incarnation: Incarnation = Incarnation('')
 
 
 class Sighting(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,7 +42,10 @@
 
     # Seconds since it last heard the store, by itself or through others.
     store_age: float
+    # By the process that was asked for, and no later one.
     is_holder_reached: bool
+    # The process that answers.
+    incarnation: Incarnation = Incarnation('')
 
 
 class Lacking(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
     from yuccarill.daemon.adapters.small_server import SmallRequest
     from yuccarill.daemon.gateway.peer_call import PeerCalls
@@ -51,8 +52,13 @@
         self._peers = peers
         self._store_age = store_age
 
-    async def are_lost(self, holder: InstanceId) -> bool:
-        """Tell whether others have lost the holder and the store as well."""
+    async def are_lost(
+        self, holder: InstanceId, incarnation: Incarnation
+    ) -> bool:
+        """Tell whether others have lost the holder and the store as well.
+
+        A holder whose process has started again is lost.
+        """
         me = self._state.settings.instance
         others = [
             record
@@ -63,7 +69,9 @@
         asked = self._state.generator.sample(others, count)
         answers = await defer.gatherResults(
             [
-                defer.Deferred.fromCoroutine(self._ask(peer, holder))
+                defer.Deferred.fromCoroutine(
+                    self._ask(peer, holder, incarnation)
+                )
                 for peer in asked
             ]
         )
@@ -77,9 +85,11 @@
         """Say what is known here of a holder, or only that this is alive."""
         query = urllib.parse.parse_qs(request.query)
         holder = query.get('holder', [''])[0]
+        incarnation = query.get('incarnation', [''])[0]
         sighting = messages.Sighting(
+            incarnation=self._state.incarnation,
             store_age=self._store_age(),
-            is_holder_reached=await self._is_reached(holder),
+            is_holder_reached=await self._is_reached(holder, incarnation),
         )
         return Page(
             status=200,
@@ -87,17 +97,22 @@
             body=msgspec.msgpack.encode(sighting),
         )
 
-    async def _is_reached(self, name: str) -> bool:
+    async def _is_reached(self, name: str, incarnation: str) -> bool:
         for record in self._state.instances_by_id.values():
             if record.instance == name:
                 found = await self._call(record, '', HOLDER_SECONDS)
-                return found is not None
+                return found is not None and found.incarnation == incarnation
         return False
 
     async def _ask(
-        self, peer: InstanceRecord, holder: InstanceId
+        self,
+        peer: InstanceRecord,
+        holder: InstanceId,
+        incarnation: Incarnation,
     ) -> messages.Sighting | None:
-        query = urllib.parse.urlencode({'holder': holder})
+        query = urllib.parse.urlencode(
+            {'holder': holder, 'incarnation': incarnation}
+        )
         return await self._call(peer, f'?{query}', ANSWER_SECONDS)
 
     async def _call(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -5,12 +5,14 @@
 import dataclasses
 import random
 from typing import TYPE_CHECKING
+import uuid
 
 import msgspec
 
 from yuccarill.core.gateway import partitions
 from yuccarill.core.gateway.targets import TargetList
 from yuccarill.core.ids import DataCentreId
+from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import WallTime
 
@@ -66,6 +68,10 @@
     settings: InstanceSettings
     # What every draw of this process comes from, so that a test can seed it.
     generator: random.Random = dataclasses.field(default_factory=random.Random)
+    # Tells this process from others of the same instance.
+    incarnation: Incarnation = dataclasses.field(
+        default_factory=lambda: Incarnation(uuid.uuid4().hex)
+    )
     # Written by the observer.
     table: RouteTable | None = None
     targets: TargetList = dataclasses.field(default_factory=TargetList)
--- a/packages/yuccarill-daemon/tests/gateway/test_standby.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_standby.py
@@ -270,6 +270,26 @@
         self.run_for(3.0)
         self.assertEqual(runs, self.runs_begun())
 
+    def test_a_holder_that_started_again_is_lost(self) -> None:
+        """Nothing was generated for 6.7 s: the holder's port was answered.
+
+        1. The holder's process is killed with texts under way, in the moment
+           in which the store falls silent.
+        2. Half a second later it is there again, without its texts and
+           without a way to the store, and answers whoever asks.
+        3. Its standby goes on with the copies.
+        """
+        self.submit()
+        self.run_for(1.2)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(0.5)
+        self.peers_by_name[HOLDER] = Peer(self, HOLDER)
+        self.lost.clear()
+        runs = self.runs_begun()
+        self.run_for(3.0)
+        self.assertGreater(self.runs_begun(), runs)
+
     def test_a_store_that_others_reach_is_not_away(self) -> None:
         self.submit()
         self.run_for(1.2)
