Count what a watcher tells of the store as old as it says

Seen in the same play: the holder is lost and the store falls silent at 5.13 s, and its standby goes on at 9.00 s, 3.9 s later.

Cause: watchers answer polls from their copies until a call of their own has failed. Each answer says how long ago the watcher heard the store, and readers took it for a word of this moment, up to 2.2 s too young. The standby and the two that it asks had lost the store for 1.6 s only when it was 3.2 to 3.8 s gone.

A source now says how old its last answer was, and a follower counts from there. What is told by watchers is believed as long as before.

The new test fails without the change (0.14 s told, 0.30 s true, at its first moment).

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/witness.py
@@ -33,9 +33,9 @@
 # Seconds for an answer, and for the question that it needs itself.
 ANSWER_SECONDS = 0.9
 HOLDER_SECONDS = 0.4
-# Seconds without a word of the store after which an instance has lost it: of
-# the three prefixes that each follows, by itself or through others, each tells
-# something once in 1.5 s.
+# Seconds without a word of the store after which an instance has lost it. A
+# watcher hears of each of three prefixes once a second, and tells the others
+# within a poll.
 STORE_AGE = 1.6
 
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
@@ -120,6 +120,8 @@
     ) -> None:
         # The last answer came from the store itself.
         self.is_direct = True
+        # Seconds that the last answer's word of the store was old.
+        self.answer_age = 0.0
         self._state = state
         self._store = store
         self._links = links
@@ -173,7 +175,9 @@
             # watch would tell no sooner, at ten times the price: sixty
             # instances made 682 of them on a day with one outage of 7 s.
             return await self._look(prefix, after)
-        return await self._store.watch(prefix, after, seconds)
+        page = await self._store.watch(prefix, after, seconds)
+        self.answer_age = 0.0
+        return page
 
     async def _look(self, prefix: str, after: Revision) -> store_module.Page:
         """Return the keys as changes since a revision."""
@@ -186,11 +190,13 @@
         self, prefix: str, after: str | None, is_stale: bool
     ) -> store_module.Page:
         try:
-            return await self._store.page(prefix, after, is_stale)
+            page = await self._store.page(prefix, after, is_stale)
         except (store_module.StoreRefused, store_module.StoreUnclear):
             # Then it is not the watchers that failed.
             self._peers.clear()
             raise
+        self.answer_age = 0.0
+        return page
 
     async def _copied(self, prefix: str) -> store_module.Page | None:
         """Return the copy of the first watcher that gives one."""
@@ -255,6 +261,7 @@
             self._leave_out(watcher, error, took)
             return None
         self.is_direct = False
+        self.answer_age = feed.age
         if not self._cursor_of:
             # It may have lost the store with this instance.
             self._store.expect_return()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
@@ -48,6 +48,10 @@
     @property
     def is_direct(self) -> bool: ...
 
+    # Seconds that the last answer's word of the store was old when it came.
+    @property
+    def answer_age(self) -> float: ...
+
     async def page(
         self, prefix: str, after: str | None = None, is_stale: bool = False
     ) -> Page: ...
@@ -242,7 +246,10 @@
 
     def _advance(self, revision: Revision) -> None:
         self._known = Revision(max(self._known, revision))
-        self._heard_at = self._clock.seconds()
+        # A watcher goes on answering from its copy for a moment after it has
+        # lost the store.
+        heard_at = self._clock.seconds() - self._store.answer_age
+        self._heard_at = max(self._heard_at, heard_at)
         self._history.wake()
 
     async def _check_often(self) -> None:
--- a/packages/yuccarill-daemon/tests/gateway/memory_store.py
+++ b/packages/yuccarill-daemon/tests/gateway/memory_store.py
@@ -103,6 +103,7 @@
     is_deaf: bool = False
     calls: list[str] = dataclasses.field(default_factory=list)
     is_direct: bool = True
+    answer_age: float = 0.0
 
     async def get(self, key: str) -> store.Entry | None:
         await self._enter('get')
--- a/packages/yuccarill-daemon/tests/gateway/test_feed.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -278,3 +278,22 @@
         self.run_for(4.0)
         self.assertNotIn('watch', self.own.calls[:2])
         self.assertNotIn('page', self.own.calls)
+
+    def test_a_watchers_old_word_is_old(self) -> None:
+        """A standby waited 3.9 s for texts whose holder was lost.
+
+        1. The store falls silent for all.
+        2. The watchers go on answering polls from their copies until a call
+           of their own has failed.
+        3. The reader knows how long the store has not been heard.
+        """
+        self.run_for(0.1)
+        reader = self.read()
+        self.run_for(feed.START_WAIT + 2.0)
+        for store in (self.watching, self.own):
+            store.is_silent = True
+        silent_at = self.clock.seconds()
+        for _ in range(25):
+            self.run_for(0.1)
+            silent = self.clock.seconds() - silent_at
+            self.assertGreaterEqual(reader.age() + 0.05, silent)
