Name the standby in the last holder's record

Cause: a new holder asks the instances that are listed, or were. A process that started while the store was away has never seen any.

A holder writes the peer port of its standby into the last holder's record, once that one has taken four messages in a row, so that instances that start one after the other cost one write. The record's wait before orders is written anew with it and never shorter than it is.

Tests: what a new instance fetches, who is named and when, what the next holder knows, that no wait becomes shorter, that a failed write is repeated.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/leadership.py
@@ -30,6 +30,9 @@
     # Seconds that it still had to wait for the holder before it when this
     # was written; 0 once it might order.
     waits: float = 0.0
+    # The peer port of the instance that has its texts; empty if none is known
+    # to have them all.
+    standby: str = ''
     # The change that wrote this record.
     revision: Revision = Revision(0)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
@@ -72,6 +72,8 @@
         self.tenure: leadership.Tenure | None = None
         # Nobody else has held the duty since this process last held it.
         self.is_continued = False
+        # The peer port of the last holder's standby, where it is known.
+        self.last_standby = ''
         self._incarnation = Incarnation(uuid.uuid4().hex)
         self._state = state
         self._keys = duty_keys.DutyKeys(
@@ -287,6 +289,8 @@
             self._state.settings.instance, last, self._policy, self._now()
         )
         waits = orders_from - self._now()
+        self.last_standby = '' if last is None else last.standby
+        self._keys.standby = ''
         revision = await self._keys.take(lease, holder, last, waits)
         orders_from = Instant(self._now() + waits)
         self.is_continued = (
@@ -317,8 +321,26 @@
         # From now on a restart of this instance need not wait again.
         if self.revision != revision:
             return
-        writing = defer.Deferred.fromCoroutine(self._keys.waited(revision))
-        writing.addErrback(self._failed)
+        self._describe()
+
+    def name_standby(self, address: str) -> None:
+        """Let the next holder know the peer port of who has the texts."""
+        if address != self._keys.standby and self.is_held():
+            self._keys.standby = address
+            self._describe()
+
+    def _describe(self) -> None:
+        assert self.tenure is not None
+        waits = max(0.0, self.tenure.orders_from - self._now())
+        writing = defer.Deferred.fromCoroutine(
+            self._keys.describe(Revision(self.tenure.epoch), waits)
+        )
+        writing.addErrback(self._not_described)
+
+    def _not_described(self, failure: Any) -> None:
+        # Named again with the standby's next answers.
+        self._keys.standby = ''
+        self._failed(failure)
 
     def _rank(self) -> int:
         """Return this instance's place among the candidates."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duty_keys.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duty_keys.py
@@ -42,6 +42,8 @@
         self._instance = instance
         self._incarnation = incarnation
         self._store = store
+        # The peer port of the standby, told with each hold.
+        self.standby = ''
         self._clock = clock
 
     async def take(
@@ -91,11 +93,11 @@
         entry = await self._store.get(keys.duty(self._service))
         return entry is not None and entry.revision == revision
 
-    async def waited(self, revision: Revision) -> None:
-        """Write that a holder no longer waits for the one before it."""
+    async def describe(self, revision: Revision, waits: float) -> None:
+        """Write how long a holder still waits, and who has its texts."""
         await self._store.transact(
             expected=[self._hold(revision)],
-            writes=[self._last_holder(None, 0.0)],
+            writes=[self._last_holder(None, waits)],
         )
 
     async def give_back(
@@ -140,6 +142,7 @@
             incarnation=self._incarnation,
             idle_seconds=idle,
             waits=waits,
+            standby=self.standby,
         )
         return store_module.Write(
             key=keys.last_holder(self._service),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -146,7 +146,7 @@
             scoring.Scorer(self._state, self._sender, self._clock),
             self._engines,
             self._clock,
-            defer.Deferred.fromCoroutine(self._left_texts(service, kept)),
+            defer.Deferred.fromCoroutine(self._left_texts(duty, kept)),
         )
         self.runners_by_service[service] = started
         started.start()
@@ -161,6 +161,7 @@
             started.open_jobs,
             self._text_sender,
             self._peers,
+            duty.name_standby,
             self._clock,
         )
         self._copiers_by_service[service] = telling
@@ -172,13 +173,20 @@
         writing.start()
 
     async def _left_texts(
-        self, service: ServiceName, kept: progress.ProgressStore
+        self, duty: duties.Duty, kept: progress.ProgressStore
     ) -> list[LeftText]:
-        found = self._depot.take(service)
+        found = self._depot.take(duty.service)
         if found:
             return found
         reading = defer.Deferred.fromCoroutine(kept.read())
-        fetched = await self._text_fetcher.fetch(service)
+        fetched = await self._text_fetcher.fetch(
+            duty.service, duty.last_standby
+        )
+        if fetched.is_whole:
+            # Its copies are newer than the store's.
+            reading.addErrback(lambda f: f.trap(defer.CancelledError))
+            reading.cancel()
+            return fetched.texts
         return text_copies.longest(fetched.texts, await reading)
 
     def _stop_runner(self, service: ServiceName) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
@@ -58,6 +58,8 @@
         nothing of what it ran. Where the address of the last holder's
         standby is known and it gives its copy, no other is waited for.
         """
+        if standby == self._state.settings.peer_address:
+            standby = ''
         addresses = self._addresses(service)
         fetching = {
             address: defer.Deferred.fromCoroutine(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -30,6 +30,9 @@
 TELL_SECONDS = 0.5
 # Seconds that one may take.
 ANSWER_SECONDS = 0.8
+# Messages taken in a row by which a standby has the jobs and their texts. Who
+# it is changes with each instance that starts, and each change is a write.
+SETTLED_MESSAGES = 4
 # Items of a job that goes whole to the standby. 1,024 of some 1 kB are a
 # megabyte, 0.15 s of a link of 60 Mbit/s; a larger one would hold up what
 # else the link carries, and waits for the store as it did before.
@@ -46,15 +49,20 @@
         open_jobs: Callable[[], Iterable[tuple[Job, frozenset[ItemId]]]],
         sender: TextSender,
         peers: PeerCalls,
+        on_settled: Callable[[str], None],
         clock: Any,
     ) -> None:
         self._service = service
         self._state = state
+        # Called with the peer port of a standby that goes on answering.
+        self._on_settled = on_settled
         # Each open job, and its items that have ended.
         self._open_jobs = open_jobs
         self._sender = sender
         self._peers = peers
         self._standby = ''
+        # Messages that it took, one after the other.
+        self._taken = 0
         # What the standby has, by its answers.
         self._ended_by_job: dict[JobId, frozenset[ItemId]] = {}
         self._telling: defer.Deferred[None] | None = None
@@ -86,6 +94,7 @@
         peer = receivers[0]
         if peer.instance != self._standby:
             self._standby = peer.instance
+            self._taken = 0
             self._ended_by_job.clear()
         ended_by_job = {
             job.id: (job, ended)
@@ -113,6 +122,7 @@
         except peer_call.PeerFailed as error:
             # It may have some of it: all is sent as a whole again.
             self._ended_by_job.clear()
+            self._taken = 0
             log.info('Jobs not copied.', peer=self._standby, cause=str(error))
             return
         self._ended_by_job = {
@@ -120,6 +130,9 @@
             for job_id, (_, ended) in ended_by_job.items()
             if job_id not in answer.jobs
         }
+        self._taken += 1
+        if self._taken >= SETTLED_MESSAGES:
+            self._on_settled(peer.peer_address)
 
     def _open_job(
         self, job: Job, ended: frozenset[ItemId]
--- a/packages/yuccarill-daemon/tests/gateway/test_duties.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_duties.py
@@ -229,6 +229,56 @@
         self.assertGreaterEqual(gap, 3.0)
         self.assertLess(gap, 8.0)
 
+    def test_naming_a_standby_shortens_no_wait(self) -> None:
+        """A holder that names its standby while it waits is killed and back.
+
+        The record that names the standby is the one that says how long the
+        holder still has to wait.
+        """
+        a = self.start('a')
+        self.run_for(1.0)
+        b = self.start('b')
+        self.run_for(0.5)
+        a.duty.order()
+        ordered_at = self.clock.seconds()
+        a.state.is_leaving = True
+        self.finish(a.duty.release())
+        self.run_for(0.5)
+        b.duty.name_standby('c:2')
+        self.run_for(0.2)
+        b.kill()
+        again = self.start('b')
+        while not again.duty.may_order():
+            self.run_for(0.01)
+        self.assertEqual('c:2', again.duty.last_standby)
+        self.assertGreaterEqual(self.clock.seconds() - ordered_at, 3.0)
+
+    def test_the_next_holder_knows_the_standby(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        a.duty.name_standby('c:2')
+        self.run_for(0.2)
+        a.kill()
+        b = self.start('b')
+        self.run_for(duties.LEASE_SECONDS + 1.0)
+        self.assertEqual(['b'], self.holders(a, b))
+        self.assertEqual('c:2', b.duty.last_standby)
+
+    def test_a_standby_that_could_not_be_named_is_named_again(self) -> None:
+        a = self.start('a')
+        self.run_for(1.0)
+        a.store.refuses = True
+        a.duty.name_standby('c:2')
+        self.run_for(0.2)
+        a.store.refuses = False
+        self.run_for(0.5)
+        a.duty.name_standby('c:2')
+        self.run_for(0.2)
+        a.kill()
+        b = self.start('b')
+        self.run_for(duties.LEASE_SECONDS + 1.0)
+        self.assertEqual('c:2', b.duty.last_standby)
+
     def test_one_that_gives_back_what_it_never_used_passes_the_wait_on(
         self,
     ) -> None:
--- a/packages/yuccarill-daemon/tests/gateway/test_standby.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_standby.py
@@ -90,6 +90,8 @@
             engine.gap = SLOW
         # Instances that answer nobody.
         self.lost: set[str] = set()
+        # Standbys that the holder would name in the store.
+        self.named: list[str] = []
         self.peers_by_name = {name: Peer(self, name) for name in NAMES}
         self.running = self.hold(HOLDER)
         holder = self.peers_by_name[HOLDER]
@@ -105,6 +107,7 @@
             self.running.open_jobs,
             sender,
             holder.peers,
+            self.named.append,
             self.clock,
         )
         self.copying.start()
@@ -194,6 +197,37 @@
         self.assertEqual(4, len(found.texts))
         self.assert_nothing_runs()
 
+    def test_a_new_instance_finds_the_standby(self) -> None:
+        """A machine that replaced the holder began 246 texts anew.
+
+        1. The holder's machine is lost while the store is away and lets all
+           leases run out; its replacement starts meanwhile.
+        2. The store is back, and the replacement takes the duty before any
+           other instance is listed: it has never known one.
+        3. The last holder's record names the standby, which gives its texts.
+        """
+        self.submit()
+        self.run_for(3.0)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(3.0)
+        self.peers_by_name['new'] = Peer(self, 'new')
+        state = self.peers_by_name['new'].state
+        state.instances_by_id = {}
+        fetcher = text_fetch.TextFetcher(state, Links(self, 'new'), self.clock)
+        found = self.finish(fetcher.fetch(world.SERVICE, self.named[-1]))
+        self.assertEqual(4, len(found.texts))
+        self.assertTrue(found.is_whole)
+        self.assert_nothing_runs()
+
+    def test_a_standby_is_named_once_it_goes_on_answering(self) -> None:
+        self.submit()
+        self.run_for(1.2)
+        self.assertEqual([], self.named)
+        self.run_for(1.5)
+        name = self.standby.state.settings.instance
+        self.assertEqual({f'{name}:2'}, set(self.named))
+
     def test_items_that_were_not_begun_are_begun(self) -> None:
         self.submit(groups=8)
         self.run_for(1.2)
