List what did not fit a write with the next one

Cause: after a write, what is left counts as collected anew, for 0.6 s, though it was due with what had been written.

What was cut off by the size is due at once, a quarter of a second after the write before. The test fails without the change (three of four results after 0.4 s).

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/listing.py
@@ -140,6 +140,9 @@
 
     async def _write(self) -> None:
         chunk = self._next_chunk()
+        if len(chunk) < len(self._pending):
+            # What did not fit is due as well.
+            self._write_at = self._clock.seconds()
         while not await self._append(chunk):
             if self.is_stopped:
                 return
--- a/packages/yuccarill-daemon/tests/gateway/test_listing.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_listing.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+import msgspec
+
 from yuccarill.core.ids import Revision
 from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs.job import ItemId
@@ -81,6 +83,18 @@
         self.run_for(0.1)
         self.assertEqual(['a', 'b'], self.listed())
 
+    def test_what_did_not_fit_a_write_goes_with_the_next(self) -> None:
+        """A trainer waited 1.3 s for results that were made before it asked.
+
+        A new holder lists what a standby has made, more than fits one write.
+        """
+        for name in 'abcd':
+            large = 'x' * (listing.CHUNK_BYTES // 3)
+            found = msgspec.structs.replace(result(name), text=large)
+            self.listing.add(found, True)
+        self.run_for(listing.AWAITED_SECONDS + listing.WRITE_SECONDS + 0.1)
+        self.assertEqual(['a', 'b', 'c', 'd'], self.listed())
+
     def test_an_item_is_listed_once(self) -> None:
         self.listing.add(result('a'), True)
         self.run_for(0.5)
