--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -9,7 +9,6 @@
 from twisted.internet import defer
 
 from yuccarill.core.gateway import partitions
-from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.gateway.duty import division
 from yuccarill.daemon.gateway.duty import duties
 from yuccarill.daemon.gateway.jobs import generation
@@ -178,16 +177,9 @@
         found = self._depot.take(duty.service)
         if found:
             return found
-        reading = defer.Deferred.fromCoroutine(kept.read())
-        fetched = await self._text_fetcher.fetch(
-            duty.service, duty.last_standby
+        return await self._text_fetcher.newest(
+            duty.service, duty.last_standby, kept.read
         )
-        if fetched.is_whole:
-            # Its copies are newer than the store's.
-            reading.addErrback(lambda f: f.trap(defer.CancelledError))
-            reading.cancel()
-            return fetched.texts
-        return text_copies.longest(fetched.texts, await reading)
 
     def _stop_runner(self, service: ServiceName) -> None:
         known = self.runners_by_service.pop(service, None)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
@@ -17,6 +17,9 @@
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
     from yuccarill.core.jobs.left_text import LeftText
@@ -49,6 +52,26 @@
         self._state = state
         self._peers = peer_call.PeerCalls(links, clock)
 
+    async def newest(
+        self,
+        service: ServiceName,
+        standby: str,
+        read: Callable[[], Coroutine[Any, Any, list[LeftText]]],
+    ) -> list[LeftText]:
+        """Return each text by its newest copy, here or in the store.
+
+        The store's are read unless the standby gives its own, which are
+        newer: both are megabytes for one link.
+        """
+        if standby:
+            fetched = await self.fetch(service, standby)
+            if fetched.is_whole:
+                return fetched.texts
+            return text_copies.longest(fetched.texts, await read())
+        reading = defer.Deferred.fromCoroutine(read())
+        fetched = await self.fetch(service)
+        return text_copies.longest(fetched.texts, await reading)
+
     async def fetch(
         self, service: ServiceName, standby: str = ''
     ) -> FetchedTexts:
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -436,6 +436,23 @@
         found = self.finish(self.fetcher.fetch(world.SERVICE))
         self.assertEqual(300, len(found.texts))
 
+    def test_the_store_is_read_where_the_standby_gives_nothing(self) -> None:
+        """A new holder read megabytes of the store, and used none of them."""
+        self.finish(self.sender.hand_on(world.SERVICE, [text('a', 3)]))
+        standby_address = self.links.sent[0]
+        reads: list[None] = []
+
+        async def read() -> list[LeftText]:
+            reads.append(None)
+            return [text('a', 2), text('b', 2)]
+
+        newest = self.fetcher.newest(world.SERVICE, standby_address, read)
+        self.assertEqual([text('a', 3)], self.finish(newest))
+        self.assertEqual([], reads)
+        del self.links.depots_by_address[standby_address]
+        newest = self.fetcher.newest(world.SERVICE, standby_address, read)
+        self.assertEqual([text('a', 2), text('b', 2)], self.finish(newest))
+
     def test_nothing_is_waited_for_long(self) -> None:
         # Everybody lost power, or the peers are cut off.
         self.links.depots_by_address.clear()
