Dismiss former standbys, and tell a holder of the store's return

At 24.18 s swakop-c-1 goes on with two jobs and 184 texts of the lost holder, beside the standby with seven jobs: it had been the standby for half a second after the first takeover, at 11.2 s, and nobody told it that it no longer was. Its runs take places of engines for jobs that ended long before. A holder now sends a former standby the message that no job is open.

The holder's process that started again finds the store at 27.69 s, 1.12 s after its return, since it knows no other instance and probes ever more seldom; its standby had the store at 26.67 s, and nobody else can take the duty. A standby that runs tells the holder's instance once, by the question that asks a last holder whether it lives, and whoever is asked probes at once.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -126,6 +126,7 @@
             self._depot,
             witness.Witnesses(self._state, peers, self._observer.least_age),
             self._standby_runner,
+            self._holders.is_alive,
             clock,
         )
         self._work = service_work.ServiceWork(
@@ -236,12 +237,17 @@
         self._observer.on_start = self._quarantine.ends.started
         self._session.lease.on_return = self._observer.refresh
         self._way.on_lost = self._way_lost
-        self._holders.on_asked = lambda _: self._update()
+        self._holders.on_asked = self._asked
         for work in (*self._observer.following(), self._session.follow()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
             self._following.append(following)
 
+    def _asked(self, _: ServiceName) -> None:
+        # Whoever asks after a duty reaches the store.
+        self._way.expect_return()
+        self._update()
+
     def _standby_runner(self, service: ServiceName) -> runner.StandbyRunner:
         return runner.StandbyRunner(
             service,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -23,6 +23,7 @@
     from yuccarill.daemon.gateway.jobs.texts import TextSender
     from yuccarill.daemon.gateway.peer_call import PeerCalls
     from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.state import InstanceRecord
 
 log = logs.for_part('standby')
 
@@ -60,7 +61,7 @@
         self._open_jobs = open_jobs
         self._sender = sender
         self._peers = peers
-        self._standby = ''
+        self._standby: InstanceRecord | None = None
         # Messages that it took, one after the other.
         self._taken = 0
         # What the standby has, by its answers.
@@ -92,10 +93,15 @@
         if not receivers:
             return
         peer = receivers[0]
-        if peer.instance != self._standby:
-            self._standby = peer.instance
+        if self._standby is None or peer.instance != self._standby.instance:
+            former, self._standby = self._standby, peer
             self._taken = 0
             self._ended_by_job.clear()
+            if former is not None:
+                dismissing = defer.Deferred.fromCoroutine(
+                    self._dismiss(former)
+                )
+                dismissing.addErrback(self._failed)
         ended_by_job = {
             job.id: (job, ended)
             for job, ended in self._open_jobs()
@@ -123,7 +129,7 @@
             # It may have some of it: all is sent as a whole again.
             self._ended_by_job.clear()
             self._taken = 0
-            log.info('Jobs not copied.', peer=self._standby, cause=str(error))
+            log.info('Jobs not copied.', peer=peer.instance, cause=str(error))
             return
         self._ended_by_job = {
             job_id: ended
@@ -134,6 +140,28 @@
         if self._taken >= SETTLED_MESSAGES:
             self._on_settled(peer.peer_address)
 
+    async def _dismiss(self, peer: InstanceRecord) -> None:
+        """Let a former standby know that it has no jobs to go on with."""
+        message = messages.OpenJobs(
+            service=self._service,
+            holder=self._state.settings.instance,
+            jobs=(),
+            incarnation=self._state.incarnation,
+        )
+        try:
+            await self._peers.ask(
+                peer,
+                'POST',
+                messages.PATH,
+                ANSWER_SECONDS,
+                messages.Lacking,
+                message,
+            )
+        except peer_call.PeerFailed as error:
+            log.info(
+                'Standby not dismissed.', peer=peer.instance, cause=str(error)
+            )
+
     def _open_job(
         self, job: Job, ended: frozenset[ItemId]
     ) -> messages.OpenJob:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
@@ -55,6 +56,8 @@
     look_at: Instant = Instant(0.0)
     is_looking: bool = False
     runner: StandbyRunner | None = None
+    # The holder's instance was told that the store is back.
+    is_told: bool = False
 
 
 class StandbyDesk:
@@ -67,6 +70,9 @@
         depot: TextDepot,
         witnesses: Witnesses,
         make_runner: Callable[[ServiceName], StandbyRunner],
+        tell_return: Callable[
+            [InstanceId, ServiceName], Coroutine[Any, Any, bool]
+        ],
         clock: Any,
     ) -> None:
         self._state = state
@@ -74,6 +80,8 @@
         self._depot = depot
         self._witnesses = witnesses
         self._make_runner = make_runner
+        # Tells a holder that may have started again to look for its duty.
+        self._tell_return = tell_return
         self._clock = clock
         self._services_by_name: dict[ServiceName, _Service] = {}
         self._ticker = task.LoopingCall(self._tick)
@@ -159,6 +167,8 @@
             if self._is_taken(service, known):
                 self.stop(service)
                 continue
+            if known.runner is not None:
+                self._note_return(service, known)
             if now >= known.look_at and not known.is_looking:
                 self._look(known)
             if known.watch.may_run(now):
@@ -177,6 +187,7 @@
             return
         if self._state.is_leaving or not known.jobs_by_id:
             return
+        known.is_told = False
         known.runner = self._make_runner(service)
         texts = self._depot.kept(service)
         log.warning(
@@ -194,6 +205,21 @@
             texts,
         )
 
+    def _note_return(self, service: ServiceName, known: _Service) -> None:
+        """Let the holder's instance know that the store is back.
+
+        One that has started again knows no other instance, and looks for the
+        store by itself, ever more seldom.
+        """
+        if known.is_told or self._store_age() >= witness.STORE_AGE:
+            return
+        known.is_told = True
+        known.watch.looked(True, self._now())
+        telling = defer.Deferred.fromCoroutine(
+            self._tell_return(known.holder, service)
+        )
+        telling.addErrback(self._failed)
+
     def _look(self, known: _Service) -> None:
         known.is_looking = True
         looking = defer.Deferred.fromCoroutine(self._find_out(known))
--- a/packages/yuccarill-daemon/tests/gateway/test_standby.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_standby.py
@@ -70,6 +70,7 @@
                 runner_world.Scorer(),
                 found.clock,
             ),
+            found.tell_return,
             found.clock,
         )
         self.desk.start()
@@ -92,6 +93,8 @@
         self.lost: set[str] = set()
         # Standbys that the holder would name in the store.
         self.named: list[str] = []
+        # Holders that were told of the store's return.
+        self.told: list[str] = []
         self.peers_by_name = {name: Peer(self, name) for name in NAMES}
         self.running = self.hold(HOLDER)
         holder = self.peers_by_name[HOLDER]
@@ -122,6 +125,10 @@
         self.telling.stop()
         self.running.stop()
 
+    async def tell_return(self, holder: str, service: str) -> bool:
+        self.told.append(holder)
+        return True
+
     def silence_store(self, is_silent: bool = True) -> None:
         self.memory.is_silent = is_silent
         for peer in self.peers_by_name.values():
@@ -228,6 +235,30 @@
         name = self.standby.state.settings.instance
         self.assertEqual({f'{name}:2'}, set(self.named))
 
+    def test_a_former_standby_goes_on_with_nothing(self) -> None:
+        """Two instances ran a lost holder's texts, one of them old ones.
+
+        1. An instance joins that is more suitable than the standby.
+        2. The holder is lost in the moment in which the store falls silent.
+        """
+        listed = self.peers_by_name[HOLDER].state.instances_by_id
+        name = self.standby.state.settings.instance
+        record = listed.pop(name)
+        self.submit()
+        self.run_for(1.2)
+        listed[name] = record
+        self.run_for(1.2)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(3.0)
+        running = [
+            peer.state.settings.instance
+            for peer in self.peers_by_name.values()
+            for known in peer.desk._services_by_name.values()
+            if known.runner is not None
+        ]
+        self.assertEqual([name], running)
+
     def test_items_that_were_not_begun_are_begun(self) -> None:
         self.submit(groups=8)
         self.run_for(1.2)
@@ -336,6 +367,18 @@
         self.run_for(3.0)
         self.assertGreater(self.runs_begun(), runs)
 
+    def test_a_holder_that_started_again_is_told_of_the_return(self) -> None:
+        """It looked for the store 1.1 s after the others were back at it."""
+        self.submit()
+        self.run_for(1.2)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(4.0)
+        self.assertEqual([], self.told)
+        self.silence_store(False)
+        self.run_for(0.2)
+        self.assertEqual([HOLDER], self.told)
+
     def test_a_store_that_others_reach_is_not_away(self) -> None:
         self.submit()
         self.run_for(1.2)
