--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -236,9 +236,13 @@
         return self.engines.engines_by_id[TargetId(name)]
 
     def hold(
-        self, name: str, handed: Iterable[LeftText] = ()
+        self,
+        name: str,
+        handed: Iterable[LeftText] | defer.Deferred[list[LeftText]] = (),
     ) -> runner_module.Runner:
         """Give the duty to an instance, which begins to run jobs."""
+        if not isinstance(handed, defer.Deferred):
+            handed = defer.succeed(list(handed))
         self.holds += 1
         self.keys.put(keys.duty(world.SERVICE), b'%d' % self.holds)
         duty = HeldDuty(Revision(self.keys.revision))
@@ -265,7 +269,7 @@
             Scorer(),
             self.engines,
             self.clock,
-            defer.succeed(list(handed)),
+            handed,
         )
         self.memory: memory_store.MemoryStore = memory
         found.start()
