--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -127,6 +127,7 @@
             witness.Witnesses(self._state, peers, self._observer.least_age),
             self._standby_runner,
             self._holders.is_alive,
+            self._way.expect_return,
             clock,
         )
         self._work = service_work.ServiceWork(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
@@ -37,6 +37,9 @@
 
 # Seconds between looks at holders, and at a standby's own runs.
 TICK_SECONDS = 0.1
+# Seconds between calls by which a standby that runs finds the store again: the
+# next holder waits for its texts.
+PROBE_SECONDS = 0.3
 # Seconds between looks at whether the store is there, while a holder is
 # silent. They cost no call of it: what was last heard of it tells.
 LOOK_SECONDS = 0.3
@@ -58,6 +61,7 @@
     runner: StandbyRunner | None = None
     # The holder's instance was told that the store is back.
     is_told: bool = False
+    probe_at: Instant = Instant(0.0)
 
 
 class StandbyDesk:
@@ -73,6 +77,7 @@
         tell_return: Callable[
             [InstanceId, ServiceName], Coroutine[Any, Any, bool]
         ],
+        expect_return: Callable[[], None],
         clock: Any,
     ) -> None:
         self._state = state
@@ -82,6 +87,8 @@
         self._make_runner = make_runner
         # Tells a holder that may have started again to look for its duty.
         self._tell_return = tell_return
+        # Tries at once whether a lost store is back.
+        self._expect_return = expect_return
         self._clock = clock
         self._services_by_name: dict[ServiceName, _Service] = {}
         self._ticker = task.LoopingCall(self._tick)
@@ -211,7 +218,12 @@
         One that has started again knows no other instance, and looks for the
         store by itself, ever more seldom.
         """
-        if known.is_told or self._store_age() >= witness.STORE_AGE:
+        if known.is_told:
+            return
+        if self._store_age() >= witness.STORE_AGE:
+            if self._now() >= known.probe_at:
+                known.probe_at = Instant(self._now() + PROBE_SECONDS)
+                self._expect_return()
             return
         known.is_told = True
         known.watch.looked(True, self._now())
--- a/packages/yuccarill-daemon/tests/gateway/test_standby.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_standby.py
@@ -71,6 +71,7 @@
                 found.clock,
             ),
             found.tell_return,
+            lambda: found.probes.append(name),
             found.clock,
         )
         self.desk.start()
@@ -95,6 +96,8 @@
         self.named: list[str] = []
         # Holders that were told of the store's return.
         self.told: list[str] = []
+        # Instances that looked whether the store is back.
+        self.probes: list[str] = []
         self.peers_by_name = {name: Peer(self, name) for name in NAMES}
         self.running = self.hold(HOLDER)
         holder = self.peers_by_name[HOLDER]
@@ -379,6 +382,24 @@
         self.run_for(0.2)
         self.assertEqual([HOLDER], self.told)
 
+    def test_a_standby_that_runs_looks_for_the_store(self) -> None:
+        """It found the store 1.0 s after its return, by its own pauses."""
+        self.submit()
+        self.run_for(1.2)
+        self.assertEqual([], self.probes)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(3.0)
+        self.probes.clear()
+        self.run_for(3.0)
+        name = str(self.standby.state.settings.instance)
+        self.assertEqual({name}, set(self.probes))
+        self.assertIn(len(self.probes), (7, 8, 9, 10))
+        self.silence_store(False)
+        self.probes.clear()
+        self.run_for(2.0)
+        self.assertEqual([], self.probes)
+
     def test_a_store_that_others_reach_is_not_away(self) -> None:
         self.submit()
         self.run_for(1.2)
