--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
@@ -269,23 +269,11 @@
         if not is_lost and self._holders is not None:
             asked_at = self._clock.seconds()
             assert last is not None
-            if last.standby == self._state.settings.peer_address:
-                wait = 0.0
-            if await self._is_other_there(last, self._holders):
+            if await self._holders.is_alive(last.instance, self.service):
                 wait += holder_calls.BACK_SECONDS
             wait -= self._clock.seconds() - asked_at
         await task.deferLater(self._clock, max(0.0, wait))
 
-    async def _is_other_there(
-        self, last: leadership.LastHolder, holders: HolderCalls
-    ) -> bool:
-        """Tell whether one lives that has the texts under way."""
-        if await holders.is_alive(last.instance, self.service):
-            return True
-        if last.standby in ('', self._state.settings.peer_address):
-            return False
-        return await holders.is_there(last.standby, self.service)
-
     def _has_targets(self) -> bool:
         return bool(self._state.engines(self.service))
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/holder_calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/holder_calls.py
@@ -46,25 +46,15 @@
             peer = self._state.known_instances_by_id.get(holder)
         if peer is None:
             return False
-        cause = await self._ask(peer.peer_address, service)
-        if cause:
-            log.info('Last holder is lost.', holder=holder, cause=cause)
-        return not cause
-
-    async def is_there(self, address: str, service: ServiceName) -> bool:
-        """Tell whether a standby lives and wants the duty."""
-        return not await self._ask(address, service)
-
-    async def _ask(self, address: str, service: ServiceName) -> str:
-        """Return why there was no answer, empty if there was one."""
         query = urllib.parse.urlencode({'service': service})
         try:
-            await self._peers.call_at(
-                address, 'GET', f'{PATH}?{query}', ANSWER_SECONDS
+            await self._peers.call(
+                peer, 'GET', f'{PATH}?{query}', ANSWER_SECONDS
             )
         except peer_call.PeerFailed as error:
-            return str(error) or 'no answer'
-        return ''
+            log.info('Last holder is lost.', holder=holder, cause=str(error))
+            return False
+        return True
 
     async def handle(self, request: SmallRequest) -> Page:
         """Say whether this instance wants a duty back."""
