Read jobs after their texts again

One link carries the jobs and the copy, so nothing is won.

A further part of a copy has 1.5 s, since its keeper has answered already.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -124,8 +124,6 @@
         self._following: list[defer.Deferred[None]] = []
         # What the holder before had made of the items.
         self._handed = handed
-        self._has_texts = False
-        self._waiting_for_texts: list[defer.Deferred[None]] = []
         self._is_stopped = False
 
     def start(self) -> None:
@@ -135,23 +133,14 @@
         self._following.append(starting)
 
     async def _start(self) -> None:
+        # Before any job: an item that runs already is not looked up again.
+        self._board.leave(await self._handed)
         for work in (self._follower.follow(), *self._requests.following()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
             self._following.append(following)
-        # Before any job is begun: an item that runs is not looked up again.
-        self._board.leave(await self._handed)
-        self._has_texts = True
-        for waiting in self._waiting_for_texts:
-            waiting.callback(None)
         self._ticker.start(TICK_SECONDS).addErrback(self._crashed)
 
-    async def _wait_for_texts(self) -> None:
-        if not self._has_texts:
-            waiting: defer.Deferred[None] = defer.Deferred()
-            self._waiting_for_texts.append(waiting)
-            await waiting
-
     def stop(self) -> None:
         """Give up everything; another instance goes on from the store."""
         self._is_stopped = True
@@ -252,9 +241,6 @@
         await self._begin(job, await self._reader.listed(job))
 
     async def _begin(self, job: Job, known: list[ItemResult]) -> None:
-        await self._wait_for_texts()
-        if job.id not in self._works_by_job:
-            return
         found = listing.Listing(
             job.id,
             len(job.items),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
@@ -33,10 +33,9 @@
 FIRST_BYTES = 100_000
 FETCH_SECONDS = 0.3
 # Bytes of each further part, and seconds for it. Ways between regions take a
-# tenth of a second for each question, and a link of 60 Mbit/s as long for this
-# much.
+# tenth of a second for each question, and the link may carry other answers.
 PART_BYTES = 800_000
-PART_SECONDS = 0.8
+PART_SECONDS = 1.5
 # Parts of one copy at most.
 MAX_PARTS = 20
 
