--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
@@ -99,7 +99,8 @@
         found: list[FetchedTexts] = []
         if standby:
             copy = await fetching.pop(standby)
-            if copy.is_whole:
+            # A standby that has started again has no texts.
+            if copy.is_whole and copy.texts:
                 for each in fetching.values():
                     each.addErrback(lambda f: f.trap(defer.CancelledError))
                     each.cancel()
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -467,6 +467,19 @@
         newest = self.fetcher.newest(world.SERVICE, standby_address, read)
         self.assertEqual([text('a', 2), text('b', 2)], self.finish(newest))
 
+    def test_the_store_is_read_after_a_loss_of_all(self) -> None:
+        """A holder that was back took an empty copy for a whole one.
+
+        All processes are killed and start again: the standby that the last
+        holder's record names answers, and has nothing.
+        """
+
+        async def read() -> list[LeftText]:
+            return [text('a', 30)]
+
+        newest = self.fetcher.newest(world.SERVICE, 'b:2', read)
+        self.assertEqual([text('a', 30)], self.finish(newest))
+
     def test_nothing_is_waited_for_long(self) -> None:
         # Everybody lost power, or the peers are cut off.
         self.links.depots_by_address.clear()
