--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -9,7 +9,6 @@
 from twisted.internet import defer
 
 from yuccarill.core.gateway import partitions
-from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.gateway.duty import division
 from yuccarill.daemon.gateway.duty import duties
 from yuccarill.daemon.gateway.jobs import generation
@@ -24,6 +23,7 @@
     from yuccarill.core.jobs.left_text import LeftText
     from yuccarill.daemon.gateway.duty.holder_calls import HolderCalls
     from yuccarill.daemon.gateway.jobs.job_store import JobStore
+    from yuccarill.daemon.gateway.jobs.text_fetch import TextFetcher
     from yuccarill.daemon.gateway.jobs.texts import TextDepot
     from yuccarill.daemon.gateway.jobs.texts import TextSender
     from yuccarill.daemon.gateway.peer_call import PeerCalls
@@ -52,6 +52,7 @@
         engines: Engines,
         depot: TextDepot,
         text_sender: TextSender,
+        text_fetcher: TextFetcher,
         standbys: StandbyDesk,
         peers: PeerCalls,
         holders: HolderCalls,
@@ -67,6 +68,7 @@
         self._engines = engines
         self._depot = depot
         self._text_sender = text_sender
+        self._text_fetcher = text_fetcher
         self._standbys = standbys
         self._peers = peers
         self._holders = holders
@@ -148,7 +150,7 @@
             scoring.Scorer(self._state, self._sender, self._clock),
             self._engines,
             self._clock,
-            defer.Deferred.fromCoroutine(self._left_texts(service, kept)),
+            defer.Deferred.fromCoroutine(self._left_texts(duty, kept)),
         )
         self.runners_by_service[service] = started
         started.start()
@@ -163,6 +165,7 @@
             started.open_jobs,
             self._text_sender,
             self._peers,
+            duty.name_standby,
             self._clock,
         )
         self._copiers_by_service[service] = telling
@@ -178,18 +181,14 @@
             scaler.start()
 
     async def _left_texts(
-        self, service: ServiceName, kept: progress.ProgressStore
+        self, duty: duties.Duty, kept: progress.ProgressStore
     ) -> list[LeftText]:
-        found = self._depot.take(service)
+        found = self._depot.take(duty.service)
         if found:
             return found
-        fetched, stored = await defer.gatherResults(
-            [
-                defer.Deferred.fromCoroutine(self._text_sender.fetch(service)),
-                defer.Deferred.fromCoroutine(kept.read()),
-            ]
+        return await self._text_fetcher.newest(
+            duty.service, duty.last_standby, kept.read
         )
-        return text_copies.longest(fetched, stored)
 
     def _stop_runner(self, service: ServiceName) -> None:
         known = self.runners_by_service.pop(service, None)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -23,6 +23,7 @@
 from yuccarill.daemon.gateway.jobs import job_store
 from yuccarill.daemon.gateway.jobs import scoring
 from yuccarill.daemon.gateway.jobs import service_work
+from yuccarill.daemon.gateway.jobs import text_fetch
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway.jobs import trainers
 from yuccarill.daemon.gateway import meters
@@ -121,12 +122,15 @@
         self._holders = holder_calls.HolderCalls(self._state, peers)
         self._depot = texts.TextDepot(clock)
         text_sender = texts.TextSender(self._state, links, clock)
+        text_fetcher = text_fetch.TextFetcher(self._state, links, clock)
         self._standbys = desk.StandbyDesk(
             self._state,
             self._observer.least_age,
             self._depot,
             witness.Witnesses(self._state, peers, self._observer.least_age),
             self._standby_runner,
+            self._holders.is_alive,
+            self._way.expect_return,
             clock,
         )
         self._work = service_work.ServiceWork(
@@ -139,6 +143,7 @@
             engines.Engines(links),
             self._depot,
             text_sender,
+            text_fetcher,
             self._standbys,
             peers,
             self._holders,
@@ -239,12 +244,17 @@
         self._observer.on_start = self._quarantine.ends.started
         self._session.lease.on_return = self._observer.refresh
         self._way.on_lost = self._way_lost
-        self._holders.on_asked = lambda _: self._update()
+        self._holders.on_asked = self._asked
         for work in (*self._observer.following(), self._session.follow()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
             self._following.append(following)
 
+    def _asked(self, _: ServiceName) -> None:
+        # Whoever asks after a duty reaches the store.
+        self._way.expect_return()
+        self._update()
+
     def _standby_runner(self, service: ServiceName) -> runner.StandbyRunner:
         return runner.StandbyRunner(
             service,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -23,6 +23,7 @@
     from yuccarill.daemon.gateway.jobs.texts import TextSender
     from yuccarill.daemon.gateway.peer_call import PeerCalls
     from yuccarill.daemon.gateway.state import GatewayState
+    from yuccarill.daemon.gateway.state import InstanceRecord
 
 log = logs.for_part('standby')
 
@@ -30,6 +31,9 @@
 TELL_SECONDS = 0.5
 # Seconds that one may take.
 ANSWER_SECONDS = 0.8
+# Messages taken in a row by which a standby has the jobs and their texts. Who
+# it is changes with each instance that starts, and each change is a write.
+SETTLED_MESSAGES = 4
 # Items of a job that goes whole to the standby. 1,024 of some 1 kB are a
 # megabyte, 0.15 s of a link of 60 Mbit/s; a larger one would hold up what
 # else the link carries, and waits for the store as it did before.
@@ -46,15 +50,20 @@
         open_jobs: Callable[[], Iterable[tuple[Job, frozenset[ItemId]]]],
         sender: TextSender,
         peers: PeerCalls,
+        on_settled: Callable[[str], None],
         clock: Any,
     ) -> None:
         self._service = service
         self._state = state
+        # Called with the peer port of a standby that goes on answering.
+        self._on_settled = on_settled
         # Each open job, and its items that have ended.
         self._open_jobs = open_jobs
         self._sender = sender
         self._peers = peers
-        self._standby = ''
+        self._standby: InstanceRecord | None = None
+        # Messages that it took, one after the other.
+        self._taken = 0
         # What the standby has, by its answers.
         self._ended_by_job: dict[JobId, frozenset[ItemId]] = {}
         self._telling: defer.Deferred[None] | None = None
@@ -84,9 +93,15 @@
         if not receivers:
             return
         peer = receivers[0]
-        if peer.instance != self._standby:
-            self._standby = peer.instance
+        if self._standby is None or peer.instance != self._standby.instance:
+            former, self._standby = self._standby, peer
+            self._taken = 0
             self._ended_by_job.clear()
+            if former is not None:
+                dismissing = defer.Deferred.fromCoroutine(
+                    self._dismiss(former)
+                )
+                dismissing.addErrback(self._failed)
         ended_by_job = {
             job.id: (job, ended)
             for job, ended in self._open_jobs()
@@ -95,6 +110,7 @@
         message = messages.OpenJobs(
             service=self._service,
             holder=self._state.settings.instance,
+            incarnation=self._state.incarnation,
             jobs=tuple(
                 self._open_job(job, ended)
                 for job, ended in ended_by_job.values()
@@ -112,13 +128,39 @@
         except peer_call.PeerFailed as error:
             # It may have some of it: all is sent as a whole again.
             self._ended_by_job.clear()
-            log.info('Jobs not copied.', peer=self._standby, cause=str(error))
+            self._taken = 0
+            log.info('Jobs not copied.', peer=peer.instance, cause=str(error))
             return
         self._ended_by_job = {
             job_id: ended
             for job_id, (_, ended) in ended_by_job.items()
             if job_id not in answer.jobs
         }
+        self._taken += 1
+        if self._taken >= SETTLED_MESSAGES:
+            self._on_settled(peer.peer_address)
+
+    async def _dismiss(self, peer: InstanceRecord) -> None:
+        """Let a former standby know that it has no jobs to go on with."""
+        message = messages.OpenJobs(
+            service=self._service,
+            holder=self._state.settings.instance,
+            jobs=(),
+            incarnation=self._state.incarnation,
+        )
+        try:
+            await self._peers.ask(
+                peer,
+                'POST',
+                messages.PATH,
+                ANSWER_SECONDS,
+                messages.Lacking,
+                message,
+            )
+        except peer_call.PeerFailed as error:
+            log.info(
+                'Standby not dismissed.', peer=peer.instance, cause=str(error)
+            )
 
     def _open_job(
         self, job: Job, ended: frozenset[ItemId]
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
@@ -19,7 +19,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
+    from yuccarill.core.ids import Incarnation
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
@@ -35,6 +37,9 @@
 
 # Seconds between looks at holders, and at a standby's own runs.
 TICK_SECONDS = 0.1
+# Seconds between calls by which a standby that runs finds the store again: the
+# next holder waits for its texts.
+PROBE_SECONDS = 0.3
 # Seconds between looks at whether the store is there, while a holder is
 # silent. They cost no call of it: what was last heard of it tells.
 LOOK_SECONDS = 0.3
@@ -45,6 +50,7 @@
     """Hold what is known of one service's holder."""
 
     holder: InstanceId
+    incarnation: Incarnation
     jobs_by_id: dict[JobId, Job] = dataclasses.field(default_factory=dict)
     ended_by_job: dict[JobId, set[ItemId]] = dataclasses.field(
         default_factory=dict
@@ -53,6 +59,9 @@
     look_at: Instant = Instant(0.0)
     is_looking: bool = False
     runner: StandbyRunner | None = None
+    # The holder's instance was told that the store is back.
+    is_told: bool = False
+    probe_at: Instant = Instant(0.0)
 
 
 class StandbyDesk:
@@ -65,6 +74,10 @@
         depot: TextDepot,
         witnesses: Witnesses,
         make_runner: Callable[[ServiceName], StandbyRunner],
+        tell_return: Callable[
+            [InstanceId, ServiceName], Coroutine[Any, Any, bool]
+        ],
+        expect_return: Callable[[], None],
         clock: Any,
     ) -> None:
         self._state = state
@@ -72,6 +85,10 @@
         self._depot = depot
         self._witnesses = witnesses
         self._make_runner = make_runner
+        # Tells a holder that may have started again to look for its duty.
+        self._tell_return = tell_return
+        # Tries at once whether a lost store is back.
+        self._expect_return = expect_return
         self._clock = clock
         self._services_by_name: dict[ServiceName, _Service] = {}
         self._ticker = task.LoopingCall(self._tick)
@@ -106,9 +123,9 @@
 
     def _take(self, message: messages.OpenJobs) -> tuple[JobId, ...]:
         known = self._services_by_name.get(message.service)
-        if known is None or known.holder != message.holder:
+        if known is None or known.incarnation != message.incarnation:
             self.stop(message.service)
-            known = _Service(message.holder)
+            known = _Service(message.holder, message.incarnation)
             self._services_by_name[message.service] = known
         known.watch.heard(self._now())
         if known.runner is not None:
@@ -125,6 +142,7 @@
             jobs_by_id[each.id] = job
             before = set() if each.job else known.ended_by_job[each.id]
             ended_by_job[each.id] = before | set(each.ended)
+            self._depot.drop(message.service, each.ended)
         known.jobs_by_id, known.ended_by_job = jobs_by_id, ended_by_job
         return tuple(lacking)
 
@@ -156,6 +174,8 @@
             if self._is_taken(service, known):
                 self.stop(service)
                 continue
+            if known.runner is not None:
+                self._note_return(service, known)
             if now >= known.look_at and not known.is_looking:
                 self._look(known)
             if known.watch.may_run(now):
@@ -174,6 +194,7 @@
             return
         if self._state.is_leaving or not known.jobs_by_id:
             return
+        known.is_told = False
         known.runner = self._make_runner(service)
         texts = self._depot.kept(service)
         log.warning(
@@ -191,6 +212,26 @@
             texts,
         )
 
+    def _note_return(self, service: ServiceName, known: _Service) -> None:
+        """Let the holder's instance know that the store is back.
+
+        One that has started again knows no other instance, and looks for the
+        store by itself, ever more seldom.
+        """
+        if known.is_told:
+            return
+        if self._store_age() >= witness.STORE_AGE:
+            if self._now() >= known.probe_at:
+                known.probe_at = Instant(self._now() + PROBE_SECONDS)
+                self._expect_return()
+            return
+        known.is_told = True
+        known.watch.looked(True, self._now())
+        telling = defer.Deferred.fromCoroutine(
+            self._tell_return(known.holder, service)
+        )
+        telling.addErrback(self._failed)
+
     def _look(self, known: _Service) -> None:
         known.is_looking = True
         looking = defer.Deferred.fromCoroutine(self._find_out(known))
@@ -200,7 +241,7 @@
     async def _find_out(self, known: _Service) -> None:
         if self._store_age() < witness.STORE_AGE:
             known.watch.looked(True, self._now())
-        elif await self._witnesses.are_lost(known.holder):
+        elif await self._witnesses.are_lost(known.holder, known.incarnation):
             known.watch.looked(False, self._now())
 
     def _looked(self, _: object, known: _Service) -> None:
--- a/packages/yuccarill-daemon/tests/gateway/test_standby.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_standby.py
@@ -16,6 +16,7 @@
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import standby as standby_copy
+from yuccarill.daemon.gateway.jobs import text_fetch
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon.gateway.quarantine import guard
@@ -69,6 +70,8 @@
                 runner_world.Scorer(),
                 found.clock,
             ),
+            found.tell_return,
+            lambda: found.probes.append(name),
             found.clock,
         )
         self.desk.start()
@@ -89,6 +92,12 @@
             engine.gap = SLOW
         # Instances that answer nobody.
         self.lost: set[str] = set()
+        # Standbys that the holder would name in the store.
+        self.named: list[str] = []
+        # Holders that were told of the store's return.
+        self.told: list[str] = []
+        # Instances that looked whether the store is back.
+        self.probes: list[str] = []
         self.peers_by_name = {name: Peer(self, name) for name in NAMES}
         self.running = self.hold(HOLDER)
         holder = self.peers_by_name[HOLDER]
@@ -104,6 +113,7 @@
             self.running.open_jobs,
             sender,
             holder.peers,
+            self.named.append,
             self.clock,
         )
         self.copying.start()
@@ -118,6 +128,10 @@
         self.telling.stop()
         self.running.stop()
 
+    async def tell_return(self, holder: str, service: str) -> bool:
+        self.told.append(holder)
+        return True
+
     def silence_store(self, is_silent: bool = True) -> None:
         self.memory.is_silent = is_silent
         for peer in self.peers_by_name.values():
@@ -186,13 +200,68 @@
         )
         state.known_instances_by_id = state.instances_by_id
         state.instances_by_id = {}
-        sender = texts.TextSender(
+        fetcher = text_fetch.TextFetcher(
             state, Links(self, str(state.settings.instance)), self.clock
         )
-        found = self.finish(sender.fetch(world.SERVICE))
-        self.assertEqual(4, len(found))
+        found = self.finish(fetcher.fetch(world.SERVICE))
+        self.assertEqual(4, len(found.texts))
         self.assert_nothing_runs()
 
+    def test_a_new_instance_finds_the_standby(self) -> None:
+        """A machine that replaced the holder began 246 texts anew.
+
+        1. The holder's machine is lost while the store is away and lets all
+           leases run out; its replacement starts meanwhile.
+        2. The store is back, and the replacement takes the duty before any
+           other instance is listed: it has never known one.
+        3. The last holder's record names the standby, which gives its texts.
+        """
+        self.submit()
+        self.run_for(3.0)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(3.0)
+        self.peers_by_name['new'] = Peer(self, 'new')
+        state = self.peers_by_name['new'].state
+        state.instances_by_id = {}
+        fetcher = text_fetch.TextFetcher(state, Links(self, 'new'), self.clock)
+        found = self.finish(fetcher.fetch(world.SERVICE, self.named[-1]))
+        self.assertEqual(4, len(found.texts))
+        self.assertTrue(found.is_whole)
+        self.assert_nothing_runs()
+
+    def test_a_standby_is_named_once_it_goes_on_answering(self) -> None:
+        self.submit()
+        self.run_for(1.2)
+        self.assertEqual([], self.named)
+        self.run_for(1.5)
+        name = self.standby.state.settings.instance
+        self.assertEqual({f'{name}:2'}, set(self.named))
+
+    def test_a_former_standby_goes_on_with_nothing(self) -> None:
+        """Two instances ran a lost holder's texts, one of them old ones.
+
+        1. An instance joins that is more suitable than the standby.
+        2. The holder is lost in the moment in which the store falls silent.
+        """
+        listed = self.peers_by_name[HOLDER].state.instances_by_id
+        name = self.standby.state.settings.instance
+        record = listed.pop(name)
+        self.submit()
+        self.run_for(1.2)
+        listed[name] = record
+        self.run_for(1.2)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(3.0)
+        running = [
+            peer.state.settings.instance
+            for peer in self.peers_by_name.values()
+            for known in peer.desk._services_by_name.values()
+            if known.runner is not None
+        ]
+        self.assertEqual([name], running)
+
     def test_items_that_were_not_begun_are_begun(self) -> None:
         self.submit(groups=8)
         self.run_for(1.2)
@@ -216,6 +285,17 @@
         self.run_for(6.0)
         self.assertEqual(runs, len(self.engines.runs))
 
+    def test_texts_of_listed_items_are_kept_no_longer(self) -> None:
+        """A copy of 500 texts was too large to fetch, half of them listed."""
+        for engine in self.engines.engines_by_id.values():
+            engine.gap = 0.1
+        self.submit()
+        self.run_for(1.2)
+        self.assertEqual(4, len(self.standby.depot.kept(world.SERVICE)))
+        self.run_for(5.0)
+        self.assertEqual(4, len(self.results()))
+        self.assertEqual([], self.standby.depot.kept(world.SERVICE))
+
     def test_an_ended_job_is_not_gone_on_with(self) -> None:
         self.submit()
         self.run_for(1.2)
@@ -270,6 +350,56 @@
         self.run_for(3.0)
         self.assertEqual(runs, self.runs_begun())
 
+    def test_a_holder_that_started_again_is_lost(self) -> None:
+        """Nothing was generated for 6.7 s: the holder's port was answered.
+
+        1. The holder's process is killed with texts under way, in the moment
+           in which the store falls silent.
+        2. Half a second later it is there again, without its texts and
+           without a way to the store, and answers whoever asks.
+        3. Its standby goes on with the copies.
+        """
+        self.submit()
+        self.run_for(1.2)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(0.5)
+        self.peers_by_name[HOLDER] = Peer(self, HOLDER)
+        self.lost.clear()
+        runs = self.runs_begun()
+        self.run_for(3.0)
+        self.assertGreater(self.runs_begun(), runs)
+
+    def test_a_holder_that_started_again_is_told_of_the_return(self) -> None:
+        """It looked for the store 1.1 s after the others were back at it."""
+        self.submit()
+        self.run_for(1.2)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(4.0)
+        self.assertEqual([], self.told)
+        self.silence_store(False)
+        self.run_for(0.2)
+        self.assertEqual([HOLDER], self.told)
+
+    def test_a_standby_that_runs_looks_for_the_store(self) -> None:
+        """It found the store 1.0 s after its return, by its own pauses."""
+        self.submit()
+        self.run_for(1.2)
+        self.assertEqual([], self.probes)
+        self.lose_holder()
+        self.silence_store()
+        self.run_for(3.0)
+        self.probes.clear()
+        self.run_for(3.0)
+        name = str(self.standby.state.settings.instance)
+        self.assertEqual({name}, set(self.probes))
+        self.assertIn(len(self.probes), (7, 8, 9, 10))
+        self.silence_store(False)
+        self.probes.clear()
+        self.run_for(2.0)
+        self.assertEqual([], self.probes)
+
     def test_a_store_that_others_reach_is_not_away(self) -> None:
         self.submit()
         self.run_for(1.2)
