Account for what connections hold, and pace answers by their readers

A client that reads slowly had its whole answer held in memory, and a body that came slowly was held as long as its client liked. Where the settings name the machine's memory, each connection now accounts for what it holds; a stream waits at its target while its client reads too slowly, its silence is not taken for the target's, a cut by the target is resumed where the route allows, bodies have to go on, and over a bound the least harmful request goes first. A long body is refused by its key before it is in.

--- a/packages/yuccarill-core/src/yuccarill/core/errors.py
+++ b/packages/yuccarill-core/src/yuccarill/core/errors.py
@@ -18,6 +18,7 @@
     UNKNOWN_CODE = 1006
     UNKNOWN_PATH = 1007
     WRONG_METHOD = 1008
+    BODY_TOO_SLOW = 1009
     TICKET_INVALID = 1101
     TICKET_EXPIRED = 1102
     KEY_MISSING = 1103
@@ -78,6 +79,13 @@
     http_status = 413
 
 
+class BodyTooSlow(RequestError):
+    """Refuse a body that does not go on."""
+
+    code = ResultCode.BODY_TOO_SLOW
+    http_status = 408
+
+
 class UnknownService(RequestError):
     """Refuse a call of a service or model that is not described."""
 
--- a/packages/yuccarill-core/src/yuccarill/core/explanations.py
+++ b/packages/yuccarill-core/src/yuccarill/core/explanations.py
@@ -14,6 +14,7 @@
     ResultCode.OK: 'Nothing.',
     ResultCode.BAD_REQUEST: 'Correct what the message names, then ask again.',
     ResultCode.BODY_TOO_LONG: 'Send less, in several requests.',
+    ResultCode.BODY_TOO_SLOW: 'Send it again, over a faster connection.',
     ResultCode.UNKNOWN_SERVICE: (
         'Correct the name, or add it to the inventory and apply that.'
     ),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -9,6 +9,7 @@
 
 import socket
 from typing import Any
+from typing import Protocol
 
 import h11
 import msgspec
@@ -97,6 +98,9 @@
     def body(self) -> bytes:
         return b''.join(self._parts)
 
+    def attach(self, reading: Reading) -> None:
+        """Take what can pause the answer."""
+
     def begin(self, head: ReplyHead) -> None:
         """Take the head.
 
@@ -109,6 +113,14 @@
         self._parts.append(data)
 
 
+class Reading(Protocol):
+    """Let an answer wait at its server."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
 class Connection(protocol.Protocol):
     """Carry one exchange after the other."""
 
@@ -124,6 +136,7 @@
         self._progress: Any = None
         self._is_open = False
         self._is_clean = True
+        self._is_paused = False
         self._usable_until = Instant(0.0)
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -163,8 +176,28 @@
             return finished
         self.transport.write(data)
         self._watch_progress()
+        sink.attach(self)
         return finished
 
+    def pause(self) -> None:
+        """Read no more of the answer until its taker goes on."""
+        if self._finished is None or self._is_paused:
+            return
+        self._is_paused = True
+        # Nothing is heard while nothing is read; the server is not silent.
+        self._stop_progress()
+        self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if not self._is_paused:
+            return
+        self._is_paused = False
+        if self._is_open:
+            self.transport.resumeProducing()
+        if self._finished is not None:
+            self._watch_progress()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self._finished is None:
             # Bytes that no request asked for: the server's late extra
@@ -270,9 +303,8 @@
     def _finish(self, error: Exception | None) -> None:
         finished, self._finished = self._finished, None
         self._sink = None
-        if self._progress is not None and self._progress.active():
-            self._progress.cancel()
-        self._progress = None
+        self._stop_progress()
+        self.resume()
         if finished is None or finished.called:
             return
         if error is None:
@@ -285,8 +317,13 @@
         self._finish(None)
         self.close()
 
+    def _stop_progress(self) -> None:
+        progress, self._progress = self._progress, None
+        if progress is not None and progress.active():
+            progress.cancel()
+
     def _watch_progress(self) -> None:
-        if self._progress_seconds is None:
+        if self._progress_seconds is None or self._is_paused:
             return
         if self._progress is not None and self._progress.active():
             self._progress.reset(self._progress_seconds)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/flow/__init__.py
@@ -0,0 +1,1 @@
+"""Carry out what is decided of bytes that are held."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -78,6 +78,22 @@
     'Contents of requests that are refused now',
     registry=REGISTRY,
 )
+HELD_BYTES = prometheus_client.Gauge(
+    'yuccarill_held_bytes',
+    'Bytes held for clients that send or read slowly',
+    registry=REGISTRY,
+)
+PAUSED_ANSWERS = prometheus_client.Gauge(
+    'yuccarill_paused_answers',
+    'Answers that wait at their targets for their clients',
+    registry=REGISTRY,
+)
+DROPPED = prometheus_client.Counter(
+    'yuccarill_dropped',
+    'Requests given up over a bound of memory, by stage and bound',
+    ('stage', 'bound'),
+    registry=REGISTRY,
+)
 CONNECTIONS = prometheus_client.Counter(
     'yuccarill_connections',
     'Connections opened',
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -18,6 +18,7 @@
 from yuccarill.daemon.gateway.duty import departure
 from yuccarill.daemon.gateway.duty import holder_calls
 from yuccarill.daemon.gateway.duty import session
+from yuccarill.daemon.gateway.flow import desk as flow_desk
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import intake
 from yuccarill.daemon.gateway.jobs import job_store
@@ -194,7 +195,12 @@
             clock,
             () if self._usage is None else (self._usage.duty,),
         )
-        self._clients = server.ClientFactory(self._front, clock, self._now)
+        self._clients = server.ClientFactory(
+            self._front,
+            flow_desk.for_memory(settings.memory),
+            clock,
+            self._now,
+        )
         self._following: list[defer.Deferred[None]] = []
         self._client_port: Any = None
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -75,6 +75,18 @@
         self._usage = usage
         self._clock = clock
 
+    def judge(self, request: ClientRequest) -> None:
+        """Refuse a request by its head where that needs no waiting.
+
+        Raises KeyMissing or KeyUnknown.
+        """
+        table = self._state.table
+        if table is None:
+            return
+        route = table.find(request.host, request.path)
+        if route is not None:
+            self._admission.judge(route, request)
+
     async def forward(
         self, request: ClientRequest, answerer: Answerer
     ) -> None:
@@ -83,6 +95,7 @@
         Raises YuccarillError for what is refused or failed.
         """
         request = await self._admission.admit(self._find(request), request)
+        answerer.admitted(request.account)
         # A newer version may have come while its key was looked up.
         route = self._find(request)
         outcome = 'cancelled'
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -87,6 +87,13 @@
             validity=validity,
         )
 
+    def judge(self, request: ClientRequest) -> None:
+        """Refuse a request by its head where that needs no waiting.
+
+        Raises KeyMissing or KeyUnknown.
+        """
+        self._forwarder.judge(request)
+
     async def forward(
         self, request: ClientRequest, answerer: Answerer
     ) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -5,6 +5,8 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from twisted.internet import defer
+
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
@@ -15,6 +17,7 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.forwarding import UsageSink
@@ -58,16 +61,21 @@
         if service is None:
             raise errors.NoTarget('The route has no service.', 1.0)
         run = _StreamRun(request, answerer, self._clock)
+        answerer.feed_from(run, route.is_resumable)
         tries = self._sender.tries(service, run.call(), route.max_attempts)
         try:
-            return await self._attempts(run, tries, route.is_resumable)
+            return await self._attempts(run, tries, route, service)
         except errors.RequestQuarantined as error:
             return run.refuse(error)
         finally:
             self._usage.began(request.account, run.began_at)
 
     async def _attempts(
-        self, run: _StreamRun, tries: TargetTries, is_resumable: bool
+        self,
+        run: _StreamRun,
+        tries: TargetTries,
+        route: Route,
+        service: ServiceName,
     ) -> str:
         deadline = Instant(self._clock.seconds() + STREAM_SECONDS)
         cause = 'no target is ready'
@@ -78,14 +86,23 @@
                 )
             except calls_module.CallFailed as error:
                 cause = str(error)
+                run.detach()
                 if error.end is calls_module.CallEnd.NOT_SENT:
                     tries.not_reached(target)
                     continue
                 run.may_have_run = True
                 run.note_begin()
-                if not is_resumable:
+                if not route.is_resumable:
                     break
+                if run.was_paused:
+                    # The target cut what stayed unread; it did not fail, and
+                    # a client that reads again has all its attempts.
+                    await run.until_read()
+                    tries = self._sender.tries(
+                        service, run.call(), route.max_attempts
+                    )
                 continue
+            run.detach()
             if answer.not_run:
                 cause = f'refused with status {answer.status}'
                 continue
@@ -107,6 +124,11 @@
         self._has_begun = False
         # An attempt broke off after it was sent.
         self.may_have_run = False
+        # The client read slowly since the present attempt began.
+        self.was_paused = False
+        self._is_paused = False
+        self._reading: http_exchange.Reading | None = None
+        self._reads_again: defer.Deferred[None] | None = None
         self._last = request.after_event
 
     def call(self) -> calls_module.TargetCall:
@@ -121,6 +143,37 @@
             account=self._request.account,
         )
 
+    def attach(self, reading: http_exchange.Reading) -> None:
+        self._reading = reading
+        self.was_paused = self._is_paused
+        if self._is_paused:
+            reading.pause()
+
+    def detach(self) -> None:
+        """Note that an attempt ended; its connection may serve another."""
+        self._reading = None
+
+    def pause(self) -> None:
+        """Let the target wait for the client."""
+        self._is_paused = self.was_paused = True
+        if self._reading is not None:
+            self._reading.pause()
+
+    def resume(self) -> None:
+        """Go on for a client that has read everything."""
+        self._is_paused = False
+        if self._reading is not None:
+            self._reading.resume()
+        waiting, self._reads_again = self._reads_again, None
+        if waiting is not None:
+            waiting.callback(None)
+
+    async def until_read(self) -> None:
+        """Wait until the client has read what it was sent."""
+        if self._is_paused:
+            self._reads_again = defer.Deferred()
+            await self._reads_again
+
     def note_begin(self) -> None:
         """Note that the request runs, or may have run."""
         if self.began_at is None:
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -37,6 +37,9 @@
     is_aborted: bool = False
     answer_status: int | None = None
 
+    def feed_from(self, source: object, is_resumable: bool) -> None:
+        pass
+
     def begin(self, answer: TargetAnswer) -> None:
         self.has_begun = True
 
