Load less in the gateway's process

Tried and dropped: -X no_debug_ranges (0.2 MB) and typing in place of typing_extensions (Twisted wants defaults of type variables).

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -4,7 +4,6 @@
 
 import collections
 import math
-import statistics
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -179,7 +178,7 @@
             for engine in self.engines_by_id.values()
             if (pace := engine.known_pace(now)) is not None
         ]
-        return statistics.median_low(paces) if paces else None
+        return sorted(paces)[(len(paces) - 1) // 2] if paces else None
 
     def is_silent(self, last_at: Instant, now: Instant) -> bool:
         """Tell whether a run has made no event for too long."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import getopt
+import os
 import pathlib
 import signal
 import sys
 from typing import Any
 
-import click
+import msgspec
 from twisted.internet import defer
 from twisted.internet import reactor
 
@@ -21,37 +23,32 @@
 EXIT_FAILED = 1
 EXIT_SETTINGS_INVALID = 2
 STDOUT = 1
+LOG_LEVEL_VARIABLE = 'YUCCARILL_LOG_LEVEL'
+USAGE = """options:
+  --settings-file FILE  the settings file that the platform writes
+  --log-level LEVEL     the lowest level of log lines that are written
+  --check-settings      check the settings and end
+"""
 
 
-@click.command()
-@click.option(
-    '--settings-file',
-    'given_file',
-    type=click.Path(path_type=pathlib.Path),
-    default=None,
-    help='The settings file that the platform writes.',
-)
-@click.option(
-    '--log-level',
-    type=click.Choice([level.value for level in LogLevel]),
-    default=LogLevel.INFO.value,
-    show_default=True,
-    envvar='YUCCARILL_LOG_LEVEL',
-    help='The lowest level of log lines that are written.',
-)
-@click.option(
-    '--check-settings', is_flag=True, help='Check the settings and end.'
-)
-def main(
-    given_file: pathlib.Path | None, log_level: str, check_settings: bool
-) -> None:
+class Options(msgspec.Struct, kw_only=True):
+    """Hold what the command line says."""
+
+    settings_file: pathlib.Path
+    log_level: LogLevel
+    is_check: bool = False
+
+
+def main() -> None:
     """Run one instance of yuccarill on the users' platform."""
-    path, settings = _read(given_file)
-    if check_settings:
-        click.echo('The settings are valid.')
+    options = _options(sys.argv[1:])
+    path = options.settings_file
+    settings = _read(path)
+    if options.is_check:
+        sys.stdout.write('The settings are valid.\n')
         return
     sink = log_sink.LogSink(STDOUT, reactor)
-    logs.configure_stream(sink, LogLevel(log_level))
+    logs.configure_stream(sink, options.log_level)
     process = process_module.GatewayProcess(settings, path)
     exit_code = 0
     is_stopping = False
@@ -89,12 +86,34 @@
     sys.exit(exit_code)
 
 
-def _read(
-    given: pathlib.Path | None,
-) -> tuple[pathlib.Path, settings_file.InstanceSettings]:
-    path = given or settings_file.path_from_environment()
+def _options(words: list[str]) -> Options:
+    # The larger parsers of command lines stay in memory for good.
+    try:
+        given, rest = getopt.getopt(
+            words, '', ['settings-file=', 'log-level=', 'check-settings']
+        )
+        values = dict(given)
+        if rest:
+            raise getopt.GetoptError(f'{rest[0]}: no such argument')
+        level = values.get('--log-level') or os.environ.get(
+            LOG_LEVEL_VARIABLE, LogLevel.INFO.value
+        )
+        file = values.get('--settings-file')
+        return Options(
+            settings_file=pathlib.Path(file)
+            if file
+            else settings_file.path_from_environment(),
+            log_level=LogLevel(level),
+            is_check='--check-settings' in values,
+        )
+    except (getopt.GetoptError, ValueError) as error:
+        sys.stderr.write(f'{error}\n{USAGE}')
+        sys.exit(EXIT_SETTINGS_INVALID)
+
+
+def _read(path: pathlib.Path) -> settings_file.InstanceSettings:
     try:
-        return path, settings_file.read(path)
+        return settings_file.read(path)
     except errors.SettingsInvalid as error:
-        click.echo(error.message, err=True)
+        sys.stderr.write(f'{error.message}\n')
         sys.exit(EXIT_SETTINGS_INVALID)
