--- /dev/null
+++ b/packages/yuccarill-core/tests/flow/test_body_deadline.py
@@ -0,0 +1,37 @@
+"""Test how long a body may take."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.flow import body_deadline
+from yuccarill.core.ids import Instant
+
+STEP = body_deadline.PROGRESS_SECONDS / 2
+# Seconds before the end of each half at which bytes come.
+EARLY = 0.5
+
+
+class BodyDeadlineTest(unittest.TestCase):
+    # Bytes that come in each half of the time, and when the body is given up.
+    @params(
+        ([], 2 * STEP),
+        # One byte at a time would hold a connection for good.
+        ([1] * 50, 2 * STEP),
+        ([2500] * 3, 2 * STEP - EARLY + 2 * STEP),
+        ([4096] * 3, 3 * STEP - EARLY + 2 * STEP),
+        # One that goes on is bounded all the same.
+        ([4096] * 50, body_deadline.BODY_SECONDS),
+    )
+    def test_ends(self, parts: list[int], expected: float) -> None:
+        deadline = body_deadline.begin(Instant(0.0))
+        received = 0
+        for number, count in enumerate(parts, 1):
+            now = Instant(number * STEP - EARLY)
+            if now >= deadline.due_at:
+                break
+            received += count
+            deadline.receive(received, now)
+        self.assertEqual(expected, deadline.due_at)
--- /dev/null
+++ b/packages/yuccarill-core/tests/flow/test_budget.py
@@ -0,0 +1,152 @@
+"""Test who is paused and who goes first over a bound of memory."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.flow import budget
+from yuccarill.core.flow.budget import Holding
+from yuccarill.core.flow.budget import Pressure
+from yuccarill.core.flow.budget import Stage
+from yuccarill.core.ids import AccountName
+
+BOUNDS = budget.MemoryBounds(
+    request=10, connection=40, account=100, process=200
+)
+ANSWER = Holding.ANSWER
+BODY = Holding.REQUEST_BODY
+ARRIVING = Stage.ARRIVING
+SERVED = Stage.SERVED
+ANSWERED = Stage.ANSWERED
+RESUMABLE = Stage.RESUMABLE
+
+
+def holder(number: int, stage: Stage, account: str = '') -> budget.Holder:
+    return budget.Holder(
+        id=budget.HolderId(number),
+        account=AccountName(account) if account else None,
+        stage=stage,
+    )
+
+
+class BudgetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.budget = budget.MemoryBudget(BOUNDS)
+
+    def hold(self, *rows: tuple[Stage, Holding, int, str]) -> Pressure:
+        """Let one holder a row hold something; returns the last's pressure."""
+        found = Pressure.NONE
+        for number, (stage, holding, count, account) in enumerate(rows):
+            each = holder(number, stage, account)
+            found = self.budget.hold(each, holding, count)
+        return found
+
+    def dropped(self) -> list[int]:
+        return [int(drop.holder) for drop in self.budget.drops()]
+
+    # The last row is that of the holder whose pressure is asked.
+    @params(
+        ([(RESUMABLE, ANSWER, 10, '')], Pressure.NONE),
+        ([(RESUMABLE, ANSWER, 11, '')], Pressure.PAUSE),
+        # What can't be resumed is taken in ahead: its target cuts it else.
+        ([(ANSWERED, ANSWER, 40, '')], Pressure.NONE),
+        ([(ANSWERED, ANSWER, 41, '')], Pressure.PAUSE),
+        # A body that waited for room might wait for good.
+        ([(ARRIVING, BODY, 150, '')], Pressure.NONE),
+        ([(SERVED, BODY, 99, ''), (RESUMABLE, ANSWER, 1, '')], Pressure.NONE),
+        (
+            [(SERVED, BODY, 100, ''), (RESUMABLE, ANSWER, 1, '')],
+            Pressure.PAUSE,
+        ),
+        (
+            [(SERVED, BODY, 50, 'a'), (RESUMABLE, ANSWER, 1, 'a')],
+            Pressure.PAUSE,
+        ),
+        (
+            [(SERVED, BODY, 50, 'a'), (RESUMABLE, ANSWER, 1, 'b')],
+            Pressure.NONE,
+        ),
+        ([(SERVED, BODY, 100, 'a'), (ARRIVING, BODY, 1, 'a')], Pressure.DROP),
+        ([(SERVED, BODY, 200, ''), (ARRIVING, BODY, 1, '')], Pressure.DROP),
+    )
+    def test_pressure(self, rows: list, expected: Pressure) -> None:
+        self.assertIs(expected, self.hold(*rows))
+
+    @params(
+        ([(RESUMABLE, ANSWER, 200, '')], []),
+        # A stream that its client can resume goes before a body that comes,
+        # and that before an answer that would be lost.
+        (
+            [
+                (ANSWERED, ANSWER, 90, ''),
+                (ARRIVING, BODY, 90, ''),
+                (RESUMABLE, ANSWER, 25, ''),
+            ],
+            [2],
+        ),
+        ([(ANSWERED, ANSWER, 190, ''), (ARRIVING, BODY, 20, '')], [1]),
+        # Among equals, who holds most.
+        (
+            [
+                (RESUMABLE, ANSWER, 60, ''),
+                (RESUMABLE, ANSWER, 80, ''),
+                (RESUMABLE, ANSWER, 70, ''),
+            ],
+            [1],
+        ),
+        # As many as it takes.
+        (
+            [
+                (SERVED, BODY, 190, ''),
+                (RESUMABLE, ANSWER, 20, ''),
+                (ARRIVING, BODY, 30, ''),
+                (ANSWERED, ANSWER, 40, ''),
+            ],
+            [1, 2, 3],
+        ),
+        # What is served ends by its own deadline.
+        ([(SERVED, BODY, 300, '')], []),
+    )
+    def test_who_goes_over_the_bound_of_the_process(
+        self, rows: list, expected: list[int]
+    ) -> None:
+        self.hold(*rows)
+        self.assertEqual(expected, self.dropped())
+
+    def test_one_account_over_its_bound_costs_no_other_one(self) -> None:
+        """Guard against one account's slow readers ending another's."""
+        self.hold(
+            (RESUMABLE, ANSWER, 80, 'b'),
+            (ANSWERED, ANSWER, 60, 'a'),
+            (ANSWERED, ANSWER, 50, 'a'),
+        )
+        self.assertEqual([1], self.dropped())
+        self.assertIs(budget.Scope.ACCOUNT, self.budget.drops()[0].scope)
+
+    def test_what_is_given_back_is_not_held(self) -> None:
+        """Guard against bytes that stay in the account of who has ended."""
+        first = holder(1, ANSWERED, 'a')
+        self.budget.hold(first, ANSWER, 70)
+        self.budget.hold(first, BODY, 20)
+        self.budget.own(first, AccountName('b'))
+        self.budget.hold(first, BODY, 0)
+        self.assertEqual(70, self.budget.held)
+        self.budget.release(first)
+        self.assertEqual(0, self.budget.held)
+        again = holder(2, ARRIVING, 'b')
+        self.assertIs(Pressure.NONE, self.budget.hold(again, BODY, 100))
+
+    @params(160e6, 300e6, 552e6)
+    def test_a_body_of_the_longest_kind_fits_twice_beside_the_program(
+        self, memory: float
+    ) -> None:
+        found = budget.bounds(int(memory))
+        self.assertGreater(found.process, 32 << 20)
+        self.assertLessEqual(budget.BASE_BYTES + 2 * found.process, memory)
+        self.assertLess(found.request, found.connection)
+        self.assertLess(found.connection, found.account)
+
+    def test_a_very_small_machine_has_bounds_all_the_same(self) -> None:
+        self.assertEqual(budget.MIN_PROCESS_BYTES, budget.bounds(1).process)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
@@ -34,7 +34,6 @@
 # read within some milliseconds, and between looks at it.
 CONFIGURATION_SECONDS = 1.0
 WAIT_STEP = 0.05
-_UNKNOWN = 'No client account has this key.'
 
 
 class AccountAdmission:
@@ -62,26 +61,6 @@
         """
         return await self._admit(request, route.is_open)
 
-    def judge(self, route: Route, request: ClientRequest) -> None:
-        """Refuse a request by its head if its key need not be looked up.
-
-        Raises KeyMissing or KeyUnknown.
-        """
-        directory = self._directory()
-        if directory is None or route.is_open:
-            return
-        key = _key(request)
-        standing = _standing(directory, key, directory.find(key))
-        verdict = decision.decide(
-            standing,
-            Look.NOT_YET,
-            self._age(),
-            self._state.settings.revocation,
-        )
-        if verdict is Verdict.REFUSE:
-            meters.KEYS.labels(verdict.name.lower()).inc()
-            raise errors.KeyUnknown(_UNKNOWN)
-
     async def admit_job_call(self, request: ClientRequest) -> ClientRequest:
         """Return a call about a job with its account; raises as `admit`.
 
@@ -115,7 +94,11 @@
             )
         if is_open:
             return request
-        account = await self._account(directory, _key(request))
+        key = credentials.read(request.credentials)
+        if isinstance(key, credentials.CredentialFault):
+            meters.KEYS.labels(key.name.lower()).inc()
+            raise errors.KeyMissing(f'The request was refused: {key.value}.')
+        account = await self._account(directory, key)
         return msgspec.structs.replace(request, account=account.name)
 
     async def _account(
@@ -145,21 +128,13 @@
                         RETRY_AFTER,
                     )
                 case _:
-                    raise errors.KeyUnknown(_UNKNOWN)
+                    raise errors.KeyUnknown('No client account has this key.')
 
     def _directory(self) -> AccountDirectory | None:
         table = self._state.table
         return None if table is None else table.accounts
 
 
-def _key(request: ClientRequest) -> KeyDigest:
-    key = credentials.read(request.credentials)
-    if isinstance(key, credentials.CredentialFault):
-        meters.KEYS.labels(key.name.lower()).inc()
-        raise errors.KeyMissing(f'The request was refused: {key.value}.')
-    return key
-
-
 def _standing(
     directory: AccountDirectory, key: KeyDigest, account: Account | None
 ) -> KeyStanding:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -75,17 +75,17 @@
         self._usage = usage
         self._clock = clock
 
-    def judge(self, request: ClientRequest) -> None:
-        """Refuse a request by its head where that needs no waiting.
+    async def judge(self, request: ClientRequest) -> None:
+        """Refuse a request by its head, while its body comes.
 
-        Raises KeyMissing or KeyUnknown.
+        Raises KeyMissing, KeyUnknown, or NotRun where that can't be told.
         """
         table = self._state.table
         if table is None:
             return
         route = table.find(request.host, request.path)
         if route is not None:
-            self._admission.judge(route, request)
+            await self._admission.admit(route, request)
 
     async def forward(
         self, request: ClientRequest, answerer: Answerer
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -87,12 +87,12 @@
             validity=validity,
         )
 
-    def judge(self, request: ClientRequest) -> None:
-        """Refuse a request by its head where that needs no waiting.
+    async def judge(self, request: ClientRequest) -> None:
+        """Refuse a request by its head, while its body comes.
 
-        Raises KeyMissing or KeyUnknown.
+        Raises KeyMissing, KeyUnknown, or NotRun where that can't be told.
         """
-        self._forwarder.judge(request)
+        await self._forwarder.judge(request)
 
     async def forward(
         self, request: ClientRequest, answerer: Answerer
