Leave out more that the gateway's process never uses

Tried and dropped: locale (getopt's faults use it), ipaddress (addresses are parsed by it), -OO (0.8 MB, and asserts of the libraries), structlog's console.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/__main__.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/__main__.py
@@ -9,16 +9,23 @@
 # Loaded where they are found and never used, as the daemon's launcher says.
 for _name in ('OpenSSL', '_hashlib', 'ctypes'):
     sys.modules[_name] = None  # type: ignore[assignment]
-# Imported by libraries without which they do not load: links are plain TCP
-# over Twisted's own loop, forms are not read, and metrics have a server of
-# their own.
+# Libraries do not load without these: links are plain TCP over Twisted's own
+# loop, forms and files are not read, and metrics have a server of their own.
 left_out.leave_out(
     'email',
     'email.message',
+    'gzip',
     'html',
     'http.cookiejar',
     'http.server',
+    'msgspec.inspect',
+    'socketserver',
     'ssl',
+    'tempfile',
+    'twisted.cred.credentials',
+    'twisted.internet.udp',
+    'twisted.internet.unix',
+    'twisted.python.filepath',
     'urllib.request',
     'wsgiref.simple_server',
 )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import getopt
 import os
 import pathlib
@@ -79,6 +80,9 @@
             lambda *_: reactor.callFromThread(process.reload),
         )
         process.start()
+        # What is loaded stays for good: it is not looked through again.
+        gc.collect()
+        gc.freeze()
 
     reactor.callWhenRunning(begin)
     reactor.run()
--- a/packages/yuccarill-daemon/tests/test_left_out.py
+++ b/packages/yuccarill-daemon/tests/test_left_out.py
@@ -48,7 +48,9 @@
         self.assertIn('yuccarill.daemon.gateway.process', loaded)
         unused = {
             *('OpenSSL', '_hashlib', 'asyncio', 'click', 'ctypes', 'email'),
-            *('http.cookiejar', 'http.server', 'ssl', 'statistics'),
+            *('gzip', 'html', 'http.cookiejar', 'http.server'),
+            *('msgspec.inspect', 'socketserver', 'ssl', 'statistics'),
+            *('tempfile', 'twisted.internet.udp', 'twisted.internet.unix'),
             *('urllib.request', 'wsgiref.simple_server'),
         }
         self.assertEqual(set(), set(loaded) & unused)
