Copy long bodies less often on their way

A long answer was joined twice, and a long body once more than its transport does. The parts of a request go to the transport as they are, and an answer's parts are joined once. What watches connections that go silent has a module of its own. Not measured by itself.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import Any
 from typing import Protocol
 
@@ -18,20 +17,13 @@
 from twisted.internet import protocol
 
 from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters import keepalive
 
 # Seconds that an idle connection is kept where its server names no time.
 IDLE_SECONDS = 8.0
 # Part of the server's own idle time after which a connection is not used
 # again, so that a request hardly ever crosses the server's close.
 IDLE_PART = 0.7
-# Seconds of silence after which the kernel probes a connection, between
-# probes, and probes without a reply after which the connection is dead. A
-# connection forgotten by something between its ends is found in 3 s.
-PROBE_IDLE = 1
-PROBE_INTERVAL = 1
-PROBE_COUNT = 2
-# Milliseconds that sent bytes may stay without an acknowledgement.
-UNACKNOWLEDGED_MS = 3000
 _EVENT_BYTES = 64 * 1024
 
 
@@ -96,7 +88,10 @@
 
     @property
     def body(self) -> bytes:
-        return b''.join(self._parts)
+        # Joined once: a long answer is there twice meanwhile.
+        if len(self._parts) > 1:
+            self._parts = [b''.join(self._parts)]
+        return self._parts[0] if self._parts else b''
 
     def attach(self, reading: Reading) -> None:
         """Take what can pause the answer."""
@@ -142,7 +137,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         self._is_open = True
         self.transport.setTcpNoDelay(True)
-        watch_for_silence(self.transport.getHandle())
+        keepalive.watch_for_silence(self.transport.getHandle())
         self._usable_until = Instant(self._clock.seconds() + IDLE_SECONDS)
         if self._opened.called:
             self.transport.abortConnection()
@@ -169,12 +164,13 @@
         self._finished = defer.Deferred(self._cancel)
         finished = self._finished
         try:
-            data = self._write(request)
+            parts = self._write(request)
         except h11.LocalProtocolError as error:
             self._is_clean = False
             self._finish(NotConnected(f'the request is not valid: {error}'))
             return finished
-        self.transport.write(data)
+        # The transport joins them; a long body is not copied here as well.
+        self.transport.writeSequence(parts)
         self._watch_progress()
         sink.attach(self)
         return finished
@@ -230,7 +226,7 @@
         if self._is_open:
             self.transport.abortConnection()
 
-    def _write(self, request: OutgoingRequest) -> bytes:
+    def _write(self, request: OutgoingRequest) -> list[bytes]:
         headers = [
             (name.encode('latin-1'), value.encode('latin-1'))
             for name, value in request.headers
@@ -247,7 +243,7 @@
         if request.body:
             parts.append(self._http.send(h11.Data(data=request.body)) or b'')
         parts.append(self._http.send(h11.EndOfMessage()) or b'')
-        return b''.join(parts)
+        return [part for part in parts if part]
 
     def _read(self, data: bytes) -> None:
         try:
@@ -335,18 +331,6 @@
         )
 
 
-def watch_for_silence(handle: socket.socket) -> None:
-    """Let the kernel find a connection that went silent."""
-    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, PROBE_IDLE),
-        (socket.TCP_KEEPINTVL, PROBE_INTERVAL),
-        (socket.TCP_KEEPCNT, PROBE_COUNT),
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ):
-        handle.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 def _head(response: h11.Response) -> ReplyHead:
     return ReplyHead(
         status=response.status_code,
--- /dev/null
+++ b/packages/yuccarill-daemon/tests/adapters/test_http_exchange.py
@@ -0,0 +1,22 @@
+"""Test how answers are collected."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.daemon.adapters import http_exchange
+
+
+class StreamSinkTest(unittest.TestCase):
+    @params(((), b''), ((b'ab',), b'ab'), ((b'a', b'b', b'c'), b'abc'))
+    def test_a_body_is_joined_once(
+        self, parts: tuple[bytes, ...], expected: bytes
+    ) -> None:
+        """Guard against copies of a long answer at each look at it."""
+        sink = http_exchange.StreamSink()
+        for part in parts:
+            sink.receive(part)
+        self.assertEqual(expected, sink.body)
+        self.assertIs(sink.body, sink.body)
