--- a/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
@@ -299,3 +299,36 @@
         self.assertGreater(self.flow.budget.held, budget.REQUEST_BYTES)
         channel.connectionLost(failure.Failure(error.ConnectionLost()))
         self.assertEqual(0, self.flow.budget.held)
+
+    def answer_whole(self) -> Socket:
+        """Answer a request with one long body that its client reads late."""
+        self.begin()
+        answer = msgspec.structs.replace(_ANSWER, body=b'x' * 300_000)
+
+        async def forward(
+            request: ClientRequest, answerer: ports.Answerer
+        ) -> None:
+            answerer.answer(answer)
+
+        self.factory.gateway.forward = forward
+        _, socket = self.ask(1, False)
+        self.assertGreater(self.flow.budget.held, 300_000)
+        return socket
+
+    def test_a_whole_answer_is_held_until_it_is_read(self) -> None:
+        """Guard against an idle time that runs while a client still reads."""
+        socket = self.answer_whole()
+        self.clock.pump([1.0] * 40)
+        self.assertFalse(socket.disconnecting)
+        socket.drain()
+        self.assertEqual(300_000, socket.read.count(b'x'))
+        self.assertEqual(0, self.flow.budget.held)
+        # From here on it is idle.
+        self.clock.pump([1.0] * 20)
+        self.assertTrue(socket.disconnecting)
+
+    def test_a_whole_answer_that_is_never_read_is_cut(self) -> None:
+        """Guard against clients that hold answers for good."""
+        socket = self.answer_whole()
+        self.clock.pump([1.0] * 90)
+        self.assertTrue(socket.is_aborted)
