--- a/packages/yuccarill-core/src/yuccarill/core/flow/body_deadline.py
+++ b/packages/yuccarill-core/src/yuccarill/core/flow/body_deadline.py
@@ -7,7 +7,7 @@
 from yuccarill.core.ids import Instant
 
 # Bytes that have to come in each span of time.
-PROGRESS_BYTES = 4096
+PROGRESS_BYTES = 512
 PROGRESS_SECONDS = 8.0
 # Seconds for the whole body.
 BODY_SECONDS = 60.0
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -85,7 +85,7 @@
 )
 PAUSED_ANSWERS = prometheus_client.Gauge(
     'yuccarill_paused_answers',
-    'Answers that wait at their targets for their clients',
+    'Answers of which no more is taken in until their clients read',
     registry=REGISTRY,
 )
 DROPPED = prometheus_client.Counter(
