Log pauses of streams, and whose answer was broken off for memory

An operator could not tell which request waited or went. In the test with 500 slow readers pauses alone keep the bound of a machine of 160 MB; a second row with 80 MB makes some go, and each is logged with code 1302. The transport of that test now ends its connection after an abort, as the real one does: what it was sent after the abort counted as waiting.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -11,6 +11,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway.requests import exchange
+from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
@@ -26,6 +27,8 @@
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.ports import Answerer
 
+log = logs.for_part('streams')
+
 # Seconds without an event after which a run is taken for silent. Clients
 # give up after two seconds at the earliest.
 SILENCE_SECONDS = 1.5
@@ -156,12 +159,14 @@
     def pause(self) -> None:
         """Let the target wait for the client."""
         self._is_paused = self.was_paused = True
+        log.info('Stream paused.', request=self._request.id, after=self._last)
         if self._reading is not None:
             self._reading.pause()
 
     def resume(self) -> None:
         """Go on for a client that has read everything."""
         self._is_paused = False
+        log.info('Stream goes on.', request=self._request.id, after=self._last)
         if self._reading is not None:
             self._reading.resume()
         waiting, self._reads_again = self._reads_again, None
--- a/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
@@ -9,12 +9,15 @@
 import types
 
 import msgspec
+from nose2.tools import params
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
+from twisted.internet import task
 from twisted.python import failure
 from zope import interface
 
+from yuccarill.core import errors
 from yuccarill.core.flow import budget
 from yuccarill.core.gateway.requests import ClientRequest
 from yuccarill.core.gateway.requests import TargetAnswer
@@ -41,6 +44,7 @@
 SLOW = 500
 QUICK = 50
 MEMORY = 160_000_000
+SMALL_MEMORY = 80_000_000
 REQUEST = (
     b'POST /s/ HTTP/1.1\r\nHost: t.example\r\nRequest-Id: r%d\r\n'
     b'Content-Length: 0\r\n\r\n'
@@ -51,7 +55,8 @@
 class Socket:
     """Hold what its client has not read, as a transport does."""
 
-    def __init__(self, reads: bool) -> None:
+    def __init__(self, clock: task.Clock, reads: bool) -> None:
+        self._clock = clock
         self.reads = reads
         self.read = b''
         self.waiting = b''
@@ -86,6 +91,8 @@
     def abortConnection(self) -> None:  # noqa: N802
         self.is_aborted = True
         self.waiting = b''
+        lost = failure.Failure(error.ConnectionAborted())
+        self._clock.callLater(0.0, self._producer.connectionLost, lost)
 
     def loseConnection(self) -> None:  # noqa: N802
         self.disconnecting = True
@@ -142,7 +149,8 @@
 class Targets:
     """Hold every run that was asked for."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: task.Clock) -> None:
+        self.clock = clock
         self.runs: list[Run] = []
 
     def is_connected(self, target: object) -> bool:
@@ -161,6 +169,7 @@
     def step(self) -> None:
         for run in self.runs:
             run.step()
+        self.clock.advance(0.0)
 
 
 class SlowReadersTest(world.WorldTest):
@@ -168,7 +177,7 @@
         self, memory: int | None = MEMORY, is_resumable: bool = True
     ) -> None:
         state = self.state('a')
-        self.targets = Targets()
+        self.targets = Targets(self.clock)
         sending = sender.Sender(
             pools.Pools(state),
             self.targets,
@@ -207,7 +216,7 @@
 
     def connect(self, reads: bool) -> tuple[object, Socket]:
         channel = self.factory.buildProtocol(None)
-        socket = Socket(reads)
+        socket = Socket(self.clock, reads)
         channel.makeConnection(socket)
         return channel, socket
 
@@ -216,9 +225,13 @@
         channel.dataReceived(REQUEST % number)
         return channel, socket
 
-    def test_slow_readers_cost_the_bound_and_others_are_served(self) -> None:
+    # The memory of the machine, and whether pauses alone keep the bound.
+    @params((MEMORY, True), (SMALL_MEMORY, False))
+    def test_slow_readers_cost_the_bound_and_others_are_served(
+        self, memory: int, is_enough: bool
+    ) -> None:
         """Guard against a process that holds the answers of slow readers."""
-        self.begin()
+        self.begin(memory)
         slow = [self.ask(number, False)[1] for number in range(SLOW)]
         quick = [self.ask(SLOW + n, True)[1] for n in range(QUICK)]
         bound = self.flow.budget.bounds.process
@@ -234,6 +247,10 @@
             self.assertTrue(each.read.endswith(b'0\r\n\r\n'))
             self.assertIn(b'%03d;' % EVENTS, each.read)
         kept = [each for each in slow if not each.is_aborted]
+        self.assertEqual(is_enough, len(kept) == SLOW)
+        codes = [refusal.code for refusal in self.refusals]
+        cut = errors.ResultCode.ANSWER_CUT
+        self.assertEqual([cut] * (SLOW - len(kept)), codes)
         self.assertTrue(kept)
         # Those that were kept get the whole of it once they read.
         for _ in range(EVENTS):
