Count no answer as paused that has been read

Over a bound that nobody's end could free, an answer that its client had read was counted as paused.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/flow/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/flow/desk.py
@@ -89,7 +89,7 @@
         if pressure is Pressure.DROP:
             self._desk.free()
         meters.HELD_BYTES.set(budget.held)
-        should_pause = pressure is not Pressure.NONE
+        should_pause = count > 0 and pressure is not Pressure.NONE
         self._note_pause(should_pause and holding is _ANSWER)
         return should_pause
 
