--- a/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
@@ -328,7 +328,7 @@
             answerer.answer(answer)
 
         self.factory.gateway.forward = forward
-        _, socket = self.ask(1, False)
+        self.channel, socket = self.ask(1, False)
         self.assertGreater(self.flow.budget.held, 300_000)
         return socket
 
@@ -344,6 +344,17 @@
         self.clock.pump([1.0] * 20)
         self.assertTrue(socket.disconnecting)
 
+    def test_an_unread_answer_goes_while_the_next_head_comes(self) -> None:
+        """Guard against a drop that fails on a request without its head."""
+        socket = self.answer_whole()
+        self.channel.dataReceived(REQUEST[:30])
+        other = self.flow.open(lambda drop: None)
+        other.enter(budget.Stage.SERVED)
+        bound = self.flow.budget.bounds.process
+        other.hold(budget.Holding.REQUEST_BODY, bound)
+        self.assertTrue(socket.is_aborted)
+        self.assertEqual(bound, self.flow.budget.held)
+
     def test_a_whole_answer_that_is_never_read_is_cut(self) -> None:
         """Guard against clients that hold answers for good."""
         socket = self.answer_whole()
