--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import pathlib
 import signal
 import sys
@@ -97,6 +98,9 @@
             lambda *_: reactor.callFromThread(process.reload),
         )
         process.start()
+        # What is loaded stays for good: it is not looked through again.
+        gc.collect()
+        gc.freeze()
 
     reactor.callWhenRunning(begin)
     reactor.run()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -75,6 +75,18 @@
         self._usage = usage
         self._clock = clock
 
+    async def judge(self, request: ClientRequest) -> None:
+        """Refuse a request by its head, while its body comes.
+
+        Raises KeyMissing, KeyUnknown, or NotRun where that can't be told.
+        """
+        table = self._state.table
+        if table is None:
+            return
+        route = table.find(request.host, request.path)
+        if route is not None:
+            await self._admission.admit(route, request)
+
     async def forward(
         self, request: ClientRequest, answerer: Answerer
     ) -> None:
@@ -83,6 +95,7 @@
         Raises YuccarillError for what is refused or failed.
         """
         request = await self._admission.admit(self._find(request), request)
+        answerer.admitted(request.account)
         # A newer version may have come while its key was looked up.
         route = self._find(request)
         outcome = 'cancelled'
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -87,6 +87,13 @@
             validity=validity,
         )
 
+    async def judge(self, request: ClientRequest) -> None:
+        """Refuse a request by its head, while its body comes.
+
+        Raises KeyMissing, KeyUnknown, or NotRun where that can't be told.
+        """
+        await self._forwarder.judge(request)
+
     async def forward(
         self, request: ClientRequest, answerer: Answerer
     ) -> None:
