Rule on requests by the shared capacity of their service

A congested instance reports to the first serving instance in an order that all compute alike, which lends rates. A stream's targets get its remaining deadline. The sink of usage has a module of its own, which ends a loop of imports.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/requests.py
@@ -35,6 +35,8 @@
     credentials: tuple[str, ...] = ()
     # Whose request it is, once that was found out.
     account: AccountName | None = None
+    # The account's, where it has one.
+    account_priority: int | None = None
     # When the client stops waiting, if it said so.
     deadline: Instant | None = None
     # The last event that the client has of a stream it resumes.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/accounts/admission.py
@@ -99,7 +99,9 @@
             meters.KEYS.labels(key.name.lower()).inc()
             raise errors.KeyMissing(f'The request was refused: {key.value}.')
         account = await self._account(directory, key)
-        return msgspec.structs.replace(request, account=account.name)
+        return msgspec.structs.replace(
+            request, account=account.name, account_priority=account.priority
+        )
 
     async def _account(
         self, directory: AccountDirectory, key: KeyDigest
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 import signal
 import sys
@@ -23,6 +24,13 @@
 STDOUT = 1
 
 
+class CapacityMode(enum.Enum):
+    """Say whether instances share what services can serve."""
+
+    LOCAL = 'local'
+    SHARED = 'shared'
+
+
 @click.command()
 @click.option(
     '--settings-file',
@@ -39,11 +47,22 @@
     envvar='YUCCARILL_LOG_LEVEL',
     help='The lowest level of log lines that are written.',
 )
+@click.option(
+    '--capacity',
+    type=click.Choice([each.value for each in CapacityMode]),
+    default=CapacityMode.LOCAL.value,
+    show_default=True,
+    envvar='YUCCARILL_CAPACITY',
+    help="Whether instances share services' capacity.",
+)
 @click.option(
     '--check-settings', is_flag=True, help='Check the settings and end.'
 )
 def main(
-    given_file: pathlib.Path | None, log_level: str, check_settings: bool
+    given_file: pathlib.Path | None,
+    log_level: str,
+    capacity: str,
+    check_settings: bool,
 ) -> None:
     """Run one instance of yuccarill on the users' platform."""
     path, settings = _read(given_file)
@@ -52,7 +71,11 @@
         return
     sink = log_sink.LogSink(STDOUT, reactor)
     logs.configure_stream(sink, LogLevel(log_level))
-    process = process_module.GatewayProcess(settings, path)
+    process = process_module.GatewayProcess(
+        settings,
+        path,
+        is_capacity_shared=CapacityMode(capacity) is CapacityMode.SHARED,
+    )
     exit_code = 0
     is_stopping = False
 
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Keep an instance to its part of services' capacity."""
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
@@ -0,0 +1,247 @@
+"""Rule on requests by what the services' brokers lend."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.core.capacity.gate import Answer
+from yuccarill.core.capacity import service_gate
+from yuccarill.core import errors
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.adapters.small_server import Page
+from yuccarill.daemon.gateway.capacity import broker_desk
+from yuccarill.daemon.gateway.capacity import port
+from yuccarill.daemon.gateway.capacity import reporting
+from yuccarill.daemon.gateway import meters
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from yuccarill.core.capacity.gate import CapacityRequest
+    from yuccarill.core.capacity.gate import Ruling
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.adapters.small_server import SmallRequest
+    from yuccarill.daemon.gateway.peer_call import PeerCalls
+    from yuccarill.daemon.gateway.state import GatewayState
+
+log = logs.for_part('capacity')
+
+PATH = '/capacity'
+
+
+class CapacityControl:
+    """Keep a gate for each service that requests are sent to."""
+
+    def __init__(
+        self, state: GatewayState, peers: PeerCalls, clock: Any
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self.desk = broker_desk.BrokerDesk(state, peers, clock)
+        self._reporter = reporting.Reporter(
+            state, peers, self.desk, self._admit, clock
+        )
+        self.gates_by_service: dict[ServiceName, service_gate.ServiceGate] = {}
+        self.waiting_by_service: dict[
+            ServiceName, dict[CapacityRequest, defer.Deferred[Ruling]]
+        ] = {}
+        self._timers_by_service: dict[ServiceName, Any] = {}
+
+    async def enter(
+        self, service: ServiceName, request: CapacityRequest
+    ) -> port.Entry:
+        """Return once a request may be sent; raises Overloaded."""
+        if self._has_engines(service):
+            # Their places are given by the holder of the duty.
+            return port.OPEN
+        gate = self._gate(service)
+        gate.signs.places = self.desk.places(service)
+        ruling = gate.offer(request, self._now())
+        if ruling.answer is Answer.WAIT:
+            ruling = await self._wait(service, gate, request)
+        if ruling.answer is Answer.REFUSE:
+            raise self._refusal(service, request, ruling)
+        return _GateEntry(gate, service, request, self._clock)
+
+    def started(self, service: ServiceName) -> None:
+        self._gate(service).started(self._now())
+
+    def finished(self, service: ServiceName, seconds: float) -> None:
+        self._gate(service).finished(seconds, self._now())
+        self._check(service)
+
+    def refused(self, service: ServiceName) -> None:
+        self._gate(service).refused(self._now())
+        self._check(service)
+
+    def gave_up(self, service: ServiceName) -> None:
+        self._gate(service).gave_up(self._now())
+
+    def handles(self, path: str) -> bool:
+        """Tell whether a page of the peer port is answered here."""
+        return path == PATH or path.startswith(f'{PATH}/')
+
+    async def handle(self, request: SmallRequest) -> Page:
+        """Answer another instance."""
+        match request.path:
+            case broker_desk.REPORT_PATH:
+                return self.desk.handle(request)
+            case broker_desk.NOTICE_PATH:
+                return self._told(request)
+            case _:
+                return Page(status=404)
+
+    def _told(self, request: SmallRequest) -> Page:
+        try:
+            notice = msgspec.msgpack.decode(
+                request.body, type=broker_desk.CapacityNotice
+            )
+        except msgspec.MsgspecError as error:
+            log.warning('Notice not read.', cause=str(error))
+            return Page(status=400)
+        self._gate(notice.service).signs.told(self._now())
+        self._check(notice.service)
+        return Page(status=200)
+
+    def _gate(self, service: ServiceName) -> service_gate.ServiceGate:
+        gate = self.gates_by_service.get(service)
+        if gate is None:
+            gate = service_gate.ServiceGate(
+                service,
+                InstanceId(self._state.settings.instance),
+                service_gate.GatePolicy(),
+                self._state.generator,
+                self._now(),
+            )
+            self.gates_by_service[service] = gate
+        return gate
+
+    def _has_engines(self, service: ServiceName) -> bool:
+        table = self._state.table
+        known = table and table.services_by_name.get(service)
+        return bool(known and known.engine is not None)
+
+    def _check(self, service: ServiceName) -> None:
+        gate = self._gate(service)
+        if gate.is_congested(self._now()) and not self._has_engines(service):
+            self._reporter.start(service, gate)
+
+    async def _wait(
+        self,
+        service: ServiceName,
+        gate: service_gate.ServiceGate,
+        request: CapacityRequest,
+    ) -> Ruling:
+        waiting = self.waiting_by_service.setdefault(service, {})
+        ruled: defer.Deferred[Ruling] = defer.Deferred()
+        waiting[request] = ruled
+        self._set_timer(service, gate)
+        meters.CAPACITY_WAITING.labels(service).set(len(waiting))
+        try:
+            return await ruled
+        finally:
+            # Its caller may have left.
+            if waiting.pop(request, None) is not None:
+                gate.withdraw(request)
+            meters.CAPACITY_WAITING.labels(service).set(len(waiting))
+
+    def _set_timer(
+        self, service: ServiceName, gate: service_gate.ServiceGate
+    ) -> None:
+        timer = self._timers_by_service.pop(service, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+        at = gate.wakes_at(self._now())
+        if at is not None:
+            self._timers_by_service[service] = self._clock.callLater(
+                max(0.0, at - self._now()), self._admit, service
+            )
+
+    def _admit(self, service: ServiceName) -> None:
+        gate = self._gate(service)
+        waiting = self.waiting_by_service.get(service, {})
+        for request, ruling in gate.admit(self._now()):
+            ruled = waiting.pop(request, None)
+            if ruled is not None:
+                ruled.callback(ruling)
+        self._set_timer(service, gate)
+
+    def _refusal(
+        self, service: ServiceName, request: CapacityRequest, ruling: Ruling
+    ) -> errors.Overloaded:
+        return _overloaded(
+            service,
+            request,
+            ruling.cause,
+            ruling.retry_after,
+            ruling.predicted_wait,
+        )
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+class _GateEntry:
+    """Ask a gate about one request's further attempts."""
+
+    def __init__(
+        self,
+        gate: service_gate.ServiceGate,
+        service: ServiceName,
+        request: CapacityRequest,
+        clock: Any,
+    ) -> None:
+        self._gate = gate
+        self._service = service
+        self._request = request
+        self._clock = clock
+
+    def may_try_again(self) -> bool:
+        return self._gate.may_try_again(self._request, self._now())
+
+    def may_hedge(self) -> bool:
+        return self._gate.may_hedge(self._request, self._now())
+
+    def refusal(self, cause: str) -> errors.NotRun:
+        now = self._now()
+        if not self._gate.is_congested(now):
+            return port.OPEN.refusal(cause)
+        retry_after = self._gate.retry_after(self._request, now)
+        return _overloaded(
+            self._service, self._request, cause, retry_after, 0.0
+        )
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+
+def _overloaded(
+    service: ServiceName,
+    request: CapacityRequest,
+    cause: str,
+    retry_after: float,
+    wait: float,
+) -> errors.Overloaded:
+    priority = request.demand_class.priority
+    meters.CAPACITY_REFUSED.labels(service, str(priority)).inc()
+    log.info(
+        'Refused.',
+        request=request.id,
+        service=service,
+        account=request.demand_class.account,
+        priority=priority,
+        cause=cause,
+        predicted_wait_ms=_ms(wait),
+        wanted_in_ms=_ms(request.wanted_by - request.arrived_at),
+        retry_after_ms=_ms(retry_after),
+    )
+    return errors.Overloaded(f'The request was not run: {cause}.', retry_after)
+
+
+def _ms(seconds: float) -> int | None:
+    # No wait is long enough for a class that is lent nothing.
+    return None if seconds == float('inf') else round(seconds * 1000.0)
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/reporting.py
@@ -0,0 +1,142 @@
+"""Tell a service's broker what is asked for here, while that is congested."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet import defer
+
+from yuccarill.core.capacity.messages import CapacityGrant
+from yuccarill.core.gateway import candidates
+from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway.capacity import broker_desk
+from yuccarill.daemon.gateway import peer_call
+from yuccarill.daemon import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccarill.core.capacity.messages import DemandReport
+    from yuccarill.core.capacity import service_gate
+    from yuccarill.core.ids import ServiceName
+    from yuccarill.daemon.gateway.capacity.broker_desk import BrokerDesk
+    from yuccarill.daemon.gateway.peer_call import PeerCalls
+    from yuccarill.daemon.gateway.state import GatewayState
+
+log = logs.for_part('capacity')
+
+REPORT_SECONDS = 0.25
+# Seconds for a broker's answer, and for which one that gave none is left out.
+ANSWER_SECONDS = 0.3
+SUSPECT_SECONDS = 2.0
+# Instances that are asked one after the other.
+CANDIDATES = 3
+
+
+class Reporter:
+    """Ask the first instance that answers to lend capacity."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        peers: PeerCalls,
+        desk: BrokerDesk,
+        on_grant: Callable[[ServiceName], None],
+        clock: Any,
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._desk = desk
+        self._on_grant = on_grant
+        self._clock = clock
+        self._reporting: set[ServiceName] = set()
+        self._suspected_until: dict[str, float] = {}
+
+    def start(
+        self, service: ServiceName, gate: service_gate.ServiceGate
+    ) -> None:
+        """Report until the service is quiet, if it is not done yet."""
+        if service in self._reporting:
+            return
+        self._reporting.add(service)
+        log.info('Service congested.', service=service)
+        # All instances see a rush begin at once.
+        first = self._state.generator.uniform(0.0, REPORT_SECONDS)
+        self._clock.callLater(first, self._report, service, gate)
+
+    def _report(
+        self, service: ServiceName, gate: service_gate.ServiceGate
+    ) -> None:
+        report = gate.report(Instant(self._clock.seconds()))
+        if report is None:
+            self._reporting.discard(service)
+            log.info('Service no longer congested.', service=service)
+            return
+        self._clock.callLater(REPORT_SECONDS, self._report, service, gate)
+        asking = defer.Deferred.fromCoroutine(self._ask(gate, report))
+        asking.addErrback(_crashed)
+
+    async def _ask(
+        self, gate: service_gate.ServiceGate, report: DemandReport
+    ) -> None:
+        sent_at = Instant(self._clock.seconds())
+        found = self._broker(report.service)
+        if found is None:
+            return
+        name, rank = found
+        report = msgspec.structs.replace(report, passed_over=rank)
+        if name == self._state.settings.instance:
+            grant = self._desk.lend(report)
+        else:
+            asked = await self._ask_peer(name, report)
+            if asked is None:
+                return
+            grant = asked
+        gate.grant(grant, sent_at)
+        self._on_grant(report.service)
+
+    async def _ask_peer(
+        self, name: str, report: DemandReport
+    ) -> CapacityGrant | None:
+        for record in self._state.serving_instances():
+            if record.instance == name:
+                break
+        else:
+            return None
+        try:
+            return await self._peers.ask(
+                record,
+                'POST',
+                broker_desk.REPORT_PATH,
+                ANSWER_SECONDS,
+                CapacityGrant,
+                report,
+            )
+        except peer_call.PeerFailed as error:
+            now = self._clock.seconds()
+            self._suspected_until[name] = now + SUSPECT_SECONDS
+            log.info(
+                'Broker did not answer.',
+                service=report.service,
+                peer=name,
+                cause=str(error),
+            )
+            return None
+
+    def _broker(self, service: ServiceName) -> tuple[str, int] | None:
+        """Return whom to ask, and how many come before it."""
+        ordered = candidates.ordered(
+            self._state.cores_by_name(), f'capacity {service}'
+        )
+        now = self._clock.seconds()
+        for rank, name in enumerate(ordered[:CANDIDATES]):
+            if self._suspected_until.get(name, 0.0) <= now:
+                return name, rank
+        return None
+
+
+def _crashed(failure: Any) -> None:
+    if not failure.check(defer.CancelledError):
+        log.error('Report ended.', cause=failure.getTraceback())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -11,6 +11,7 @@
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway.capacity import requests as asking
 from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
@@ -106,7 +107,13 @@
             deadline=deadline,
         )
         try:
-            answer = await self._sender.send(service, call, plan, record)
+            entry = await self._sender.capacity.enter(
+                service,
+                asking.of_score(route, request.id, Instant(now), deadline),
+            )
+            answer = await self._sender.send(
+                service, call, plan, record, entry
+            )
         except errors.RequestQuarantined:
             raise
         except errors.YuccarillError as error:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/meters.py
@@ -119,6 +119,36 @@
     ('outcome',),
     registry=REGISTRY,
 )
+CAPACITY_PLACES = prometheus_client.Gauge(
+    'yuccarill_capacity_places',
+    "Requests that a service's targets run at once, by its broker",
+    ('service',),
+    registry=REGISTRY,
+)
+CAPACITY_RATE = prometheus_client.Gauge(
+    'yuccarill_capacity_rate',
+    'Requests a second that a service can serve, by its broker',
+    ('service',),
+    registry=REGISTRY,
+)
+CAPACITY_LENT = prometheus_client.Gauge(
+    'yuccarill_capacity_lent',
+    'Requests a second that are lent to accounts that ask for more',
+    ('service',),
+    registry=REGISTRY,
+)
+CAPACITY_WAITING = prometheus_client.Gauge(
+    'yuccarill_capacity_waiting',
+    'Requests that wait here for capacity',
+    ('service',),
+    registry=REGISTRY,
+)
+CAPACITY_REFUSED = prometheus_client.Counter(
+    'yuccarill_capacity_refused',
+    'Requests refused here for want of capacity',
+    ('service', 'priority'),
+    registry=REGISTRY,
+)
 
 
 def exposition() -> bytes:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -15,6 +15,8 @@
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway.accounts import admission
 from yuccarill.daemon.gateway.accounts import look
+from yuccarill.daemon.gateway.capacity import control
+from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway.duty import departure
 from yuccarill.daemon.gateway.duty import holder_calls
 from yuccarill.daemon.gateway.duty import session
@@ -34,6 +36,7 @@
 from yuccarill.daemon.gateway.requests import relay
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
+from yuccarill.daemon.gateway.requests import usage_sink
 from yuccarill.daemon.gateway.standby import desk
 from yuccarill.daemon.gateway.standby import runner
 from yuccarill.daemon.gateway.standby import witness
@@ -80,6 +83,8 @@
         settings: InstanceSettings,
         settings_path: pathlib.Path,
         clock: Any = default_reactor,
+        *,
+        is_capacity_shared: bool = False,
     ) -> None:
         self._path = settings_path
         self._clock = clock
@@ -107,14 +112,19 @@
         self._session = session.Session(
             self._state, background, self._update, clock
         )
+        peers = peer_call.PeerCalls(links, clock)
+        self._capacity: control.CapacityControl | None = None
+        if is_capacity_shared:
+            self._capacity = control.CapacityControl(self._state, peers, clock)
+        letting_in = self._capacity or port.NO_CAPACITY
         self._sender = sender.Sender(
             pools.Pools(self._state),
             self._calls,
             self._quarantine.guard,
             clock,
+            letting_in,
         )
         jobs = job_store.JobStore(self._store, clock)
-        peers = peer_call.PeerCalls(links, clock)
         self._holders = holder_calls.HolderCalls(self._state, peers)
         self._depot = texts.TextDepot(clock)
         text_sender = texts.TextSender(self._state, links, clock)
@@ -158,7 +168,7 @@
                 self._holders,
                 clock,
             )
-        counting = self._usage or forwarding.NoUsage()
+        counting = self._usage or usage_sink.NoUsage()
         admitting = admission.AccountAdmission(
             self._state,
             look.ConfigurationLook(
@@ -175,12 +185,18 @@
             self._sender,
             self._calls,
             streams.StreamForwarder(
-                self._state, self._sender, self._calls, counting, clock
+                self._state,
+                self._sender,
+                self._calls,
+                counting,
+                clock,
+                letting_in,
             ),
             taking,
             admitting,
             counting,
             clock,
+            letting_in,
         )
         self._front = front.Front(
             self._state, forwarder, reading, admitting, self._observer.age
@@ -266,6 +282,8 @@
             return await self._standbys.handle(request)
         if self._quarantine.handles(request.path):
             return await self._quarantine.handle(request)
+        if self._capacity and self._capacity.handles(request.path):
+            return await self._capacity.handle(request)
         if self._usage is not None and self._usage.handles(request.path):
             return await self._usage.handle(request)
         return await self._way.pass_on(request)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/attempting.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/attempting.py
@@ -10,6 +10,7 @@
 from yuccarill.core.calls import pool as pool_module
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
 from yuccarill.platform import calls as calls_module
@@ -38,7 +39,9 @@
         calls: WatchedCalls,
         guard: ContentGuard,
         clock: Any,
+        capacity: port.CapacityPort = port.NO_CAPACITY,
     ) -> None:
+        self._capacity = capacity
         self._pools = pools
         self._calls = calls
         self.guard = guard
@@ -89,7 +92,11 @@
         started_at = self.now()
         end, cause = 'cancelled', ''
         try:
-            answer = await self._calls.send(target, call, deadline)
+            with port.noted(
+                self._capacity, target.service, self._clock
+            ) as note:
+                answer = await self._calls.send(target, call, deadline)
+                note.answer = answer
             end = self._learn(pool, target, answer, started_at)
             return answer
         except calls_module.CallFailed as error:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/exchange.py
@@ -11,6 +11,7 @@
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway.requests import tries
 from yuccarill.platform import calls as calls_module
 
@@ -21,10 +22,6 @@
     from yuccarill.daemon.gateway.requests.attempting import Attempts
     from yuccarill.platform.calls import TargetCall
 
-# Seconds after which a refused request may come back: long enough for a
-# target's queue to move, short against the deadlines of 1.5 s and more.
-RETRY_AFTER = 0.2
-
 
 class SendRecord(msgspec.Struct, kw_only=True):
     """Count what became of one request's attempts."""
@@ -61,12 +58,16 @@
         call: TargetCall,
         plan: attempts.AttemptPlan,
         record: SendRecord,
+        entry: port.Entry = port.OPEN,
     ) -> None:
         self._attempting = attempting
         self._service = service
         self._call = call
         self._plan = plan
         self._record = record
+        self._entry = entry
+        # Until there is no capacity for a second target.
+        self._is_hedged = True
         # The plan counts the attempts.
         self._tries = tries.TargetTries(
             attempting, service, call.content, sys.maxsize
@@ -78,7 +79,9 @@
 
     async def run(self) -> TargetAnswer:
         while self._success is None:
-            self._plan.may_hedge = self._attempting.may_hedge(self._call)
+            self._plan.may_hedge = (
+                self._is_hedged and self._attempting.may_hedge(self._call)
+            )
             match self._plan.next(self._attempting.now()):
                 case attempts.Next.START:
                     self._start()
@@ -94,7 +97,10 @@
             running.cancel()
 
     def _start(self) -> None:
-        target = self._next_target()
+        if self._plan.in_flight and not self._entry.may_hedge():
+            self._is_hedged = False
+            return
+        target = self._next_target() if self._may_start() else None
         if target is None:
             # More attempts would find none either.
             self._plan.max_attempts = self._plan.started
@@ -106,6 +112,11 @@
             self._running.append(running)
             running.addBoth(self._ended, running)
 
+    def _may_start(self) -> bool:
+        """Tell whether one more attempt may be sent."""
+        is_second = self._plan.started and not self._plan.in_flight
+        return not is_second or self._entry.may_try_again()
+
     def _next_target(self) -> ListedTarget | None:
         try:
             target = self._tries.next()
@@ -180,9 +191,7 @@
         if record.may_have_run == 0 and self._plan.in_flight == 0:
             if self._refusal is not None:
                 raise self._refusal
-            raise errors.NotRun(
-                f'The request was not run: {cause}.', RETRY_AFTER
-            )
+            raise self._entry.refusal(cause)
         if self._attempting.now() >= self._plan.deadline:
             raise errors.DeadlinePassed(f'No answer came in time: {cause}.')
         raise errors.OutcomeUnknown(f'No whole answer came: {cause}.')
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import Any
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 from yuccarill.core import errors
@@ -12,6 +11,8 @@
 from yuccarill.core.gateway.routes import Route
 from yuccarill.core.gateway.routes import RouteKind
 from yuccarill.core.ids import Instant
+from yuccarill.daemon.gateway.capacity import port
+from yuccarill.daemon.gateway.capacity import requests as asking
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.daemon import logs
@@ -20,13 +21,13 @@
 if TYPE_CHECKING:
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
-    from yuccarill.core.ids import AccountName
     from yuccarill.core.ids import ServiceName
     from yuccarill.daemon.gateway.accounts.admission import AccountAdmission
     from yuccarill.daemon.gateway.jobs.intake import Intake
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
     from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.daemon.gateway.requests.streams import StreamForwarder
+    from yuccarill.daemon.gateway.requests.usage_sink import UsageSink
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.ports import Answerer
 
@@ -37,21 +38,6 @@
 NO_CONFIGURATION_RETRY = 0.3
 
 
-class UsageSink(Protocol):
-    """Count requests that began to run."""
-
-    def began(
-        self, account: AccountName | None, at: Instant | None
-    ) -> None: ...
-
-
-class NoUsage:
-    """Count nothing, where nobody wants reports."""
-
-    def began(self, account: AccountName | None, at: Instant | None) -> None:
-        pass
-
-
 class Forwarder:
     """Serve each request as its route says."""
 
@@ -65,6 +51,7 @@
         admission: AccountAdmission,
         usage: UsageSink,
         clock: Any,
+        capacity: port.CapacityPort = port.NO_CAPACITY,
     ) -> None:
         self._state = state
         self._sender = sender
@@ -74,6 +61,7 @@
         self._admission = admission
         self._usage = usage
         self._clock = clock
+        self._capacity = capacity
 
     async def forward(
         self, request: ClientRequest, answerer: Answerer
@@ -142,12 +130,13 @@
             hedge_delay=attempts.hedge_delay(route.objective),
         )
         record = exchange.SendRecord()
+        service = self._service(route)
+        entry = await self._capacity.enter(
+            service, asking.of_caller(route, request, deadline)
+        )
         try:
             return await self._sender.send(
-                self._service(route),
-                call_of(request, deadline),
-                plan,
-                record,
+                service, call_of(request, deadline), plan, record, entry
             )
         finally:
             self._usage.began(request.account, record.began_at)
@@ -158,16 +147,21 @@
         deadline = requests.time_limit(route, request)
         service = self._service(route)
         call = call_of(request, deadline)
-        tries = self._sender.tries(service, call, route.max_attempts)
+        entry = await self._capacity.enter(
+            service, asking.of_caller(route, request, deadline)
+        )
+        tries = self._sender.tries(service, call, route.max_attempts, entry)
         cause = 'no target is ready'
         while (target := tries.next()) is not None:
             sent_at = Instant(self._clock.seconds())
             if sent_at >= deadline:
                 break
             try:
-                answer = await self._calls.send(
-                    target, call, deadline, is_fresh=True
-                )
+                with port.noted(self._capacity, service, self._clock) as note:
+                    answer = await self._calls.send(
+                        target, call, deadline, is_fresh=True
+                    )
+                    note.answer = answer
             except calls_module.CallFailed as error:
                 if error.end is calls_module.CallEnd.BROKEN:
                     self._usage.began(request.account, sent_at)
@@ -182,9 +176,7 @@
                 self._usage.began(request.account, sent_at)
                 return answer
             cause = f'refused with status {answer.status}'
-        raise errors.NotRun(
-            f'The request was not run: {cause}.', exchange.RETRY_AFTER
-        )
+        raise entry.refusal(cause)
 
     def _service(self, route: Route) -> ServiceName:
         service = route.choose_service(self._state.generator)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/sender.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway.requests import attempting
 from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.daemon.gateway.requests import tries
@@ -28,8 +29,12 @@
         calls: WatchedCalls,
         guard: ContentGuard,
         clock: Any,
+        capacity: port.CapacityPort = port.NO_CAPACITY,
     ) -> None:
-        self._attempts = attempting.Attempts(pools, calls, guard, clock)
+        self.capacity = capacity
+        self._attempts = attempting.Attempts(
+            pools, calls, guard, clock, capacity
+        )
 
     async def send(
         self,
@@ -37,6 +42,7 @@
         call: TargetCall,
         plan: AttemptPlan,
         record: exchange.SendRecord,
+        entry: port.Entry = port.OPEN,
     ) -> TargetAnswer:
         """Return the first success, else a target's own failure.
 
@@ -44,7 +50,7 @@
         DeadlinePassed.
         """
         running = exchange.Exchange(
-            self._attempts, service, call, plan, record
+            self._attempts, service, call, plan, record, entry
         )
         try:
             return await running.run()
@@ -52,7 +58,13 @@
             running.cancel()
 
     def tries(
-        self, service: ServiceName, call: TargetCall, limit: int
+        self,
+        service: ServiceName,
+        call: TargetCall,
+        limit: int,
+        entry: port.Entry = port.OPEN,
     ) -> tries.TargetTries:
         """Return the choice of targets for one request."""
-        return tries.TargetTries(self._attempts, service, call.content, limit)
+        return tries.TargetTries(
+            self._attempts, service, call.content, limit, entry
+        )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 
 from yuccarill.core import errors
+from yuccarill.core.gateway import requests
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
-from yuccarill.daemon.gateway.requests import exchange
+from yuccarill.daemon.gateway.capacity import port
+from yuccarill.daemon.gateway.capacity import requests as asking
 from yuccarill.platform import calls as calls_module
 
 if TYPE_CHECKING:
@@ -17,9 +19,9 @@
     from yuccarill.core.gateway.routes import Route
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
-    from yuccarill.daemon.gateway.requests.forwarding import UsageSink
     from yuccarill.daemon.gateway.requests.sender import Sender
     from yuccarill.daemon.gateway.requests.tries import TargetTries
+    from yuccarill.daemon.gateway.requests.usage_sink import UsageSink
     from yuccarill.daemon.gateway.state import GatewayState
     from yuccarill.platform.ports import Answerer
 
@@ -40,8 +42,10 @@
         calls: WatchedCalls,
         usage: UsageSink,
         clock: Any,
+        capacity: port.CapacityPort = port.NO_CAPACITY,
     ) -> None:
         self._state = state
+        self._capacity = capacity
         self._usage = usage
         self._sender = sender
         self._calls = calls
@@ -57,8 +61,14 @@
         service = route.choose_service(self._state.generator)
         if service is None:
             raise errors.NoTarget('The route has no service.', 1.0)
-        run = _StreamRun(request, answerer, self._clock)
-        tries = self._sender.tries(service, run.call(), route.max_attempts)
+        deadline = requests.time_limit(route, request)
+        entry = await self._capacity.enter(
+            service, asking.of_caller(route, request, deadline)
+        )
+        run = _StreamRun(request, answerer, entry, self._clock)
+        tries = self._sender.tries(
+            service, run.call(), route.max_attempts, entry
+        )
         try:
             return await self._attempts(run, tries, route.is_resumable)
         except errors.RequestQuarantined as error:
@@ -73,9 +83,13 @@
         cause = 'no target is ready'
         while (target := tries.next()) is not None:
             try:
-                answer = await self._calls.generate(
-                    target, run.call(), deadline, SILENCE_SECONDS, run
-                )
+                with port.noted(
+                    self._capacity, target.service, self._clock
+                ) as note:
+                    answer = await self._calls.generate(
+                        target, run.call(), deadline, SILENCE_SECONDS, run
+                    )
+                    note.answer = answer
             except calls_module.CallFailed as error:
                 cause = str(error)
                 if error.end is calls_module.CallEnd.NOT_SENT:
@@ -97,8 +111,13 @@
     """Pass the events of one client's stream on, over several runs."""
 
     def __init__(
-        self, request: ClientRequest, answerer: Answerer, clock: Any
+        self,
+        request: ClientRequest,
+        answerer: Answerer,
+        entry: port.Entry,
+        clock: Any,
     ) -> None:
+        self._entry = entry
         self._clock = clock
         # When the first event came, or an attempt broke off that was sent.
         self.began_at: Instant | None = None
@@ -118,6 +137,7 @@
             headers=self._request.headers,
             body=self._request.body,
             after_event=self._last,
+            deadline=self._request.deadline,
             account=self._request.account,
         )
 
@@ -163,6 +183,4 @@
             return 'cut'
         if self.may_have_run:
             raise errors.OutcomeUnknown(f'The stream broke off: {cause}.')
-        raise errors.NotRun(
-            f'The request was not run: {cause}.', exchange.RETRY_AFTER
-        )
+        raise self._entry.refusal(cause)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/tries.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/tries.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from yuccarill.daemon.gateway.capacity import port
+
 if TYPE_CHECKING:
     from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ContentDigest
@@ -21,12 +23,14 @@
         service: ServiceName,
         content: ContentDigest,
         limit: int,
+        entry: port.Entry = port.OPEN,
     ) -> None:
         self._attempting = attempting
         self._guard = attempting.guard
         self._service = service
         self._content = content
         self._limit = limit
+        self._entry = entry
         self._sent = 0
         self._tried: set[TargetId] = set()
         self._unreached: set[TargetId] = set()
@@ -39,6 +43,8 @@
         if self._sent >= self._limit:
             return None
         self._guard.admit(self._content, self._service)
+        if self._sent and not self._entry.may_try_again():
+            return None
         target = self._attempting.choose(
             self._service,
             frozenset(self._tried),
--- /dev/null
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/usage_sink.py
@@ -0,0 +1,25 @@
+"""Count requests that began to run."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from yuccarill.core.ids import AccountName
+    from yuccarill.core.ids import Instant
+
+
+class UsageSink(Protocol):
+    """Count requests that began to run."""
+
+    def began(
+        self, account: AccountName | None, at: Instant | None
+    ) -> None: ...
+
+
+class NoUsage:
+    """Count nothing, where nobody wants reports."""
+
+    def began(self, account: AccountName | None, at: Instant | None) -> None:
+        pass
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -16,10 +16,10 @@
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway.quarantine import guard
-from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
+from yuccarill.daemon.gateway.requests import usage_sink
 from yuccarill.platform import calls
 
 from . import world
@@ -115,7 +115,7 @@
                 self.clock,
             ),
             targets,
-            forwarding.NoUsage(),
+            usage_sink.NoUsage(),
             self.clock,
         )
         route = msgspec.structs.replace(
