--- a/packages/yuccarill-core/src/yuccarill/core/capacity/estimate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/estimate.py
@@ -40,6 +40,9 @@
     # Times the rate that was finished, at most and at least.
     lowest: float = 0.3
     highest: float = 2.0
+    # Requests a second for each place, however little is finished: without
+    # any, nobody would see targets return.
+    probes: float = 0.1
     # Part of an estimate that the next one replaces.
     recent_part: float = 0.6
 
@@ -97,25 +100,29 @@
         finished = sum(report.finished for report in reports)
         refused = sum(report.refused for report in reports)
         in_flight = sum(report.in_flight for report in reports)
+        least = policy.probes * places
         if in_flight <= 0.0 or places <= 0.0:
-            return finished
+            return max(finished, least)
         self.used_part = in_flight / places
         allowed = _between(
             policy.refused_part_below, policy.refused_part, short_part
         )
-        if refused > allowed * (finished + refused):
+        refused_part = refused / max(finished + refused, 0.001)
+        if refused_part > allowed:
             # There is not the room that the list says.
-            return finished
+            there = (1.0 - refused_part) * places
+            return max(finished * max(1.0, there / in_flight), least)
         capacity = finished * max(1.0, places / in_flight)
         seconds = in_flight / max(finished, 0.001)
         most = _between(policy.most_fill_below, policy.most_fill, short_part)
         lacking = self._fill(reports, seconds, most) * places - in_flight
         settle = min(policy.settle, policy.settle_services * seconds)
         change = lacking / settle
-        return min(
+        rate = min(
             max(capacity + change, policy.lowest * capacity),
             policy.highest * capacity,
         )
+        return max(rate, least)
 
     def _fill(
         self, reports: Collection[DemandReport], seconds: float, most: float
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/service_gate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/service_gate.py
@@ -204,6 +204,10 @@
         self._was_congested = is_congested
         return is_congested
 
+    def has_grant(self, now: Instant) -> bool:
+        """Tell whether a broker's answer is in force."""
+        return self._valid_grant(now) is not None
+
     def retry_after(self, request: CapacityRequest, now: Instant) -> float:
         """Return when a refused caller had best come back, in seconds."""
         grant = self._valid_grant(now)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/broker_desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/broker_desk.py
@@ -11,6 +11,7 @@
 from yuccarill.core.capacity import broker
 from yuccarill.core.capacity.messages import DemandReport
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import ServiceName
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import peer_call
@@ -18,7 +19,6 @@
 
 if TYPE_CHECKING:
     from yuccarill.core.capacity.messages import CapacityGrant
-    from yuccarill.core.ids import ServiceName
     from yuccarill.daemon.adapters.small_server import SmallRequest
     from yuccarill.daemon.gateway.peer_call import PeerCalls
     from yuccarill.daemon.gateway.state import GatewayState
