Show operators who is lent what of a service, who waits and why

yuccarill capacity asks a gateway's peer port: by service the places, what lends, and by priority and account what is asked for, lent, refused and waits, the largest accounts and the others together.

--- a/packages/yuccarill-cli/src/yuccarill/cli/application.py
+++ b/packages/yuccarill-cli/src/yuccarill/cli/application.py
@@ -7,6 +7,7 @@
 from yuccarill.cli.commands import addresses
 from yuccarill.cli.commands import apply
 from yuccarill.cli.commands import audit
+from yuccarill.cli.commands import capacity
 from yuccarill.cli.commands import check
 from yuccarill.cli.commands import diff
 from yuccarill.cli.commands import explain
@@ -56,6 +57,7 @@
     addresses,
     apply,
     audit,
+    capacity,
     check,
     diff,
     explain,
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/broker.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/broker.py
@@ -15,6 +15,7 @@
 from yuccarill.core.capacity.messages import DemandClass
 from yuccarill.core.capacity.messages import DemandReport
 from yuccarill.core.capacity.messages import PriorityLevel
+from yuccarill.core.capacity.overview import ClassOverview
 from yuccarill.core.ids import Instant
 
 if TYPE_CHECKING:
@@ -114,6 +115,19 @@
     def _short_part(self) -> float:
         return self._lendable / self.capacity if self.capacity else 1.0
 
+    def overview(self) -> tuple[ClassOverview, ...]:
+        """Return what the whole fleet is asked for and lent."""
+        rates = self._division.rates_by_class
+        return tuple(
+            ClassOverview(
+                priority=key.priority,
+                account=key.account,
+                offered=offered,
+                lent=rates[key] if _is_short(offered, rates[key]) else None,
+            )
+            for key, offered in self._totals.offered_by_class.items()
+        )
+
     def lent(self) -> float:
         """Return the requests a second that are lent, all leases together."""
         return sum(each.rate for each in self.leases_by_instance.values())
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/bucket.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/bucket.py
@@ -18,6 +18,11 @@
         self._tokens = tokens
         self._filled_at = now
 
+    @property
+    def rate(self) -> float:
+        """Return the tokens a second."""
+        return self._rate
+
     def set_rate(self, rate: float, depth: float, now: Instant) -> None:
         """Change the rate from now on."""
         self._fill(now)
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/service_gate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/service_gate.py
@@ -18,11 +18,14 @@
 from yuccarill.core.capacity import local_limit
 from yuccarill.core.capacity.messages import CapacityGrant
 from yuccarill.core.capacity.messages import DemandReport
+from yuccarill.core.capacity.overview import ClassOverview
 from yuccarill.core.ids import Instant
 
 if TYPE_CHECKING:
     import random
 
+    from yuccarill.core.capacity.messages import ClassDemand
+    from yuccarill.core.capacity.messages import DemandClass
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import ServiceName
 
@@ -69,6 +72,7 @@
         self._generator = generator
         self.signs = congestion.CongestionSigns(policy.signs, now)
         self._demand = demand.DemandMeter(policy.demand)
+        self._refused = demand.DemandMeter(policy.demand)
         self._throttle = local_limit.LocalThrottle(
             policy.throttle, generator, now
         )
@@ -204,6 +208,36 @@
         self._was_congested = is_congested
         return is_congested
 
+    def overview(self, now: Instant) -> tuple[ClassOverview, ...]:
+        """Return what each class asks for, gets and waits for here."""
+        refused = {
+            each.demand_class: each.offered
+            for each in self._refused.demands(now)
+        }
+        return tuple(
+            self._class_overview(each, refused, now)
+            for each in self._demand.demands(now)
+        )
+
+    def _class_overview(
+        self,
+        asked: ClassDemand,
+        refused: dict[DemandClass, float],
+        now: Instant,
+    ) -> ClassOverview:
+        key = asked.demand_class
+        lane = self._lanes.lanes_by_class.get(key)
+        wait = 0.0 if lane is None else lane.wait_for_next(now)
+        return ClassOverview(
+            priority=key.priority,
+            account=key.account,
+            offered=asked.offered,
+            lent=None if lane is None else lane.bucket.rate,
+            refused=refused.get(key, 0.0),
+            waiting=0 if lane is None else len(lane.waiting),
+            predicted_wait=None if math.isinf(wait) else wait,
+        )
+
     def has_grant(self, now: Instant) -> bool:
         """Tell whether a broker's answer is in force."""
         return self._valid_grant(now) is not None
@@ -218,7 +252,7 @@
         left = max(0.0, request.deadline - now) * self._policy.retry_part
         longest = min(max(expected, self._policy.local_retry), left)
         return self._generator.uniform(
-            min(self._policy.min_retry, longest), longest
+            min(self._policy.min_retry, longest / 4.0), longest
         )
 
     def _is_lent(self, now: Instant) -> bool:
@@ -281,6 +315,7 @@
     def _refusal(
         self, request: CapacityRequest, wait: float, cause: str, now: Instant
     ) -> Ruling:
+        self._refused.note(request.demand_class, now)
         return Ruling(
             answer=Answer.REFUSE,
             predicted_wait=wait,
--- /dev/null
+++ b/packages/yuccarill-core/tests/capacity/test_service_gate.py
@@ -0,0 +1,178 @@
+"""Test what a gate rules on one service's requests."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from yuccarill.core.capacity import demand
+from yuccarill.core.capacity.gate import Answer
+from yuccarill.core.capacity.gate import CapacityRequest
+from yuccarill.core.capacity.messages import CapacityGrant
+from yuccarill.core.capacity.messages import ClassGrant
+from yuccarill.core.capacity.messages import DemandClass
+from yuccarill.core.capacity.messages import PriorityLevel
+from yuccarill.core.capacity import service_gate
+from yuccarill.core.ids import AccountName
+from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import Instant
+from yuccarill.core.ids import RequestId
+from yuccarill.core.ids import ServiceName
+
+SERVICE = ServiceName('shop')
+FLOOD = DemandClass(priority=5, account=AccountName('flood'))
+SMALL = DemandClass(priority=5, account=AccountName('small'))
+WORK_SECONDS = 0.02
+
+
+def request(
+    demand_class: DemandClass = FLOOD,
+    at: float = 10.0,
+    wanted_in: float = 0.15,
+    deadline_in: float = 2.0,
+) -> CapacityRequest:
+    return CapacityRequest(
+        id=RequestId('r'),
+        demand_class=demand_class,
+        arrived_at=Instant(at),
+        wanted_by=Instant(at + wanted_in),
+        deadline=Instant(at + deadline_in),
+    )
+
+
+class GateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gate = service_gate.ServiceGate(
+            SERVICE,
+            InstanceId('i'),
+            service_gate.GatePolicy(),
+            random.Random(1),
+            Instant(0.0),
+        )
+        for step in range(20):
+            self.gate.started(Instant(step * 0.1))
+            self.gate.finished(WORK_SECONDS, Instant(step * 0.1))
+
+    def congest(self, rate: float, at: float = 10.0) -> None:
+        """Let a broker lend the flood a rate."""
+        self.gate.started(Instant(at))
+        self.gate.refused(Instant(at))
+        self.gate.grant(
+            CapacityGrant(
+                service=SERVICE,
+                number=1,
+                grants=(ClassGrant(demand_class=FLOOD, rate=rate, part=0.0),),
+                levels=(PriorityLevel(priority=5, level=20.0),),
+                valid_for=1.0,
+                retry_after=5.0,
+            ),
+            Instant(at),
+        )
+
+    def answer(self, asked: CapacityRequest) -> Answer:
+        return self.gate.offer(asked, asked.arrived_at).answer
+
+    def test_a_quiet_service_is_left_alone(self) -> None:
+        """Guard against bounds and messages that nothing calls for."""
+        for step in range(500):
+            at = 10.0 + step * 0.001
+            self.assertIs(Answer.SEND, self.answer(request(at=at)))
+        asked = request()
+        for _ in range(20):
+            self.assertTrue(self.gate.may_try_again(asked, Instant(10.5)))
+            self.assertTrue(self.gate.may_hedge(asked, Instant(10.5)))
+        self.assertIsNone(self.gate.report(Instant(10.5)))
+
+    @params(
+        # There is time to wait for the next.
+        (20.0, 0.15, Answer.WAIT),
+        # Its answer would be late.
+        (20.0, 0.03, Answer.REFUSE),
+        (0.0, 0.15, Answer.REFUSE),
+    )
+    def test_beyond_its_part(
+        self, rate: float, wanted_in: float, expected: Answer
+    ) -> None:
+        self.congest(rate)
+        asked = request(wanted_in=wanted_in)
+        while (found := self.answer(asked)) is Answer.SEND:
+            pass
+        self.assertIs(expected, found)
+
+    def test_a_flood_does_not_touch_the_others(self) -> None:
+        """Guard against refusals of accounts below their part."""
+        self.congest(0.0)
+        self.answer(request())
+        self.assertIs(Answer.SEND, self.answer(request(SMALL)))
+
+    def test_what_waits_is_sent_in_time(self) -> None:
+        self.congest(20.0)
+        asked = request()
+        while self.answer(asked) is not Answer.WAIT:
+            pass
+        wakes_at = self.gate.wakes_at(Instant(10.0))
+        self.assertLessEqual(wakes_at, asked.wanted_by)
+        ((found, ruling),) = self.gate.admit(Instant(wakes_at + 1e-6))
+        self.assertIs(asked, found)
+        self.assertIs(Answer.SEND, ruling.answer)
+
+    def test_a_grant_that_ran_out_stops_nobody(self) -> None:
+        """Guard against a broker that is lost with all capacity lent."""
+        self.congest(20.0)
+        asked = request()
+        while self.answer(asked) is not Answer.WAIT:
+            pass
+        ((_, ruling),) = self.gate.admit(Instant(11.0))
+        self.assertIs(Answer.SEND, ruling.answer)
+        self.assertIs(Answer.SEND, self.answer(request(at=11.1)))
+
+    @params(0.3, 1.0, 2.0)
+    def test_refused_callers_come_back_in_time(self, left: float) -> None:
+        """Guard against callers who all come back, or too late."""
+        self.congest(0.0)
+        found = [
+            self.gate.retry_after(request(deadline_in=left), Instant(10.0))
+            for _ in range(100)
+        ]
+        self.assertLessEqual(max(found), left / 3.0)
+        self.assertGreater(max(found) - min(found), 0.5 * left / 3.0)
+
+    def test_who_can_not_be_served_at_all_is_told_at_once(self) -> None:
+        """Guard against requests that are held until their deadline."""
+        self.congest(20.0)
+        late = request(SMALL, deadline_in=WORK_SECONDS / 2)
+        self.assertIs(Answer.REFUSE, self.answer(late))
+
+    def test_second_attempts_while_targets_are_full(self) -> None:
+        """Guard against requests that are sent five times."""
+        sends = 0
+        for step in range(200):
+            at = 10.0 + step * 0.01
+            asked = request(at=at)
+            if self.answer(asked) is not Answer.SEND:
+                continue
+            for attempt in range(5):
+                now = Instant(at)
+                if attempt and not self.gate.may_try_again(asked, now):
+                    break
+                sends += 1
+                self.gate.started(now)
+                self.gate.refused(now)
+        self.assertLessEqual(sends, 200 * 1.1)
+
+
+class DemandTest(unittest.TestCase):
+    def test_memory_with_a_hundred_thousand_accounts(self) -> None:
+        """Guard against state that grows with the accounts."""
+        policy = demand.DemandPolicy()
+        meter = demand.DemandMeter(policy)
+        for number in range(100_000):
+            key = DemandClass(priority=5, account=AccountName(f'a{number}'))
+            meter.note(key, Instant(number * 0.0001))
+            meter.note(FLOOD, Instant(number * 0.0001))
+        demands = meter.demands(Instant(10.0))
+        self.assertLessEqual(len(demands), policy.accounts + 1)
+        offered = {d.demand_class: d.offered for d in demands}
+        self.assertGreater(offered[FLOOD], 5000.0)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/broker_desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/broker_desk.py
@@ -28,6 +28,8 @@
 
 REPORT_PATH = '/capacity/reports'
 NOTICE_PATH = '/capacity/notices'
+OVERVIEW_PATH = '/capacity/services'
+PATHS = frozenset({REPORT_PATH, NOTICE_PATH, OVERVIEW_PATH})
 NOTICE_ANSWER_SECONDS = 0.3
 # Seconds between two notices to the instances that do not ask.
 NOTICE_SECONDS = 0.5
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from yuccarill.core.capacity.gate import Answer
+from yuccarill.core.capacity.overview import ServiceOverview
 from yuccarill.core.capacity import service_gate
 from yuccarill.core import errors
 from yuccarill.core.ids import InstanceId
@@ -30,8 +31,6 @@
 
 log = logs.for_part('capacity')
 
-PATH = '/capacity'
-
 
 class CapacityControl:
     """Keep a gate for each service that requests are sent to."""
@@ -83,7 +82,7 @@
 
     def handles(self, path: str) -> bool:
         """Tell whether a page of the peer port is answered here."""
-        return path == PATH or path.startswith(f'{PATH}/')
+        return path in broker_desk.PATHS
 
     async def handle(self, request: SmallRequest) -> Page:
         """Answer another instance."""
@@ -92,9 +91,33 @@
                 return self.desk.handle(request)
             case broker_desk.NOTICE_PATH:
                 return self._told(request)
+            case broker_desk.OVERVIEW_PATH:
+                shown = [self._overview(each) for each in self._shown()]
+                return Page(status=200, body=msgspec.json.encode(shown))
             case _:
                 return Page(status=404)
 
+    def _shown(self) -> list[ServiceName]:
+        found = self.gates_by_service.keys() | self.desk.brokers_by_service
+        return sorted(s for s in found if not self._has_engines(s))
+
+    def _overview(self, service: ServiceName) -> ServiceOverview:
+        gate = self._gate(service)
+        now = self._now()
+        lending = self.desk.brokers_by_service.get(service)
+        return ServiceOverview(
+            service=service,
+            is_congested=gate.is_congested(now),
+            broker=self._reporter.broker_of(service, gate),
+            places=self.desk.places(service),
+            in_flight=gate.signs.in_flight,
+            service_seconds=gate.signs.service_seconds,
+            classes=gate.overview(now),
+            capacity=None if lending is None else lending.capacity,
+            lent=None if lending is None else lending.lent(),
+            fleet=() if lending is None else lending.overview(),
+        )
+
     def _told(self, request: SmallRequest) -> Page:
         try:
             notice = msgspec.msgpack.decode(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/reporting.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/reporting.py
@@ -66,10 +66,22 @@
         first = self._state.generator.uniform(0.0, REPORT_SECONDS)
         self._clock.callLater(first, self._report, service, gate)
 
+    def broker_of(
+        self, service: ServiceName, gate: service_gate.ServiceGate
+    ) -> str | None:
+        """Return the instance that lends, none if nobody does."""
+        found = self._broker(service)
+        if found is None or not gate.has_grant(self._now()):
+            return None
+        return found[0]
+
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
     def _report(
         self, service: ServiceName, gate: service_gate.ServiceGate
     ) -> None:
-        report = gate.report(Instant(self._clock.seconds()))
+        report = gate.report(self._now())
         if report is None:
             self._reporting.discard(service)
             log.info('Service no longer congested.', service=service)
@@ -81,7 +93,7 @@
     async def _ask(
         self, gate: service_gate.ServiceGate, report: DemandReport
     ) -> None:
-        sent_at = Instant(self._clock.seconds())
+        sent_at = self._now()
         found = self._broker(report.service)
         if found is None:
             return
--- a/packages/yuccarill-daemon/tests/gateway/test_capacity.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_capacity.py
@@ -8,12 +8,14 @@
 
 import dataclasses
 
+import msgspec
 from nose2.tools import params
 from twisted.internet import defer
 from twisted.internet import task
 
 from yuccarill.core.capacity.gate import CapacityRequest
 from yuccarill.core.capacity.messages import DemandClass
+from yuccarill.core.capacity.overview import ServiceOverview
 from yuccarill.core import errors
 from yuccarill.core.gateway import candidates
 from yuccarill.core.gateway.requests import TargetAnswer
@@ -22,6 +24,7 @@
 from yuccarill.core.ids import RequestId
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
+from yuccarill.daemon.gateway.capacity import broker_desk
 from yuccarill.daemon.gateway.capacity import control
 from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway import peer_call
@@ -149,6 +152,19 @@
             self.assertTrue(error.not_run)
             self.assertLessEqual(error.retry_after, DEADLINE_SECONDS / 3.0)
 
+    def test_operators_see_who_gets_what(self) -> None:
+        self.load(3.0, refused=8)
+        request = small_server.SmallRequest(
+            method='GET', target=broker_desk.OVERVIEW_PATH
+        )
+        page = self.finish(self.controls[self.order[0]].handle(request))
+        (shown,) = msgspec.json.decode(page.body, type=list[ServiceOverview])
+        self.assertTrue(shown.is_congested)
+        self.assertEqual(self.order[0], shown.broker)
+        self.assertEqual(4, shown.places)
+        self.assertGreater(shown.classes[0].refused, 0.0)
+        self.assertGreater(shown.fleet[0].offered, 200.0)
+
     @params(1, 3)
     def test_brokers_that_are_dark(self, count: int) -> None:
         """Guard against a lost broker that stops requests."""
