Lend by accounts that an instance has not seen, and drain full targets

The broker now tells all instances what part of the requests of the largest short accounts may be sent, and lends less than is finished while targets hold more than they are to.

Requests that wait in a lane that is gone, or that become too late, are let go or told. Second attempts have a module of their own.

--- a/packages/yuccarill-core/src/yuccarill/core/capacity/broker.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/broker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from yuccarill.core.capacity.messages import CapacityGrant
 from yuccarill.core.capacity.messages import ClassDemand
 from yuccarill.core.capacity.messages import ClassGrant
+from yuccarill.core.capacity.messages import ClassPart
 from yuccarill.core.capacity.messages import DemandClass
 from yuccarill.core.capacity.messages import DemandReport
 from yuccarill.core.capacity.messages import PriorityLevel
@@ -33,14 +35,16 @@
     # Seconds for which a report counts, and a grant may be used.
     valid_for: float = 1.0
     # Seconds of reports that a new broker needs before it lends.
-    warm_up: float = 0.75
+    warm_up: float = 1.0
     # Seconds between two divisions.
     period: float = 0.05
+    # Classes of which all instances are told.
+    classes: int = 128
     # Part of the capacity below which demand needs no division.
     spare_part: float = 0.8
     # Second attempts that are lent for each request that is finished. Most
     # instances need less than their part.
-    second_part: float = 0.13
+    second_part: float = 0.14
     # Bounds of what is told to those that are refused, in seconds.
     min_retry: float = 0.05
     max_retry: float = 10.0
@@ -71,6 +75,8 @@
         )
         # Requests a second of the classes that ask for more.
         self._lendable = 0.0
+        # What part of their requests the largest of these may send.
+        self._largest_parts: dict[DemandClass, float] = {}
 
     def lend(
         self, report: DemandReport, places: int, instances: int, now: Instant
@@ -106,11 +112,14 @@
             self.capacity,
             self._policy.shares,
         )
-        self._lendable = sum(
-            rate
-            for key, rate in self._division.rates_by_class.items()
-            if _is_short(self._totals.offered_by_class[key], rate)
+        rates = self._division.rates_by_class
+        offered = self._totals.offered_by_class
+        short = [key for key in rates if _is_short(offered[key], rates[key])]
+        self._lendable = sum(rates[key] for key in short)
+        largest = heapq.nlargest(
+            self._policy.classes, short, key=lambda key: offered[key]
         )
+        self._largest_parts = {key: self._part_of(key) for key in largest}
 
     def _short_part(self) -> float:
         return self._lendable / self.capacity if self.capacity else 1.0
@@ -189,6 +198,11 @@
                 )
                 for each in rates
             ),
+            parts=tuple(
+                ClassPart(demand_class=each, part=part)
+                for each, part in self._largest_parts.items()
+                if each not in rates
+            ),
             levels=tuple(
                 PriorityLevel(priority=priority, level=level)
                 for priority, level in (
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/bucket.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/bucket.py
@@ -7,6 +7,10 @@
 from yuccarill.core.ids import Instant
 
 
+# Seconds until a token are rounded, and a timer may be a little early.
+_TOLERANCE = 1e-6
+
+
 class RateBucket:
     """Collect tokens at a rate up to a depth."""
 
@@ -33,7 +37,7 @@
     def take(self, now: Instant) -> bool:
         """Take a token, if there is one."""
         self._fill(now)
-        if self._tokens < 1.0:
+        if self._tokens < 1.0 - _TOLERANCE:
             return False
         self._tokens -= 1.0
         return True
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/congestion.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/congestion.py
@@ -15,6 +15,8 @@
 
     # Times the usual seconds of service.
     slowness: float = 2.5
+    # Answers within the average that slowness is told from.
+    min_samples: float = 4.0
     # Part of the usual seconds of service that a new time replaces.
     usual_part: float = 0.01
     # Seconds after the last sign for which a service counts as congested.
@@ -76,7 +78,9 @@
         self._recent = self._busy.rate(now) / self._finished.rate(now)
         if self._usual is None:
             self._usual = seconds
-        if self._recent > self._policy.slowness * self._usual:
+        samples = self._finished.rate(now) * self._policy.average
+        is_slow = self._recent > self._policy.slowness * self._usual
+        if is_slow and samples >= self._policy.min_samples:
             self._see(now)
         if not self.is_congested(now):
             self._usual += self._policy.usual_part * (seconds - self._usual)
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/estimate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/estimate.py
@@ -24,13 +24,13 @@
     most_fill: float = 2.5
     # The most where all capacity goes to accounts that stay below their
     # part: what targets refuse is refused to them.
-    most_fill_below: float = 1.6
+    most_fill_below: float = 1.5
     # Parts of the time that callers have at which the fill is most and least.
     early_part: float = 0.3
     late_part: float = 0.8
     # Part of the requests that targets may refuse before no more is sent.
     refused_part: float = 0.2
-    refused_part_below: float = 0.07
+    refused_part_below: float = 0.06
     # Seconds between two estimates.
     period: float = 0.2
     # Seconds in which what is too much, or lacks, is made up for.
@@ -108,16 +108,19 @@
             policy.refused_part_below, policy.refused_part, short_part
         )
         refused_part = refused / max(finished + refused, 0.001)
-        if refused_part > allowed:
+        is_full = refused_part > allowed
+        there = places
+        if is_full:
             # There is not the room that the list says.
-            there = (1.0 - refused_part) * places
-            return max(finished * max(1.0, there / in_flight), least)
-        capacity = finished * max(1.0, places / in_flight)
+            there *= 1.0 - refused_part
+        capacity = finished * max(1.0, there / in_flight)
         seconds = in_flight / max(finished, 0.001)
         most = _between(policy.most_fill_below, policy.most_fill, short_part)
         lacking = self._fill(reports, seconds, most) * places - in_flight
         settle = min(policy.settle, policy.settle_services * seconds)
         change = lacking / settle
+        if is_full:
+            change = min(change, 0.0)
         rate = min(
             max(capacity + change, policy.lowest * capacity),
             policy.highest * capacity,
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/fairness.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/fairness.py
@@ -15,8 +15,8 @@
 
 K = TypeVar('K', bound='Hashable')
 
-# Calls that run while a text holds an engine's place go before callers'
-# requests: until they end, the place serves nobody.
+# Calls that a text needs go before callers' requests, up to a part: they may
+# come some seconds later, but without any of them a whole step waits.
 INTERNAL_PRIORITY = -1
 
 
@@ -54,7 +54,10 @@
     # Part of the capacity that the less urgent ones get at least.
     floor: float = 0.1
     # Part that calls which a text needs may take before callers' requests.
-    internal_part: float = 0.7
+    internal_part: float = 0.2
+    # Part of a class's requests that is served at least, of the part that is
+    # served of its whole priority: a large account isn't starved.
+    least_part: float = 0.3
 
 
 class Division(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,10 +87,20 @@
     division = Division(rates_by_class={}, levels_by_priority={})
     for priority, wanted_here in wanted_by_priority.items():
         weights = {c: float(accounts_by_class.get(c, 1)) for c in wanted_here}
-        parts = max_min(wanted_here, amounts[priority], weights)
-        division.rates_by_class.update(parts)
+        amount = amounts[priority]
+        least = policy.least_part * min(
+            1.0, amount / max(sum(wanted_here.values()), 0.001)
+        )
+        beyond = max_min(
+            {each: (1.0 - least) * wanted_here[each] for each in wanted_here},
+            amount - least * sum(wanted_here.values()),
+            weights,
+        )
+        for each, part in beyond.items():
+            rate = least * wanted_here[each] + part
+            division.rates_by_class[each] = rate
         division.levels_by_priority[priority] = max(
-            parts[each] / weights[each] for each in parts
+            beyond[each] / weights[each] for each in beyond
         )
     return division
 
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/lanes.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/lanes.py
@@ -4,11 +4,13 @@
 
 import collections
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from yuccarill.core.capacity import bucket
+from yuccarill.core.capacity.overview import ClassOverview
 from yuccarill.core.ids import Instant
 
 if TYPE_CHECKING:
@@ -16,6 +18,7 @@
 
     from yuccarill.core.capacity.gate import CapacityRequest
     from yuccarill.core.capacity.messages import CapacityGrant
+    from yuccarill.core.capacity.messages import ClassDemand
     from yuccarill.core.capacity.messages import DemandClass
 
 
@@ -51,12 +54,18 @@
         self.lanes_by_class: dict[DemandClass, Lane] = {}
         self._open_by_class: dict[DemandClass, Lane] = {}
         self._levels_by_priority: dict[int, float] = {}
+        self._parts_by_class: dict[DemandClass, float] = {}
 
-    def take(self, grant: CapacityGrant, now: Instant) -> None:
-        """Go by a new grant; return nothing of what waits."""
+    def take(
+        self, grant: CapacityGrant, now: Instant
+    ) -> list[CapacityRequest]:
+        """Go by a new grant; return what waited in lanes that are gone."""
         self._levels_by_priority = {
             each.priority: each.level for each in grant.levels
         }
+        self._parts_by_class = {
+            each.demand_class: each.part for each in grant.parts
+        }
         before = self.lanes_by_class
         self.lanes_by_class = {}
         for each in grant.grants:
@@ -69,11 +78,9 @@
                 )
             lane.bucket.set_rate(each.rate, depth, now)
             self.lanes_by_class[key] = lane
+        gone = [*before.values(), *self._open_by_class.values()]
         self._open_by_class.clear()
-        for key, lane in before.items():
-            if lane.waiting:
-                self._open_by_class[key] = self._open(key, now)
-                self._open_by_class[key].waiting = lane.waiting
+        return [each for lane in gone for each in lane.waiting]
 
     def find(self, demand_class: DemandClass, now: Instant) -> Lane | None:
         """Return the lane of a class, none if nothing bounds it."""
@@ -95,7 +102,37 @@
 
     def is_short(self, demand_class: DemandClass) -> bool:
         """Tell whether a class asks for more than it is lent."""
-        return demand_class in self.lanes_by_class
+        return (
+            demand_class in self.lanes_by_class
+            or demand_class in self._parts_by_class
+        )
+
+    def is_drawn(self, demand_class: DemandClass) -> bool | None:
+        """Draw whether to send a request of a class that has no lane.
+
+        None where the class may send all that it asks for.
+        """
+        part = self._parts_by_class.get(demand_class)
+        if part is None or demand_class in self.lanes_by_class:
+            return None
+        return self._generator.random() < part
+
+    def overview(
+        self, asked: ClassDemand, refused: float, now: Instant
+    ) -> ClassOverview:
+        """Return what a class asks for, gets and waits for."""
+        key = asked.demand_class
+        lane = self.lanes_by_class.get(key)
+        wait = 0.0 if lane is None else lane.wait_for_next(now)
+        return ClassOverview(
+            priority=key.priority,
+            account=key.account,
+            offered=asked.offered,
+            lent=None if lane is None else lane.bucket.rate,
+            refused=refused,
+            waiting=0 if lane is None else len(lane.waiting),
+            predicted_wait=None if math.isinf(wait) else wait,
+        )
 
     def all(self) -> itertools.chain[Lane]:
         """Return every lane that may hold waiting requests."""
@@ -109,6 +146,7 @@
         self.lanes_by_class.clear()
         self._open_by_class.clear()
         self._levels_by_priority.clear()
+        self._parts_by_class.clear()
         return waiting
 
     def _rest(self, demand_class: DemandClass) -> Lane | None:
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/local_limit.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/local_limit.py
@@ -22,8 +22,13 @@
 
     # Requests sent for each one that targets accepted.
     ratio: float = 1.3
+    # The same while answers come later than they are wanted.
+    late_ratio: float = 0.7
     # Seconds over which requests are counted.
     window: float = 1.0
+    # Refusals within the window that one target may cause by itself, as when
+    # it is being stopped.
+    min_refused: float = 1.5
     # Seconds between two divisions among accounts.
     period: float = 0.05
     shares: fairness.SharePolicy = fairness.SharePolicy()
@@ -47,6 +52,7 @@
         self._rates_by_class: dict[DemandClass, float] = {}
         self._offered_by_class: dict[DemandClass, float] = {}
         self._divides_at = now
+        self._ratio = policy.ratio
 
     def note(self, now: Instant) -> None:
         """Count a request that is sent on, or refused elsewhere."""
@@ -56,10 +62,14 @@
         self,
         demand_class: DemandClass,
         demands: demand.DemandMeter,
+        is_late: bool,
         now: Instant,
     ) -> bool:
         """Count a request; tell whether it is sent on."""
         self._offered.note(now)
+        self._ratio = self._policy.ratio
+        if is_late:
+            self._ratio = self._policy.late_ratio
         part = self._part(demand_class, demands, now)
         if part > 0.0 and self._generator.random() < part:
             # Refused here, so that no target could accept it.
@@ -71,12 +81,19 @@
         """Learn that a target had no room for a request."""
         self._refused.note(now)
 
+    def is_bounding(self, now: Instant) -> bool:
+        """Tell whether targets refuse more than one of them would."""
+        refused = self._refused.rate(now) * self._policy.window
+        return refused >= self._policy.min_refused
+
     def refused_part(self, now: Instant) -> float:
         """Return the part of all requests to refuse."""
+        if not self.is_bounding(now):
+            return 0.0
         window = self._policy.window
         offered = self._offered.rate(now) * window
         accepted = max(0.0, offered - self._refused.rate(now) * window)
-        beyond = offered - self._policy.ratio * accepted
+        beyond = offered - self._ratio * accepted
         return max(0.0, beyond) / (offered + 1.0)
 
     def _part(
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/messages.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/messages.py
@@ -61,6 +61,13 @@
     part: float
 
 
+class ClassPart(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what part of a class's requests may be sent."""
+
+    demand_class: DemandClass
+    part: float
+
+
 class PriorityLevel(msgspec.Struct, frozen=True, kw_only=True):
     """Say up to where a priority's accounts get all that they ask for."""
 
@@ -77,6 +84,9 @@
     number: int
     # The classes that ask for more than their part.
     grants: tuple[ClassGrant, ...]
+    # The same of classes that the instance did not report: where there are
+    # many accounts, most of an instance's requests are the first of theirs.
+    parts: tuple[ClassPart, ...] = ()
     levels: tuple[PriorityLevel, ...] = ()
     # Seconds from the sending of the report for which it may be used.
     valid_for: float
--- a/packages/yuccarill-core/src/yuccarill/core/capacity/service_gate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/capacity/service_gate.py
@@ -5,56 +5,29 @@
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from yuccarill.core.calls import budget
-from yuccarill.core.capacity import bucket
 from yuccarill.core.capacity import congestion
 from yuccarill.core.capacity import demand
 from yuccarill.core.capacity.gate import Answer
 from yuccarill.core.capacity.gate import CapacityRequest
 from yuccarill.core.capacity.gate import Ruling
+from yuccarill.core.capacity.gate_policy import GatePolicy
 from yuccarill.core.capacity import lanes
 from yuccarill.core.capacity import local_limit
 from yuccarill.core.capacity.messages import CapacityGrant
 from yuccarill.core.capacity.messages import DemandReport
 from yuccarill.core.capacity.overview import ClassOverview
+from yuccarill.core.capacity import second_attempts
 from yuccarill.core.ids import Instant
 
 if TYPE_CHECKING:
     import random
 
-    from yuccarill.core.capacity.messages import ClassDemand
-    from yuccarill.core.capacity.messages import DemandClass
     from yuccarill.core.ids import InstanceId
     from yuccarill.core.ids import ServiceName
 
 _SEND = Ruling(answer=Answer.SEND)
 
 
-class GatePolicy(msgspec.Struct, frozen=True, kw_only=True):
-    """Set how a gate decides; its parts have policies of their own."""
-
-    demand: demand.DemandPolicy = demand.DemandPolicy()
-    signs: congestion.CongestionPolicy = congestion.CongestionPolicy()
-    throttle: local_limit.ThrottlePolicy = local_limit.ThrottlePolicy()
-    lanes: lanes.LanePolicy = lanes.LanePolicy()
-    # Together a tenth of the first attempts at most.
-    retries: budget.BudgetPolicy = budget.BudgetPolicy(ratio=0.07, reserve=1.0)
-    hedges: budget.BudgetPolicy = budget.BudgetPolicy(ratio=0.01, reserve=1.0)
-    # Second attempts that may be saved up of what the broker lends.
-    second_burst: float = 4.0
-    # Part of the budget of retries that is there while nothing is free.
-    least_part: float = 0.9
-    # Times the mean seconds of service that a request may take.
-    margin: float = 2.0
-    # Seconds after which refused callers may come back while nobody lends.
-    local_retry: float = 0.3
-    min_retry: float = 0.05
-    # Part of a caller's time left within which it is to come back.
-    retry_part: float = 1.0 / 3.0
-
-
 class ServiceGate:
     """Decide at an instance by what the broker lent, or locally."""
 
@@ -77,15 +50,14 @@
             policy.throttle, generator, now
         )
         self._lanes = lanes.Lanes(policy.lanes, generator)
-        self._retries = budget.AttemptBudget(policy.retries)
-        self._hedges = budget.AttemptBudget(policy.hedges)
-        self._second = bucket.RateBucket(0.0, policy.second_burst, 0.0, now)
+        self._second = second_attempts.SecondAttempts(policy.second, now)
+        # Requests that waited in a lane that is gone.
+        self._freed: list[CapacityRequest] = []
         self._grant: CapacityGrant | None = None
         self._grant_until = Instant(-math.inf)
         self._number = 0
         # Seconds within which callers want their answers.
         self._wanted_seconds = 0.0
-        self._was_congested = False
 
     def offer(self, request: CapacityRequest, now: Instant) -> Ruling:
         """Rule on a request that has just come."""
@@ -111,25 +83,34 @@
     def admit(self, now: Instant) -> list[tuple[CapacityRequest, Ruling]]:
         """Return the waiting requests on which there is a ruling now."""
         if self._grant is not None and self._valid_grant(now) is None:
-            return [(each, self._sent()) for each in self._lanes.clear()]
-        ruled: list[tuple[CapacityRequest, Ruling]] = []
+            self._freed += self._lanes.clear()
+        ruled = [(each, self._sent()) for each in self._freed]
+        self._freed.clear()
         for lane in list(self._lanes.all()):
             ruled += self._admit(lane, now)
         return ruled
 
     def wakes_at(self, now: Instant) -> Instant | None:
         """Return when `admit` has something new to say by itself."""
-        waits = [
-            lane.bucket.seconds_until(1, now)
-            for lane in self._lanes.all()
-            if lane.waiting
-        ]
-        if not waits:
-            return None
-        return min(Instant(now + min(waits)), self._grant_until)
+        if self._freed:
+            return now
+        return min(
+            (
+                min(
+                    Instant(now + lane.bucket.seconds_until(1, now)),
+                    self._latest_start(lane.waiting[0]),
+                    self._grant_until,
+                )
+                for lane in self._lanes.all()
+                if lane.waiting
+            ),
+            default=None,
+        )
 
     def withdraw(self, request: CapacityRequest) -> None:
         """Forget a waiting request whose caller has left."""
+        if request in self._freed:
+            self._freed.remove(request)
         for lane in self._lanes.all():
             if request in lane.waiting:
                 lane.waiting.remove(request)
@@ -137,19 +118,19 @@
 
     def may_try_again(self, request: CapacityRequest, now: Instant) -> bool:
         """Tell whether a second attempt may be sent, and count it."""
-        if not self.is_congested(now):
+        if not self._is_bounded(now):
             return True
         if self._valid_grant(now) is None:
-            return self._retries.withdraw()
+            return self._second.may_try_again()
         # Those who ask for more than their part come back later; for the
         # others the fleet's budget counts, not this instance's alone.
         if self._lanes.is_short(request.demand_class):
             return False
-        return self._second.take(now)
+        return self._second.may_use_lent(now)
 
     def may_hedge(self, request: CapacityRequest, now: Instant) -> bool:
         """Tell whether a second target may run a request, and count it."""
-        return not self.is_congested(now) or self._hedges.withdraw()
+        return not self._is_bounded(now) or self._second.may_hedge()
 
     def started(self, now: Instant) -> None:
         """Learn that an attempt is sent."""
@@ -193,20 +174,18 @@
             return
         self._grant = grant
         self._grant_until = Instant(sent_at + grant.valid_for)
-        self._lanes.take(grant, sent_at)
-        self._second.set_rate(
-            grant.second_rate, self._policy.second_burst, sent_at
-        )
+        self._freed += self._lanes.take(grant, sent_at)
+        self._second.lend(grant.second_rate, sent_at)
 
     def is_congested(self, now: Instant) -> bool:
-        """Tell whether requests are bounded, by a sign or by the broker."""
-        is_congested = self.signs.is_congested(now) or self._is_lent(now)
-        if is_congested and not self._was_congested:
-            # What was saved up in quiet times would be sent all at once.
-            self._retries.cut(0.0)
-            self._hedges.cut(0.0)
-        self._was_congested = is_congested
-        return is_congested
+        """Tell whether there is a sign of congestion, here or elsewhere."""
+        return self.signs.is_congested(now) or self._is_lent(now)
+
+    def _is_bounded(self, now: Instant) -> bool:
+        """Tell whether second attempts come out of a budget."""
+        return self._second.bound(
+            self._is_lent(now) or self._throttle.is_bounding(now)
+        )
 
     def overview(self, now: Instant) -> tuple[ClassOverview, ...]:
         """Return what each class asks for, gets and waits for here."""
@@ -215,29 +194,12 @@
             for each in self._refused.demands(now)
         }
         return tuple(
-            self._class_overview(each, refused, now)
+            self._lanes.overview(
+                each, refused.get(each.demand_class, 0.0), now
+            )
             for each in self._demand.demands(now)
         )
 
-    def _class_overview(
-        self,
-        asked: ClassDemand,
-        refused: dict[DemandClass, float],
-        now: Instant,
-    ) -> ClassOverview:
-        key = asked.demand_class
-        lane = self._lanes.lanes_by_class.get(key)
-        wait = 0.0 if lane is None else lane.wait_for_next(now)
-        return ClassOverview(
-            priority=key.priority,
-            account=key.account,
-            offered=asked.offered,
-            lent=None if lane is None else lane.bucket.rate,
-            refused=refused.get(key, 0.0),
-            waiting=0 if lane is None else len(lane.waiting),
-            predicted_wait=None if math.isinf(wait) else wait,
-        )
-
     def has_grant(self, now: Instant) -> bool:
         """Tell whether a broker's answer is in force."""
         return self._valid_grant(now) is not None
@@ -263,17 +225,25 @@
         return self._grant if now < self._grant_until else None
 
     def _local(self, request: CapacityRequest, now: Instant) -> Ruling:
-        if self._throttle.offer(request.demand_class, self._demand, now):
+        is_late = (self.signs.service_seconds or 0.0) > self._wanted_seconds
+        if self._throttle.offer(
+            request.demand_class, self._demand, is_late, now
+        ):
             return self._sent()
         return self._refusal(request, 0.0, 'targets refuse', now)
 
     def _by_lane(self, request: CapacityRequest, now: Instant) -> Ruling:
-        lane = self._lanes.find(request.demand_class, now)
-        if lane is None:
-            return self._sent()
         seconds = self.signs.service_seconds or 0.0
         if now + seconds > request.deadline:
             return self._refusal(request, 0.0, 'service takes too long', now)
+        match self._lanes.is_drawn(request.demand_class):
+            case True:
+                return self._sent()
+            case False:
+                return self._refusal(request, 0.0, 'no capacity', now)
+        lane = self._lanes.find(request.demand_class, now)
+        if lane is None:
+            return self._sent()
         if not lane.waiting and lane.bucket.take(now):
             return self._sent()
         wait = lane.wait_for_next(now)
@@ -288,10 +258,11 @@
         ruled: list[tuple[CapacityRequest, Ruling]] = []
         while lane.waiting:
             head = lane.waiting[0]
-            if now > self._latest_start(head):
-                ruling = self._refusal(head, 0.0, 'no capacity in time', now)
-            elif lane.bucket.take(now):
+            latest = self._latest_start(head)
+            if now <= latest and lane.bucket.take(now):
                 ruling = self._sent()
+            elif now >= latest:
+                ruling = self._refusal(head, 0.0, 'no capacity in time', now)
             else:
                 break
             lane.waiting.popleft()
@@ -307,9 +278,7 @@
 
     def _sent(self) -> Ruling:
         free_part = 0.0 if self._grant is None else self._grant.free_part
-        least = self._policy.least_part
-        self._retries.deposit(least + (1.0 - least) * free_part)
-        self._hedges.deposit(free_part)
+        self._second.deposit(free_part)
         return _SEND
 
     def _refusal(
