Keep a score's place until capacity is expected

Two thousand texts that waited for scores of a service that was full were refused one inside the other, until the interpreter's stack was used up: each refusal handed its place to the next within one call.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from yuccarill.core.capacity.gate import Answer
+from yuccarill.core.capacity import gate_policy
 from yuccarill.core.capacity.overview import ServiceOverview
 from yuccarill.core.capacity import service_gate
 from yuccarill.core import errors
@@ -136,7 +137,7 @@
             gate = service_gate.ServiceGate(
                 service,
                 InstanceId(self._state.settings.instance),
-                service_gate.GatePolicy(),
+                gate_policy.GatePolicy(),
                 self._state.generator,
                 self._now(),
             )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -116,6 +116,11 @@
             )
         except errors.RequestQuarantined:
             raise
+        except errors.Overloaded as error:
+            # Its place is kept meanwhile: those that wait for it would be
+            # refused one after the other.
+            await task.deferLater(self._clock, error.retry_after or 0.0)
+            answer, record.last_cause = None, error.message
         except errors.YuccarillError as error:
             answer = None
             record.last_cause = error.message
--- a/packages/yuccarill-daemon/tests/gateway/test_sender.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_sender.py
@@ -19,6 +19,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.core.ids import TargetId
+from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway.quarantine import guard
 from yuccarill.daemon.gateway.requests import exchange
 from yuccarill.daemon.gateway.requests import pools
@@ -74,7 +75,21 @@
         return reply
 
 
+class NoBudget:
+    """Allow one attempt."""
+
+    def may_try_again(self) -> bool:
+        return False
+
+    def may_hedge(self) -> bool:
+        return False
+
+    def refusal(self, cause: str) -> errors.NotRun:
+        return errors.Overloaded(cause, 0.1)
+
+
 class SenderTest(world.WorldTest):
+    entry: port.Entry = port.OPEN
     # Targets that have ended under the request.
     known_ends: list[str] = []
 
@@ -102,7 +117,7 @@
         )
         self.started_at = self.clock.seconds()
         return self.finish(
-            sending.send(world.SERVICE, CALL, plan, self.record)
+            sending.send(world.SERVICE, CALL, plan, self.record, self.entry)
         )
 
     def took(self) -> float:
@@ -132,6 +147,20 @@
             self.assertEqual(200, found.status)
             self.assertLess(self.took(), 0.15)
 
+    def test_no_second_attempt_without_a_budget(self) -> None:
+        """Guard against five sends of a request to targets that are full."""
+        refused = answer(503, not_run=True)
+        self.entry = NoBudget()
+        with self.assertRaises(errors.Overloaded):
+            self.send(5, x=(0.0, refused), y=(0.0, refused), z=(0.0, refused))
+        self.assertEqual(1, len(self.targets.called))
+
+    def test_no_hedge_without_a_budget(self) -> None:
+        """Guard against hedges that take the places of first attempts."""
+        self.entry = NoBudget()
+        self.send(x=(0.3, answer()), y=(0.3, answer()))
+        self.assertEqual(1, len(self.targets.called))
+
     def test_the_slower_attempt_is_cancelled(self) -> None:
         self.send(x=(0.09, answer()), y=(0.09, answer()))
         self.assertEqual(2, len(self.targets.called))
