--- a/packages/yuccarill-daemon/tests/gateway/test_admission.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_admission.py
@@ -25,6 +25,7 @@
 
 KEY = 'Bearer k1'
 OTHER = 'Bearer k2'
+PRIORITY = 2
 
 
 def table(version: int, **keys_by_name: str) -> routes.RouteTable:
@@ -32,6 +33,7 @@
         directory.Account(
             name=AccountName(name),
             keys=frozenset(credentials.digest(key) for key in found.split()),
+            priority=PRIORITY,
         )
         for name, found in keys_by_name.items()
     )
@@ -98,6 +100,9 @@
         self.assertEqual('a', found.account)
         self.assertEqual((('Accept', '*/*'),), found.headers)
 
+    def test_a_request_gets_the_priority_of_its_account(self) -> None:
+        self.assertEqual(PRIORITY, self.admit(KEY).result.account_priority)
+
     def test_an_open_route_asks_nobody(self) -> None:
         # What the client says of itself does not reach the target either.
         for values in ((), (OTHER,), (KEY, KEY)):
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -25,6 +25,7 @@
 from . import world
 
 EVENTS = 5
+DEADLINE = Instant(9.0)
 
 
 @dataclasses.dataclass
@@ -60,6 +61,7 @@
     # Events of each run, the runs in order; none refuses it.
     plan: list[int | None]
     begun_after: list[int | None] = dataclasses.field(default_factory=list)
+    deadlines: list[Instant | None] = dataclasses.field(default_factory=list)
 
     def is_connected(self, target: object) -> bool:
         return False
@@ -73,6 +75,7 @@
         sink: calls.GenerationSink,
     ) -> TargetAnswer:
         self.begun_after.append(call.after_event)
+        self.deadlines.append(call.deadline)
         count = self.plan[len(self.begun_after) - 1]
         if count is None:
             return TargetAnswer(
@@ -132,6 +135,7 @@
             headers=(),
             body=b'',
             arrived_at=Instant(0.0),
+            deadline=DEADLINE,
         )
         client = Client()
         end = self.finish(forwarder.serve(route, request, client))
@@ -148,6 +152,11 @@
         self.assertEqual([None, 2], targets.begun_after)
         self.assertTrue(client.is_finished)
 
+    def test_each_target_gets_the_deadline(self) -> None:
+        """Guard against targets that work on after their client has left."""
+        _, targets, _ = self.serve(2, 9)
+        self.assertEqual([DEADLINE, DEADLINE], targets.deadlines)
+
     def test_one_that_may_not_be_resumed_is_cut(self) -> None:
         client, targets, end = self.serve(2, 9, is_resumable=False)
         self.assertEqual(1, len(targets.begun_after))
