--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -49,6 +49,14 @@
     envvar='YUCCARILL_TARGET_ORDERS',
     help='Which targets are ordered for services that allow it.',
 )
+@click.option(
+    '--capacity',
+    type=click.Choice([mode.value for mode in options.CapacityMode]),
+    default=options.CapacityMode.LOCAL.value,
+    show_default=True,
+    envvar='YUCCARILL_CAPACITY',
+    help="Whether instances share services' capacity.",
+)
 @click.option(
     '--check-settings', is_flag=True, help='Check the settings and end.'
 )
@@ -56,6 +64,7 @@
     given_file: pathlib.Path | None,
     log_level: str,
     target_orders: str,
+    capacity: str,
     check_settings: bool,
 ) -> None:
     """Run one instance of yuccarill on the users' platform."""
@@ -66,7 +75,8 @@
     sink = log_sink.LogSink(STDOUT, reactor)
     logs.configure_stream(sink, LogLevel(log_level))
     switches = options.Options(
-        target_orders=options.TargetOrderMode(target_orders)
+        target_orders=options.TargetOrderMode(target_orders),
+        capacity=options.CapacityMode(capacity),
     )
     process = process_module.GatewayProcess(settings, path, options=switches)
     exit_code = 0
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/options.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/options.py
@@ -16,7 +16,15 @@
     MIXED = 'mixed'
 
 
+class CapacityMode(enum.Enum):
+    """Say whether instances share what a service can serve."""
+
+    LOCAL = 'local'
+    SHARED = 'shared'
+
+
 class Options(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the switches of one process."""
 
     target_orders: TargetOrderMode = TargetOrderMode.OFF
+    capacity: CapacityMode = CapacityMode.LOCAL
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -16,15 +16,16 @@
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.gateway.quarantine import guard
-from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
+from yuccarill.daemon.gateway.requests import usage_sink
 from yuccarill.platform import calls
 
 from . import world
 
 EVENTS = 5
+DEADLINE = Instant(9.0)
 
 
 @dataclasses.dataclass
@@ -63,6 +64,7 @@
     # Events of each run, the runs in order; none refuses it.
     plan: list[int | None]
     begun_after: list[int | None] = dataclasses.field(default_factory=list)
+    deadlines: list[Instant | None] = dataclasses.field(default_factory=list)
 
     def is_connected(self, target: object) -> bool:
         return False
@@ -76,6 +78,7 @@
         sink: calls.GenerationSink,
     ) -> TargetAnswer:
         self.begun_after.append(call.after_event)
+        self.deadlines.append(call.deadline)
         count = self.plan[len(self.begun_after) - 1]
         if count is None:
             return TargetAnswer(
@@ -118,7 +121,7 @@
                 self.clock,
             ),
             targets,
-            forwarding.NoUsage(),
+            usage_sink.NoUsage(),
             self.clock,
         )
         route = msgspec.structs.replace(
@@ -135,6 +138,7 @@
             headers=(),
             body=b'',
             arrived_at=Instant(0.0),
+            deadline=DEADLINE,
         )
         client = Client()
         end = self.finish(forwarder.serve(route, request, client))
@@ -151,6 +155,11 @@
         self.assertEqual([None, 2], targets.begun_after)
         self.assertTrue(client.is_finished)
 
+    def test_each_target_gets_the_deadline(self) -> None:
+        """Guard against targets that work on after their client has left."""
+        _, targets, _ = self.serve(2, 9)
+        self.assertEqual([DEADLINE, DEADLINE], targets.deadlines)
+
     def test_one_that_may_not_be_resumed_is_cut(self) -> None:
         client, targets, end = self.serve(2, 9, is_resumable=False)
         self.assertEqual(1, len(targets.begun_after))
