--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -146,7 +146,8 @@
         self._left_by_group: dict[GroupId, int] = {}
         self._begun: set[GroupId] = set()
         self._held: collections.Counter[GroupId] = collections.Counter()
-        self._whole_groups = 0
+        # Groups all of whose items have a result.
+        self.whole_groups = 0
         for position, item in enumerate(job.items):
             self.runs_by_id[item.id] = ItemRun(job, item, position)
             left = self._left_by_group.get(item.group, 0)
@@ -166,6 +167,10 @@
             run.state = RunState.WAITING
             self._held[run.item.group] -= 1
 
+    def is_held_group(self, group: GroupId) -> bool:
+        """Tell whether a group can't be whole for now."""
+        return self._held[group] > 0
+
     def end(self, item_id: ItemId) -> bool:
         """Note that an item has its result; tell if its group is whole."""
         run = self.runs_by_id.get(item_id)
@@ -174,7 +179,7 @@
         run.state = RunState.ENDED
         self._left_by_group[run.item.group] -= 1
         is_whole = self._left_by_group[run.item.group] == 0
-        self._whole_groups += is_whole
+        self.whole_groups += is_whole
         return is_whole
 
     def is_awaited(self, now: Instant) -> bool:
@@ -183,7 +188,7 @@
         It trains once it has as many as it wants, and counts those that it
         has when the job is due; until then it only collects them.
         """
-        if self._whole_groups >= self.job.wanted_groups:
+        if self.whole_groups >= self.job.wanted_groups:
             return True
         return now >= self.due_at - AWAITED_SECONDS
 
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -13,12 +13,16 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ModelName
 from yuccarill.core.ids import WeightVersion
+from yuccarill.core.speeds.book import DEFAULT_PACE
+from yuccarill.core.speeds.estimate import PaceEstimate
+from yuccarill.core.speeds.estimate import SpeedState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from yuccarill.core.ids import TargetId
     from yuccarill.core.jobs.job import Job
+    from yuccarill.core.speeds.book import LogPaceBook
 
 # Seconds after which a gap has lost two thirds of its weight in an engine's
 # average. All runs of an engine share its pauses: counted by events, one
@@ -40,6 +44,8 @@
 # the second with each failure in a row.
 FIRST_EJECTION = 0.5
 LAST_EJECTION = 4.0
+# Seconds for which the median of lasting paces stands.
+_USUAL_SECONDS = 0.1
 
 
 class EngineState(msgspec.Struct, kw_only=True):
@@ -108,10 +114,15 @@
 
 
 class EngineFleet:
-    """Hold the engines of one service."""
+    """Hold the engines of one service.
 
-    def __init__(self) -> None:
+    With a book of speeds, engines are compared by their lasting paces; else
+    by those of the last seconds.
+    """
+
+    def __init__(self, speeds: LogPaceBook | None = None) -> None:
         self.engines_by_id: dict[TargetId, EngineState] = {}
+        self.speeds = speeds
         self._usual: float | None = None
         self._usual_at = Instant(-1.0)
 
@@ -124,9 +135,16 @@
         listed_by_id = {target.id: target for target in targets}
         for gone in self.engines_by_id.keys() - listed_by_id.keys():
             del self.engines_by_id[gone]
+            if self.speeds is not None:
+                self.speeds.forget(gone)
         for target in listed_by_id.values():
             known = self.engines_by_id.get(target.id)
-            if known is not None and known.target.is_same_start(target):
+            is_same = known is not None and known.target.is_same_start(target)
+            if self.speeds is not None:
+                if known is not None and not is_same:
+                    self.speeds.forget(target.id)
+                self.speeds.follow(target.id, target.start)
+            if known is not None and is_same:
                 known.target = target
                 continue
             # A process that started again under its id knows nothing of
@@ -149,8 +167,24 @@
 
     def cost(self, engine: EngineState, now: Instant) -> float:
         """Return how slow an engine would be with one more run."""
+        if self.speeds is not None:
+            return self.estimate(engine, engine.running, now).pace
         return _cost(engine, self.usual_pace(now) or 0.0, now)
 
+    def estimate(
+        self, engine: EngineState, beside: int, now: Instant
+    ) -> PaceEstimate:
+        """Return the seconds an event of a run with so many beside."""
+        if self.speeds is not None:
+            return self.speeds.pace(engine.target.id, beside, now)
+        known = engine.known_pace(now) or self.usual_pace(now)
+        return PaceEstimate(pace=known or DEFAULT_PACE, deviation=0.0)
+
+    def full_pace(self, engine: EngineState, now: Instant) -> float:
+        """Return the seconds an event where each place is taken."""
+        beside = max(0, engine.target.slots - 1)
+        return self.estimate(engine, beside, now).pace
+
     def can_run(self, engine: EngineState, job: Job, now: Instant) -> bool:
         """Tell whether an engine may get an item of a job."""
         if engine.target.is_leaving or now < engine.ejected_until:
@@ -167,13 +201,16 @@
     def usual_pace(self, now: Instant) -> float | None:
         """Return the median pace, none if no engine was seen at work."""
         # Asked for each of some hundred runs at the same instant.
-        if now == self._usual_at:
+        kept = 0.0 if self.speeds is None else _USUAL_SECONDS
+        if self._usual_at <= now <= self._usual_at + kept:
             return self._usual
         self._usual_at = now
         self._usual = self._median_pace(now)
         return self._usual
 
     def _median_pace(self, now: Instant) -> float | None:
+        if self.speeds is not None:
+            return self._median_estimate(now)
         paces = [
             pace
             for engine in self.engines_by_id.values()
@@ -181,13 +218,25 @@
         ]
         return statistics.median_low(paces) if paces else None
 
+    def _median_estimate(self, now: Instant) -> float | None:
+        assert self.speeds is not None
+        paces = [
+            self.speeds.pace(name, max(0, engine.running - 1), now).pace
+            for name, engine in self.engines_by_id.items()
+            if self.speeds.state(name, now) is not SpeedState.UNKNOWN
+        ]
+        return statistics.median_low(paces) if paces else None
+
     def is_silent(self, last_at: Instant, now: Instant) -> bool:
         """Tell whether a run has made no event for too long."""
         usual = self.usual_pace(now) or 0.0
         return now - last_at > max(MIN_SILENCE, SILENT_FACTOR * usual)
 
     def is_slow(self, engine: EngineState, now: Instant) -> bool:
-        """Tell whether an engine is much slower than the others."""
+        """Tell whether an engine is much slower than it should be."""
+        if self.speeds is not None:
+            found = self.speeds.state(engine.target.id, now)
+            return found is SpeedState.FAULTY
         usual = self.usual_pace(now) or 0.0
         return _slowness(engine, usual, now) >= SLOW_FACTOR
 
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/lengths.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/lengths.py
@@ -31,12 +31,35 @@
     def __init__(self) -> None:
         self._samples_by_kind: dict[tuple[ModelName | None, bool], _Samples]
         self._samples_by_kind = {}
+        # Those of all models, by whether there was a hint.
+        self._pooled_by_hint: dict[bool, _Samples] = {}
 
     def learn(self, model: ModelName | None, item: Item, events: int) -> None:
         """Take the length of a finished text."""
         kind = (model, item.hinted_tokens is not None)
         samples = self._samples_by_kind.setdefault(kind, _Samples())
         samples.add(events / _unit(item))
+        pooled = self._pooled_by_hint.setdefault(kind[1], _Samples())
+        pooled.add(events / _unit(item))
+
+    def is_scaled(self, item: Item) -> bool:
+        """Tell whether texts like this one have ended, of any model."""
+        return (item.hinted_tokens is not None) in self._pooled_by_hint
+
+    def expected(
+        self, model: ModelName | None, item: Item, events: int
+    ) -> float:
+        """Return the same as `remaining`, comparable between models.
+
+        A model none of whose texts has ended is taken for one like the
+        others.
+        """
+        is_hinted = item.hinted_tokens is not None
+        if (model, is_hinted) in self._samples_by_kind:
+            return self.remaining(model, item, events)
+        return self._remaining(
+            self._pooled_by_hint.get(is_hinted), item, events
+        )
 
     def remaining(
         self, model: ModelName | None, item: Item, events: int
@@ -46,9 +69,13 @@
         Before the first text has ended there is no scale, and the hint
         itself only puts texts in their order.
         """
-        unit = _unit(item)
         kind = (model, item.hinted_tokens is not None)
-        samples = self._samples_by_kind.get(kind)
+        return self._remaining(self._samples_by_kind.get(kind), item, events)
+
+    def _remaining(
+        self, samples: _Samples | None, item: Item, events: int
+    ) -> float:
+        unit = _unit(item)
         if samples is None:
             return max(0.0, unit - events)
         mean = samples.mean_above(events / unit)
--- a/packages/yuccarill-core/tests/jobs/load_model.py
+++ b/packages/yuccarill-core/tests/jobs/load_model.py
@@ -18,6 +18,7 @@
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import placing
+from yuccarill.core.jobs import text
 
 from . import items
 
@@ -37,6 +38,11 @@
 HINT_SPREAD = 0.48
 
 
+def event(number: int) -> text.StreamEvent:
+    """Return an event of a text."""
+    return text.StreamEvent(number=number, data='x')
+
+
 @dataclasses.dataclass
 class Running:
     """Hold one text that an engine makes."""
