Place batch jobs' items by finishing time, where the switch says so

--placement finish (YUCCARILL_PLACEMENT) gives the holder of a duty a book of its engines' speeds and a plan of its items; load, the default, is as before. Speeds travel with the texts that a holder copies and hands on. The line of a moved run names its reason and the estimate.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/engines.py
@@ -249,16 +249,22 @@
         now: Instant,
     ) -> bool:
         """Tell whether a run is better off at another engine."""
-        if self.is_silent(last_at, now) or job.model in engine.emptying:
-            return True
-        if self._has_started_again(engine):
-            # Its text goes on no more: the run would only wait for the
-            # silence that shows it.
+        if self.has_stopped(engine, job, last_at, now):
             return True
         # A pace from before the run came says little of the engine now.
         has_stayed = now - started_at >= MIN_STAY
         return has_stayed and self.is_slow(engine, now)
 
+    def has_stopped(
+        self, engine: EngineState, job: Job, last_at: Instant, now: Instant
+    ) -> bool:
+        """Tell whether a run gets on no more where it is."""
+        if self.is_silent(last_at, now) or job.model in engine.emptying:
+            return True
+        # Its text goes on no more: the run would only wait for the silence
+        # that shows it.
+        return self._has_started_again(engine)
+
     def _has_started_again(self, engine: EngineState) -> bool:
         listed = self.engines_by_id.get(engine.target.id)
         if listed is None or listed is engine:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -12,6 +12,7 @@
 from twisted.internet import reactor
 
 from yuccarill.core import errors
+from yuccarill.core.jobs.placement import Placement
 from yuccarill.daemon.gateway import log_sink
 from yuccarill.daemon.gateway import process as process_module
 from yuccarill.daemon import logs
@@ -39,11 +40,22 @@
     envvar='YUCCARILL_LOG_LEVEL',
     help='The lowest level of log lines that are written.',
 )
+@click.option(
+    '--placement',
+    type=click.Choice([placement.value for placement in Placement]),
+    default=Placement.LOAD.value,
+    show_default=True,
+    envvar='YUCCARILL_PLACEMENT',
+    help='By what items of batch jobs find their engines.',
+)
 @click.option(
     '--check-settings', is_flag=True, help='Check the settings and end.'
 )
 def main(
-    given_file: pathlib.Path | None, log_level: str, check_settings: bool
+    given_file: pathlib.Path | None,
+    log_level: str,
+    placement: str,
+    check_settings: bool,
 ) -> None:
     """Run one instance of yuccarill on the users' platform."""
     path, settings = _read(given_file)
@@ -52,7 +64,9 @@
         return
     sink = log_sink.LogSink(STDOUT, reactor)
     logs.configure_stream(sink, LogLevel(log_level))
-    process = process_module.GatewayProcess(settings, path)
+    process = process_module.GatewayProcess(
+        settings, path, placement=Placement(placement)
+    )
     exit_code = 0
     is_stopping = False
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -15,13 +15,17 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
+from yuccarill.core.jobs.placement import Placement
 from yuccarill.core.jobs import placing as placing_module
+from yuccarill.core.jobs import planning
+from yuccarill.core.speeds import book
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import run_moves
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import ModelName
@@ -59,6 +63,11 @@
         ...
 
 
+def speed_book(placement: Placement) -> book.LogPaceBook | None:
+    """Return what learns engines' lasting paces, where that is asked."""
+    return book.LogPaceBook() if placement is Placement.FINISH else None
+
+
 class Permission(enum.Enum):
     """Say whether the configuration allows an item here."""
 
@@ -94,8 +103,11 @@
         self._desk = desk
         self._clock = clock
         self._held: list[board_module.ItemRun] = []
+        self._plan: planning.FinishPlan | None = None
+        if fleet.speeds is not None:
+            self._plan = planning.FinishPlan(board, fleet)
         # Moves the runs off engines that hold them up.
-        self.moves = run_moves.RunMoves(board, fleet, clock)
+        self.moves = run_moves.RunMoves(board, fleet, self._plan, clock)
         self._is_stopped = False
         self._is_pumping = False
         self._is_asked = False
@@ -152,10 +164,16 @@
             return
         # Items of one model and age of weights find the same engines.
         full: set[tuple[ModelName | None, WeightVersion]] = set()
+        all_needs = {
+            (state.job.model, state.job.min_version)
+            for state in self._board.jobs_by_id.values()
+        }
         pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
         placing = placing_module.Placing(self._fleet, now)
         self._resume_held()
-        for run in self._board.waiting(pace):
+        for run in self._waiting(pace, now):
+            if len(full) == len(all_needs):
+                break
             needs = (run.job.model, run.job.min_version)
             if needs in full or self._is_held_back(run):
                 continue
@@ -171,6 +189,22 @@
                 case Permission.ELSEWHERE:
                     continue
 
+    def _waiting(
+        self, pace: float, now: Instant
+    ) -> Iterable[board_module.ItemRun]:
+        if self._plan is None:
+            return self._board.waiting(pace)
+        was_short = self._plan.is_short
+        found = self._plan.waiting(pace, now)
+        if self._plan.is_short is not was_short:
+            log.info(
+                'Engines fall short.'
+                if self._plan.is_short
+                else 'Engines suffice.',
+                service=self._service,
+            )
+        return found
+
     def _is_held_back(self, run: board_module.ItemRun) -> bool:
         """Tell whether an item may not be run now for what it did.
 
@@ -237,7 +271,9 @@
         run: board_module.ItemRun,
         engine: engines_module.EngineState,
     ) -> None:
-        generating = run_moves.Generating(engine, self._now())
+        generating = run_moves.Generating(
+            engine, self._now(), self._fleet.speeds
+        )
         generating.work = defer.Deferred.fromCoroutine(
             self._generator.run(run, engine, generating.progress)
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/run_moves.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/run_moves.py
@@ -10,6 +10,8 @@
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import placing as placing_module
+from yuccarill.core.jobs import planning
+from yuccarill.core.speeds import book
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon import logs
 
@@ -20,18 +22,34 @@
     """Track one run of an item at an engine."""
 
     def __init__(
-        self, engine: engines_module.EngineState, now: Instant
+        self,
+        engine: engines_module.EngineState,
+        now: Instant,
+        speeds: book.LogPaceBook | None = None,
     ) -> None:
         self.engine = engine
         self.started_at = now
         self.last_at = now
+        self._speeds = speeds
+        self._has_event = False
         self.is_moved = False
         self.work: defer.Deferred[generation.Outcome] = defer.Deferred()
 
     def progress(self, now: Instant) -> None:
         """Note that an event came."""
+        # The first comes after a connection and the reading of the text.
+        if self._has_event and self._speeds is not None:
+            self._learn(self._speeds, now)
+        self._has_event = True
         self.last_at = now
 
+    def _learn(self, speeds: book.LogPaceBook, now: Instant) -> None:
+        # An engine that takes new weights stands still for a while.
+        if not self.engine.switching:
+            beside = max(0, self.engine.running - 1)
+            gap = now - self.last_at
+            speeds.saw(self.engine.target.id, gap, beside, now)
+
 
 class RunMoves:
     """Look after the runs of a service that are under way."""
@@ -40,10 +58,12 @@
         self,
         board: board_module.JobBoard,
         fleet: engines_module.EngineFleet,
+        plan: planning.FinishPlan | None,
         clock: Any,
     ) -> None:
         self._board = board
         self._fleet = fleet
+        self._plan = plan
         self._clock = clock
         self.generating_by_run: dict[board_module.ItemRun, Generating] = {}
 
@@ -68,32 +88,68 @@
         placing = placing_module.Placing(self._fleet, now)
         for run, generating in list(self.generating_by_run.items()):
             engine = generating.engine
-            if not self._fleet.is_held_up(
-                engine,
-                run.job,
-                generating.started_at,
-                generating.last_at,
-                now,
-            ):
+            reason = self._reason(run, generating, placing, now)
+            if reason is None:
                 continue
             if placing.free_places(run.job, engine) <= waiting:
                 continue
             waiting += 1
             placing.moved(run.job)
-            log.info(
-                'Run moved.',
-                item=run.item.id,
-                engine=generating.engine.target.id,
-                pace=generating.engine.pace,
-                usual=self._fleet.usual_pace(now),
-                silent=round(now - generating.last_at, 3),
-            )
+            self._log_move(run, generating, reason, now)
             if self._fleet.is_silent(generating.last_at, now):
                 # Otherwise the next item would wait there as long.
-                generating.engine.fail(now)
-                placing.leave_out(generating.engine)
+                engine.fail(now)
+                placing.leave_out(engine)
             generating.is_moved = True
             generating.work.cancel()
 
+    def _reason(
+        self,
+        run: board_module.ItemRun,
+        generating: Generating,
+        placing: placing_module.Placing,
+        now: Instant,
+    ) -> str | None:
+        """Return why a run is better off elsewhere, none if it is not."""
+        engine = generating.engine
+        if self._plan is None:
+            is_held_up = self._fleet.is_held_up(
+                engine,
+                run.job,
+                generating.started_at,
+                generating.last_at,
+                now,
+            )
+            return 'held up' if is_held_up else None
+        if self._fleet.has_stopped(engine, run.job, generating.last_at, now):
+            return 'stopped'
+        if now - generating.started_at < engines_module.MIN_STAY:
+            return None
+        if self._plan.is_better_off(run, engine, placing, now):
+            return 'ends sooner elsewhere'
+        return None
+
+    def _log_move(
+        self,
+        run: board_module.ItemRun,
+        generating: Generating,
+        reason: str,
+        now: Instant,
+    ) -> None:
+        engine = generating.engine
+        beside = max(0, engine.running - 1)
+        estimate = self._fleet.estimate(engine, beside, now)
+        log.info(
+            'Run moved.',
+            item=run.item.id,
+            engine=engine.target.id,
+            reason=reason,
+            pace=engine.pace,
+            estimate=round(estimate.pace, 4),
+            deviation=round(estimate.deviation, 3),
+            usual=self._fleet.usual_pace(now),
+            silent=round(now - generating.last_at, 3),
+        )
+
     def _now(self) -> Instant:
         return Instant(self._clock.seconds())
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -29,7 +29,9 @@
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.job import ItemId
@@ -37,6 +39,7 @@
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
     from yuccarill.core.jobs.left_text import LeftText
+    from yuccarill.core.speeds.estimate import SpeedRecord
     from yuccarill.daemon.gateway.duty.duties import Duty
     from yuccarill.daemon.gateway.jobs.generation import Generator
     from yuccarill.daemon.gateway.jobs.job_store import JobStore
@@ -73,6 +76,7 @@
         engines: Engines,
         clock: Any,
         handed: defer.Deferred[list[LeftText]],
+        known_speeds: Callable[[], Iterable[SpeedRecord]] = tuple,
     ) -> None:
         self._state = state
         self._duty = duty
@@ -80,7 +84,8 @@
         self._reader = job_reader.JobReader(jobs, clock)
         self._clock = clock
         self._board = board_module.JobBoard()
-        self._fleet = engines_module.EngineFleet()
+        self._speeds = item_runs.speed_book(state.placement)
+        self._fleet = engines_module.EngineFleet(self._speeds)
         self._requests = engine_requests.EngineRequests(
             store, self.survey, clock
         )
@@ -124,6 +129,7 @@
         self._following: list[defer.Deferred[None]] = []
         # What the holder before had made of the items.
         self._handed = handed
+        self._known_speeds = known_speeds
         self._is_stopped = False
 
     def start(self) -> None:
@@ -135,12 +141,27 @@
     async def _start(self) -> None:
         # Before any job: an item that runs already is not looked up again.
         self._board.leave(await self._handed)
+        self._restore_speeds()
         for work in (self._follower.follow(), *self._requests.following()):
             following = defer.ensureDeferred(work)
             following.addErrback(self._crashed)
             self._following.append(following)
         self._ticker.start(TICK_SECONDS).addErrback(self._crashed)
 
+    def _restore_speeds(self) -> None:
+        if self._speeds is None:
+            return
+        records = list(self._known_speeds())
+        for record in records:
+            self._speeds.restore(record, self._now())
+        log.info('Speeds restored.', count=len(records))
+
+    def speed_records(self) -> list[SpeedRecord]:
+        """Return what another instance has to know of the engines."""
+        if self._speeds is None:
+            return []
+        return self._speeds.records(self._now())
+
     def stop(self) -> None:
         """Give up everything; another instance goes on from the store."""
         self._is_stopped = True
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.left_text import LeftText
+    from yuccarill.core.speeds.estimate import SpeedRecord
     from yuccarill.daemon.gateway.duty.holder_calls import HolderCalls
     from yuccarill.daemon.gateway.jobs.job_store import JobStore
     from yuccarill.daemon.gateway.jobs.texts import TextDepot
@@ -64,6 +65,7 @@
         self._engines = engines
         self._depot = depot
         self._text_sender = text_sender
+        text_sender.speeds_of = self._speed_records
         self._standbys = standbys
         self._peers = peers
         self._holders = holders
@@ -144,6 +146,7 @@
             self._engines,
             self._clock,
             defer.Deferred.fromCoroutine(self._left_texts(service, kept)),
+            functools.partial(self._depot.take_speeds, service),
         )
         self.runners_by_service[service] = started
         started.start()
@@ -168,6 +171,10 @@
         self._writers_by_service[service] = writing
         writing.start()
 
+    def _speed_records(self, service: ServiceName) -> list[SpeedRecord]:
+        running = self.runners_by_service.get(service)
+        return [] if running is None else running.speed_records()
+
     async def _left_texts(
         self, service: ServiceName, kept: progress.ProgressStore
     ) -> list[LeftText]:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
 from yuccarill.core.jobs.left_text import LeftText
 from yuccarill.core.jobs import text_copies
 from yuccarill.core.jobs.text_copies import TextChange
+from yuccarill.core.speeds.estimate import SpeedRecord
 from yuccarill.daemon.adapters.small_server import Page
 from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon import logs
@@ -47,6 +49,8 @@
 # Seconds for which they are kept: a duty that was not given back changes
 # hands within its lease, and where the store is away some seconds later.
 KEPT_SECONDS = 30.0
+# Seconds between two messages to one peer that tell of engines' speeds.
+SPEEDS_SECONDS = 2.0
 # Texts kept of one service, as a board keeps them.
 MAX_KEPT = 500
 
@@ -66,6 +70,8 @@
     number: int
     # The most useful first.
     texts: tuple[TextChange, ...]
+    # What is known of the service's engines, with some messages.
+    speeds: tuple[SpeedRecord, ...] = ()
 
 
 class _KeptText(NamedTuple):
@@ -77,6 +83,13 @@
     until: Instant
 
 
+class _KeptSpeeds(NamedTuple):
+    """Keep what a holder knew of its engines, and since when."""
+
+    records: tuple[SpeedRecord, ...]
+    at: Instant
+
+
 class TextDepot:
     """Keep the texts that were handed to this instance."""
 
@@ -85,6 +98,7 @@
         # Called before a service's texts are shown to who asks for them.
         self.on_show: Callable[[ServiceName], None] = lambda service: None
         self._texts_by_service: dict[ServiceName, dict[ItemId, _KeptText]] = {}
+        self._speeds_by_service: dict[ServiceName, _KeptSpeeds] = {}
 
     async def handle(self, request: SmallRequest) -> Page:
         """Take texts that are handed on, or show those that are kept."""
@@ -109,6 +123,10 @@
             log.warning('Texts not taken.', cause=str(error))
             return Page(status=400)
         self._clock.callLater(KEPT_SECONDS, self._drop_old)
+        if handed.speeds:
+            self._speeds_by_service[handed.service] = _KeptSpeeds(
+                handed.speeds, Instant(self._clock.seconds())
+            )
         are_taken = [self._keep(handed, each) for each in handed.texts]
         kept = self._texts_by_service.get(handed.service, {})
         while len(kept) > MAX_KEPT:
@@ -147,6 +165,17 @@
             log.info('Texts taken over.', service=service, count=len(found))
         return found
 
+    def take_speeds(self, service: ServiceName) -> list[SpeedRecord]:
+        """Return what a service's holder before knew of its engines."""
+        kept = self._speeds_by_service.pop(service, None)
+        if kept is None:
+            return []
+        seconds = self._clock.seconds() - kept.at
+        return [
+            msgspec.structs.replace(record, age=record.age + seconds)
+            for record in kept.records
+        ]
+
     def kept(self, service: ServiceName) -> list[LeftText]:
         """Return a service's texts, which go on being kept."""
         now = self._clock.seconds()
@@ -180,6 +209,11 @@
         self._peers = peer_call.PeerCalls(links, clock)
         self._source = uuid.uuid4().hex
         self._number = 0
+        self._clock = clock
+        # What this instance knows of a service's engines.
+        self.speeds_of: Callable[[ServiceName], Iterable[SpeedRecord]]
+        self.speeds_of = lambda service: ()
+        self._speeds_at: dict[tuple[str, ServiceName], float] = {}
 
     async def hand_on(
         self, service: ServiceName, texts: Iterable[LeftText]
@@ -245,6 +279,7 @@
             source=self._source,
             number=self._number,
             texts=chosen,
+            speeds=self._speeds(peer.instance, service),
         )
         try:
             await self._peers.call(
@@ -258,6 +293,17 @@
             raise NotTaken(str(error)) from error
         return chosen
 
+    def _speeds(
+        self, peer: str, service: ServiceName
+    ) -> tuple[SpeedRecord, ...]:
+        """Return what a peer is told of the engines now, from time to time."""
+        now = self._clock.seconds()
+        told_at = self._speeds_at.get((peer, service), -math.inf)
+        if now < told_at + SPEEDS_SECONDS:
+            return ()
+        self._speeds_at[peer, service] = now
+        return tuple(self.speeds_of(service))
+
     async def fetch(self, service: ServiceName) -> list[LeftText]:
         """Return what the likely next holders keep of a service's texts.
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -11,6 +11,7 @@
 
 from yuccarill.core import errors
 from yuccarill.core.ids import Instant
+from yuccarill.core.jobs.placement import Placement
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway.accounts import admission
@@ -80,10 +81,11 @@
         settings: InstanceSettings,
         settings_path: pathlib.Path,
         clock: Any = default_reactor,
+        placement: Placement = Placement.LOAD,
     ) -> None:
         self._path = settings_path
         self._clock = clock
-        self._state = state_module.GatewayState(settings)
+        self._state = state_module.GatewayState(settings, placement=placement)
         links = connections.Connections(clock, _count_connection)
         self._way = store_way.StoreWay(self._state, links, clock)
         self._store = store_module.Store(self._way, settings.store_address)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/runner.py
@@ -52,7 +52,9 @@
         self._state = state
         self._clock = clock
         self._board = board_module.JobBoard()
-        self._fleet = engines_module.EngineFleet()
+        self._fleet = engines_module.EngineFleet(
+            item_runs.speed_book(state.placement)
+        )
         self._works: set[defer.Deferred[None]] = set()
         self._runs = item_runs.ItemRuns(
             service,
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -13,6 +13,7 @@
 from yuccarill.core.ids import DataCentreId
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import WallTime
+from yuccarill.core.jobs.placement import Placement
 
 if TYPE_CHECKING:
     from yuccarill.core.gateway.leadership import LastHolder
@@ -66,6 +67,8 @@
     settings: InstanceSettings
     # What every draw of this process comes from, so that a test can seed it.
     generator: random.Random = dataclasses.field(default_factory=random.Random)
+    # How items of batch jobs find their engines.
+    placement: Placement = Placement.LOAD
     # Written by the observer.
     table: RouteTable | None = None
     targets: TargetList = dataclasses.field(default_factory=TargetList)
