--- a/packages/yuccarill-core/src/yuccarill/core/jobs/planning.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/planning.py
@@ -31,6 +31,8 @@
 # Seconds that a move takes: a new connection, the text read again, and the
 # wait for the engine's next step.
 MOVE_SECONDS = 0.15
+# Seconds to spare below which a text may be moved for its end alone.
+SPARE_SECONDS = 3.0
 # Standard errors by which a move's gain must be above nothing.
 SURE_ERRORS = 1.0
 
@@ -305,7 +307,7 @@
         """
         pace = self._fleet.estimate(engine, engine.running - 1, now).pace
         is_slow = self._fleet.is_slow(engine, now)
-        if not is_slow and not self._board.is_hurried(run, pace, now):
+        if not is_slow and self.spare(run, pace, now) >= SPARE_SECONDS:
             return False
         other = places.choose(run.job)
         if other is None or other is engine:
