Let a flood not delay a trainer that asks for its part

A trainer whose steps flood the engines is behind for that reason, and its credit took the part of one that asks for less; groups whose hint is far too long were put off though they end in time.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/triage.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/triage.py
@@ -23,10 +23,12 @@
 # Part of the engines' time that is given away: a text may be longer than
 # expected, and the last ones leave places empty.
 USED_PART = 0.8
+# Part of an expected length that a text surely has: hints are far off.
+SURE_PART = 0.5
 # Steps behind the foremost trainer that still raise a trainer's claim.
-MOST_BEHIND = 4
+MOST_BEHIND = 2
 # Part by which each of them raises it.
-CREDIT_PART = 1.0
+CREDIT_PART = 0.25
 
 
 class GroupNeed(msgspec.Struct, kw_only=True):
@@ -151,8 +153,8 @@
 
 
 def _feasible(step: StepNeed, seconds: float, pace: float) -> list[GroupNeed]:
-    """Return the groups that can be whole in time on free engines."""
-    return [n for n in step.groups if n.longest * pace <= seconds]
+    """Return the groups that may be whole in time on free engines."""
+    return [n for n in step.groups if SURE_PART * n.longest * pace <= seconds]
 
 
 def _taken(groups: Sequence[GroupNeed], room: float) -> list[GroupNeed]:
