--- a/packages/yuccarill-core/src/yuccarill/core/speeds/estimate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/speeds/estimate.py
@@ -45,6 +45,10 @@
 class SpeedBook(Protocol):
     """Know the speed of the targets of one service."""
 
+    def follow(self, target: TargetId, start: TargetStart) -> None:
+        """Forget what is known of an earlier start of a target."""
+        ...
+
     def saw(
         self,
         target: TargetId,
