--- a/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/board.py
@@ -145,8 +145,11 @@
         self.runs_by_id: dict[ItemId, ItemRun] = {}
         self._left_by_group: dict[GroupId, int] = {}
         self._begun: set[GroupId] = set()
+        # Each run that has begun, once.
+        self._begun_runs: dict[ItemId, ItemRun] = {}
         self._held: collections.Counter[GroupId] = collections.Counter()
-        self._whole_groups = 0
+        # Groups all of whose items have a result.
+        self.whole_groups = 0
         for position, item in enumerate(job.items):
             self.runs_by_id[item.id] = ItemRun(job, item, position)
             left = self._left_by_group.get(item.group, 0)
@@ -154,6 +157,21 @@
 
     def begin(self, run: ItemRun) -> None:
         self._begun.add(run.item.group)
+        self._begun_runs[run.item.id] = run
+
+    @property
+    def begun_runs(self) -> Iterable[ItemRun]:
+        """Return the runs that have begun and have not ended."""
+        return self._begun_runs.values()
+
+    def open_begun_groups(self) -> set[GroupId]:
+        """Return the groups that have begun and are not whole."""
+        return {g for g in self._begun if self._left_by_group[g] > 0}
+
+    @property
+    def has_held_groups(self) -> bool:
+        """Tell whether there are groups that can't be whole for now."""
+        return any(self._held.values())
 
     def hold(self, run: ItemRun) -> None:
         """Keep an item from being run."""
@@ -166,15 +184,20 @@
             run.state = RunState.WAITING
             self._held[run.item.group] -= 1
 
+    def is_held_group(self, group: GroupId) -> bool:
+        """Tell whether a group can't be whole for now."""
+        return self._held[group] > 0
+
     def end(self, item_id: ItemId) -> bool:
         """Note that an item has its result; tell if its group is whole."""
         run = self.runs_by_id.get(item_id)
         if run is None or run.state is RunState.ENDED:
             return False
         run.state = RunState.ENDED
+        self._begun_runs.pop(item_id, None)
         self._left_by_group[run.item.group] -= 1
         is_whole = self._left_by_group[run.item.group] == 0
-        self._whole_groups += is_whole
+        self.whole_groups += is_whole
         return is_whole
 
     def is_awaited(self, now: Instant) -> bool:
@@ -183,7 +206,7 @@
         It trains once it has as many as it wants, and counts those that it
         has when the job is due; until then it only collects them.
         """
-        if self._whole_groups >= self.job.wanted_groups:
+        if self.whole_groups >= self.job.wanted_groups:
             return True
         return now >= self.due_at - AWAITED_SECONDS
 
--- /dev/null
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/planning.py
@@ -0,0 +1,196 @@
+"""Put waiting items in order by which groups can be whole in time."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import board as board_module
+from yuccarill.core.jobs import job_plan
+from yuccarill.core.jobs import triage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from yuccarill.core.ids import ModelName
+    from yuccarill.core.ids import WeightVersion
+    from yuccarill.core.jobs.board import ItemRun
+    from yuccarill.core.jobs.board import JobBoard
+    from yuccarill.core.jobs.engines import EngineFleet
+    from yuccarill.core.jobs.engines import EngineState
+    from yuccarill.core.jobs.job import JobId
+    from yuccarill.core.jobs.placing import Placing
+
+# Seconds for which a plan stands while no job comes or ends.
+PLAN_SECONDS = 0.25
+# Seconds that a move takes: a new connection, the text read again, and the
+# wait for the engine's next step.
+MOVE_SECONDS = 0.15
+# Seconds to spare below which a text may be moved for its end alone.
+SPARE_SECONDS = 3.0
+# Standard errors by which a move's gain must be above nothing.
+SURE_ERRORS = 1.0
+
+
+class FinishPlan:
+    """Plan the items of all open jobs of one service."""
+
+    def __init__(self, board: JobBoard, fleet: EngineFleet) -> None:
+        self._board = board
+        self._fleet = fleet
+        self._plans_by_job: dict[JobId, job_plan.JobPlan] = {}
+        self._planned_at = Instant(-math.inf)
+        # Whether engines can't do all that is due.
+        self.is_short = False
+
+    @property
+    def put_off(self) -> int:
+        """Count the groups that wait behind those that fit."""
+        return sum(plan.put_off for plan in self._plans_by_job.values())
+
+    def fits(self, run: ItemRun) -> bool:
+        """Tell whether a run is of a group that can be whole in time."""
+        plan = self._plans_by_job.get(run.job.id)
+        return plan is not None and run.item.group in plan.fitting_groups
+
+    def spare(self, run: ItemRun, pace: float, now: Instant) -> float:
+        """Return the seconds from a run's expected end to its due time."""
+        left = self._board.lengths.expected(
+            run.job.model, run.item, run.text.events
+        )
+        state = self._board.jobs_by_id[run.job.id]
+        return state.due_at - now - pace * left
+
+    def waiting(self, pace: float, now: Instant) -> Iterator[ItemRun]:
+        """Return the items to run: those that fit, and then the others.
+
+        Costs what is taken of it, besides a plan each `PLAN_SECONDS`.
+        """
+        self._follow(now)
+        return self._ordered(pace)
+
+    def _ordered(self, pace: float) -> Iterator[ItemRun]:
+        plans = list(self._plans_by_job.values())
+        # Who asks for less than its part waits for nobody who asks for more.
+        for is_modest in (True, False):
+            chosen = [p for p in plans if p.is_modest is is_modest]
+            yield from _merged([p.first(pace) for p in chosen])
+        yield from _merged([p.last() for p in plans])
+
+    def _follow(self, now: Instant) -> None:
+        jobs = self._board.jobs_by_id
+        for gone in self._plans_by_job.keys() - jobs.keys():
+            del self._plans_by_job[gone]
+            self._planned_at = Instant(-math.inf)
+        for name, state in jobs.items():
+            known = self._plans_by_job.get(name)
+            if known is None or known.state is not state:
+                plan = job_plan.JobPlan(state, self._board.lengths)
+                self._plans_by_job[name] = plan
+                self._planned_at = Instant(-math.inf)
+        if now >= self._planned_at + PLAN_SECONDS:
+            self._planned_at = now
+            self._plan(now)
+
+    def _plan(self, now: Instant) -> None:
+        plans = self._plans_by_job.values()
+        for plan in plans:
+            plan.update()
+        steps = [plan.step() for plan in plans]
+        supply = self._supply(now)
+        self.is_short = self._are_lengths_known() and triage.is_short(
+            steps, supply, now
+        )
+        if self.is_short:
+            choice = triage.fitting(steps, supply, now)
+        else:
+            choice = triage.everything(steps)
+        for plan in plans:
+            name = plan.state.job.id
+            plan.divide(choice.groups_by_job[name])
+            plan.is_modest = name in choice.modest_jobs
+
+    def _are_lengths_known(self) -> bool:
+        # Hints in other units than events say nothing of what fits.
+        return all(
+            self._board.lengths.is_scaled(plan.state.job.items[0])
+            for plan in self._plans_by_job.values()
+            if plan.state.job.items
+        )
+
+    def _supply(self, now: Instant) -> triage.Supply:
+        """Return what the engines that can run an open job can do."""
+        needs = {
+            (plan.state.job.model, plan.state.job.min_version)
+            for plan in self._plans_by_job.values()
+        }
+        rate = 0.0
+        for engine in self._fleet.engines_by_id.values():
+            if _serves(engine, needs, now):
+                pace = self._fleet.full_pace(engine, now)
+                rate += engine.target.slots / pace
+        pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
+        return triage.Supply(rate=rate, pace=pace)
+
+    def is_better_off(
+        self,
+        run: ItemRun,
+        engine: EngineState,
+        places: Placing,
+        now: Instant,
+    ) -> bool:
+        """Tell whether a run surely ends sooner at the best free engine.
+
+        A text that has time to spare stays where it is, unless its engine
+        is slower than it should be.
+        """
+        pace = self._fleet.estimate(engine, engine.running - 1, now).pace
+        is_slow = self._fleet.is_slow(engine, now)
+        if not is_slow and self.spare(run, pace, now) >= SPARE_SECONDS:
+            return False
+        other = places.choose(run.job)
+        if other is None or other is engine:
+            return False
+        return self.gain(run, engine, other, now) > 0.0
+
+    def gain(
+        self,
+        run: ItemRun,
+        engine: EngineState,
+        other: EngineState,
+        now: Instant,
+    ) -> float:
+        """Return the seconds that a move surely gains, below 0 if none."""
+        left = self._board.lengths.expected(
+            run.job.model, run.item, run.text.events
+        )
+        here = self._fleet.estimate(engine, engine.running - 1, now)
+        there = self._fleet.estimate(other, other.running, now)
+        error = math.hypot(
+            here.pace * here.deviation, there.pace * there.deviation
+        )
+        surely = here.pace - there.pace - SURE_ERRORS * error
+        return left * surely - MOVE_SECONDS
+
+
+def _merged(orders: Iterable[Iterator[job_plan.Key]]) -> Iterator[ItemRun]:
+    return (key[2] for key in heapq.merge(*orders, key=job_plan.place))
+
+
+def _serves(
+    engine: EngineState,
+    needs: Iterable[tuple[ModelName | None, WeightVersion]],
+    now: Instant,
+) -> bool:
+    if engine.target.is_leaving or now < engine.ejected_until:
+        return False
+    for model, least in needs:
+        if model is None:
+            return True
+        version = engine.version(model)
+        if version is not None and version >= least:
+            return True
+    return False
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/application.py
@@ -13,6 +13,7 @@
 from twisted.internet import reactor
 
 from yuccarill.core import errors
+from yuccarill.core.jobs.placement import Placement
 from yuccarill.daemon.gateway import log_sink
 from yuccarill.daemon.gateway import options
 from yuccarill.daemon.gateway import process as process_module
@@ -57,6 +58,14 @@
     envvar='YUCCARILL_CAPACITY',
     help="Whether instances share services' capacity.",
 )
+@click.option(
+    '--placement',
+    type=click.Choice([placement.value for placement in Placement]),
+    default=Placement.LOAD.value,
+    show_default=True,
+    envvar='YUCCARILL_PLACEMENT',
+    help='By what items of batch jobs find their engines.',
+)
 @click.option(
     '--check-settings', is_flag=True, help='Check the settings and end.'
 )
@@ -65,6 +74,7 @@
     log_level: str,
     target_orders: str,
     capacity: str,
+    placement: str,
     check_settings: bool,
 ) -> None:
     """Run one instance of yuccarill on the users' platform."""
@@ -77,6 +87,7 @@
     switches = options.Options(
         target_orders=options.TargetOrderMode(target_orders),
         capacity=options.CapacityMode(capacity),
+        placement=Placement(placement),
     )
     process = process_module.GatewayProcess(settings, path, options=switches)
     exit_code = 0
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -14,14 +14,19 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import board as board_module
 from yuccarill.core.jobs import engines as engines_module
+from yuccarill.core.jobs.placement import Placement
 from yuccarill.core.jobs import placing as placing_module
+from yuccarill.core.jobs import planning
+from yuccarill.core.speeds import book
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import item_holds
 from yuccarill.daemon.gateway.jobs import run_moves
+from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from yuccarill.core.ids import ModelName
     from yuccarill.core.ids import ServiceName
@@ -58,6 +63,11 @@
         ...
 
 
+def speed_book(placement: Placement) -> book.LogPaceBook | None:
+    """Return what learns engines' lasting paces, where that is asked."""
+    return book.LogPaceBook() if placement is Placement.FINISH else None
+
+
 class Permission(enum.Enum):
     """Say whether the configuration allows an item here."""
 
@@ -92,8 +102,11 @@
         self._desk = desk
         self._clock = clock
         self._holds = item_holds.ItemHolds(service, board, guard)
+        self._plan: planning.FinishPlan | None = None
+        if fleet.speeds is not None:
+            self._plan = planning.FinishPlan(board, fleet)
         # Moves the runs off engines that hold them up.
-        self.moves = run_moves.RunMoves(board, fleet, clock)
+        self.moves = run_moves.RunMoves(board, fleet, self._plan, clock)
         self._is_stopped = False
         self._is_pumping = False
         self._is_asked = False
@@ -150,10 +163,16 @@
             return
         # Items of one model and age of weights find the same engines.
         full: set[tuple[ModelName | None, WeightVersion]] = set()
+        all_needs = {
+            (state.job.model, state.job.min_version)
+            for state in self._board.jobs_by_id.values()
+        }
         pace = self._fleet.usual_pace(now) or board_module.DEFAULT_PACE
         placing = placing_module.Placing(self._fleet, now)
         self._holds.resume()
-        for run in self._board.waiting(pace):
+        for run in self._waiting(pace, now):
+            if len(full) == len(all_needs):
+                break
             needs = (run.job.model, run.job.min_version)
             if needs in full or self._holds.is_held_back(run):
                 continue
@@ -169,6 +188,20 @@
                 case Permission.ELSEWHERE:
                     continue
 
+    def _waiting(
+        self, pace: float, now: Instant
+    ) -> Iterable[board_module.ItemRun]:
+        if self._plan is None:
+            return self._board.waiting(pace)
+        was_short = self._plan.is_short
+        found = self._plan.waiting(pace, now)
+        put_off = self._plan.put_off
+        meters.GROUPS_PUT_OFF.labels(self._service).set(put_off)
+        if self._plan.is_short is not was_short:
+            event = 'Engines suffice.' if was_short else 'Engines fall short.'
+            log.info(event, service=self._service, put_off=put_off)
+        return found
+
     def _permission(self, run: board_module.ItemRun) -> Permission:
         # Items are bound by the configuration in force as requests are: an
         # item must not reach a service that its route no longer names.
@@ -187,15 +220,39 @@
         run.state = board_module.RunState.RUNNING
         self._board.jobs_by_id[run.job.id].begin(run)
         engine.runs_by_model[run.job.model] += 1
+        if self._plan is not None:
+            self._log_start(self._plan, run, engine)
         work = self._desk.track(run.job.id, self._run(run, engine))
         work.addBoth(lambda _: self._pump_soon())
 
+    def _log_start(
+        self,
+        plan: planning.FinishPlan,
+        run: board_module.ItemRun,
+        engine: engines_module.EngineState,
+    ) -> None:
+        now = self._now()
+        beside = engine.running - 1
+        estimate = self._fleet.estimate(engine, beside, now)
+        log.info(
+            'Run placed.',
+            item=run.item.id,
+            engine=engine.target.id,
+            beside=beside,
+            estimate=round(estimate.pace, 4),
+            deviation=round(estimate.deviation, 3),
+            spare=round(plan.spare(run, estimate.pace, now), 2),
+            fits=plan.fits(run),
+        )
+
     async def _run(
         self,
         run: board_module.ItemRun,
         engine: engines_module.EngineState,
     ) -> None:
-        generating = run_moves.Generating(engine, self._now())
+        generating = run_moves.Generating(
+            engine, self._now(), self._fleet.speeds
+        )
         generating.work = defer.Deferred.fromCoroutine(
             self._generator.run(run, engine, generating.progress)
         )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.left_text import LeftText
+    from yuccarill.core.speeds.estimate import SpeedRecord
     from yuccarill.daemon.gateway.duty.holder_calls import HolderCalls
     from yuccarill.daemon.gateway.jobs.job_store import JobStore
     from yuccarill.daemon.gateway.jobs.text_fetch import TextFetcher
@@ -69,6 +70,7 @@
         self._depot = depot
         self._text_sender = text_sender
         self._text_fetcher = text_fetcher
+        text_sender.speeds_of = self._speed_records
         self._standbys = standbys
         self._peers = peers
         self._holders = holders
@@ -151,6 +153,7 @@
             self._engines,
             self._clock,
             defer.Deferred.fromCoroutine(self._left_texts(duty, kept)),
+            functools.partial(self._depot.take_speeds, service),
         )
         self.runners_by_service[service] = started
         started.start()
@@ -180,6 +183,10 @@
             self._scalers_by_service[service] = scaler
             scaler.start()
 
+    def _speed_records(self, service: ServiceName) -> list[SpeedRecord]:
+        running = self.runners_by_service.get(service)
+        return [] if running is None else running.speed_records()
+
     async def _left_texts(
         self, duty: duties.Duty, kept: progress.ProgressStore
     ) -> list[LeftText]:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/options.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/options.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from yuccarill.core.jobs.placement import Placement
+
 
 class TargetOrderMode(enum.Enum):
     """Say which targets are ordered for services that allow it."""
@@ -28,3 +30,4 @@
 
     target_orders: TargetOrderMode = TargetOrderMode.OFF
     capacity: CapacityMode = CapacityMode.LOCAL
+    placement: Placement = Placement.LOAD
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -91,7 +91,9 @@
     ) -> None:
         self._path = settings_path
         self._clock = clock
-        self._state = state_module.GatewayState(settings)
+        self._state = state_module.GatewayState(
+            settings, placement=options.placement
+        )
         links = connections.Connections(clock, _count_connection)
         self._way = store_way.StoreWay(self._state, links, clock)
         self._store = store_module.Store(self._way, settings.store_address)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -15,6 +15,7 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import TargetId
 from yuccarill.core.ids import WallTime
+from yuccarill.core.jobs.placement import Placement
 
 if TYPE_CHECKING:
     from yuccarill.core.gateway.leadership import LastHolder
@@ -72,6 +73,8 @@
     incarnation: Incarnation = dataclasses.field(
         default_factory=lambda: Incarnation(uuid.uuid4().hex)
     )
+    # How items of batch jobs find their engines.
+    placement: Placement = Placement.LOAD
     # Written by the observer.
     table: RouteTable | None = None
     targets: TargetList = dataclasses.field(default_factory=TargetList)
