Let holders of one service share the places for scores

Each holder of a divided service took seven tenths of all scoring targets' places for itself, so nine took them six times over.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -146,4 +146,7 @@
             for service in route.services
             for target in self._state.targets.ready(service).values()
         )
-        return max(1, int(PLACES_PART * places))
+        # Each of several holders takes its own part of them.
+        divisions = self._state.divisions_by_service.values()
+        holders = max((each.parts for each in divisions), default=1)
+        return max(1, int(PLACES_PART * places / holders))
