Keep as many changes for readers as there are entries

Cause: a watcher kept 400 changes, and all engines of a large fleet change their entry with their weights in a second or two. From 400 engines on each reader copied every entry anew, 3,000 in a fleet of 300, at each change of weights, and heard that a target leaves only behind that.

A copy keeps a change for each entry, and tells of an entry that changed twice once. A poll that has a cursor builds no copy.

test_a_whole_fleet_that_changes_is_not_read_anew failed before.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
@@ -89,9 +89,11 @@
         if follower is None or not follower.is_current:
             return HttpPage(status=404)
         cursor = query.get('after', [''])[0]
-        page: store_module.Page | None = follower.copy()
+        page: store_module.Page | None
         if cursor:
             page = await follower.changes(cursor, POLL_SECONDS)
+        else:
+            page = follower.copy()
         if page is None:
             return HttpPage(status=410)
         if not follower.is_in_touch:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/history.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from typing import Any
 from typing import TYPE_CHECKING
 import uuid
@@ -15,8 +16,9 @@
     from yuccarill.platform.store import Entry
     from yuccarill.platform.store import Removal
 
-# Changes kept; a reader that is further behind copies everything again.
-MAX_CHANGES = 400
+# Changes kept at least, and else one for each entry. A reader that is further
+# behind copies everything again.
+MIN_CHANGES = 400
 
 
 class History:
@@ -45,7 +47,7 @@
         else:
             self.entries_by_key[change.key] = change
         self._changes.append(change)
-        if len(self._changes) > MAX_CHANGES:
+        while len(self._changes) > max(MIN_CHANGES, len(self.entries_by_key)):
             self._changes.popleft()
             self._dropped += 1
 
@@ -57,7 +59,10 @@
         first = int(count) - self._dropped
         if not 0 <= first <= len(self._changes):
             return None
-        return list(self._changes)[first:]
+        found = itertools.islice(self._changes, first, None)
+        # What was changed again since is told once.
+        newest_by_key = {change.key: change for change in found}
+        return list(newest_by_key.values())
 
     async def wait(self, seconds: float) -> None:
         """Wait until `wake` is called, or for a time."""
--- a/packages/yuccarill-daemon/tests/gateway/test_feed.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from unittest import mock
 
 from twisted.internet import defer
 
@@ -86,6 +87,39 @@
         self.assertEqual(['+p/a', '+p/b', '-p/a'], self.heard)
         self.assertEqual([], self.own.calls)
 
+    def test_a_whole_fleet_that_changes_is_not_read_anew(self) -> None:
+        """Each instance copied 3,000 entries at each change of weights.
+
+        1. All engines of a large fleet change their weights between two polls
+           of a reader, some of them twice.
+        2. The reader is told of each that changed once, and copies nothing.
+        """
+        for number in range(1500):
+            self.keys.put(f'p/{number}', b'1')
+        self.run_for(0.1)
+        self.read()
+        self.run_for(0.1)
+        copied = len(self.heard)
+        changes = [
+            store_module.Write(key=f'p/{number}', value=b'2')
+            for number in range(1200)
+        ]
+        with mock.patch.object(
+            follower.PrefixFollower,
+            'copy',
+            autospec=True,
+            side_effect=AssertionError,
+        ):
+            self.keys.commit(changes, ())
+            for number in range(200):
+                self.keys.put(f'p/{number}', b'3')
+            self.run_for(2.0)
+        self.assertEqual(1500, copied)
+        self.assertEqual(
+            {f'+p/{number}' for number in range(1200)},
+            set(self.heard[copied:]),
+        )
+
     def test_a_change_that_the_watcher_learnt_late_is_told(self) -> None:
         """Instances refused a new route for seconds after its change.
 
