Test that what came together is acted on together

By the code, not by a trace: each changed entry of an answer had all listeners called, a holder looks at all its engines then, and the later entries of the answer were taken only after that. The test fails on the state before listeners were told once.

An age above which nothing is sent by a list was weighed and not built: while the store is silent each instance's list is as old, so new work would stand still for the first two seconds of each loss of the store.

--- a/packages/yuccarill-daemon/tests/gateway/test_observer.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_observer.py
@@ -117,3 +117,29 @@
         self.run_for(2.0)
         self.assertEqual(300, len(self.ready()))
         self.assertLessEqual(len(told), 2)
+
+    def test_nobody_acts_on_a_part_of_what_came_together(self) -> None:
+        """A score went to a target 4 s after it had said that it leaves.
+
+        1. Entries of hundreds of engines change, and one target leaves.
+        2. All of it comes in one answer.
+        3. Acted on after each change, with a look at all engines, the last
+           ones were known seconds later, and work was sent meanwhile.
+        """
+        self.write('t0', msgspec.json.encode(ENTRY))
+        seen: list[bool] = []
+        self.observer.listen(lambda: seen.append('t0' in self.ready()))
+        changes = [
+            store.Write(
+                key=f'{keys.TARGET_PREFIX}a{number}',
+                value=msgspec.json.encode(ENTRY),
+            )
+            for number in range(20)
+        ]
+        leaving = store.Write(
+            key=f'{keys.TARGET_PREFIX}t0',
+            value=msgspec.json.encode({**ENTRY, 'state': 'draining'}),
+        )
+        self.keys.commit([*changes, leaving], ())
+        self.run_for(2.0)
+        self.assertEqual([False], seen)
