--- a/packages/yuccarill-core/src/yuccarill/core/addresses.py
+++ b/packages/yuccarill-core/src/yuccarill/core/addresses.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 
 MAX_PORT = 65535
 MAX_DIGITS = len(str(MAX_PORT))
 
 
+# Each change of a target's entry asks it of the same address again.
+@functools.lru_cache(maxsize=4096)
 def is_host(text: str) -> bool:
     """Tell whether a text is an IP number that others can connect to."""
     # The endpoints are those of IPv4. Peers and callers connect to what is
--- a/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/weights.py
@@ -61,12 +61,17 @@
     }
     fair = math.ceil(sum(shares.values()) / max(1, len(engines)))
     models_by_engine: dict[TargetId, int] = {}
+    last = {
+        engine.target.id
+        for engine in engines
+        if now < engine.ejected_until or fleet.is_slow(engine, now)
+    }
     found = {}
     for model in sorted(models):
         ordered = sorted(
             engines,
             key=lambda engine: (
-                now < engine.ejected_until or fleet.is_slow(engine, now),
+                engine.target.id in last,
                 models_by_engine.get(engine.target.id, 0) >= fair,
                 # Those that follow the model stay, so that an engine that
                 # comes or goes changes little.
@@ -122,7 +127,9 @@
     for model, engines in assigned.items():
         version = versions_by_model[model]
         serving = [e for e in engines if _serves(e, model, version)]
-        spared = _spared(serving, model, len(engines))
+        # By ids: to compare engines costs more than the rest of the plan.
+        spared = {e.target.id for e in _spared(serving, model, len(engines))}
+        serving_ids = {engine.target.id for engine in serving}
         # The last engine that serves a model goes on until another does.
         left = max(1, len(engines) - 1)
         left -= sum(1 for e in engines if model in e.switching)
@@ -130,9 +137,10 @@
             known = engine.version(model) or 0
             if engine.switching or known >= version:
                 continue
-            if engine in serving and (left <= 0 or model in held):
+            is_serving = engine.target.id in serving_ids
+            if is_serving and (left <= 0 or model in held):
                 continue
-            if engine in spared:
+            if engine.target.id in spared:
                 continue
             left -= 1
             switch = Switch(
