--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
@@ -10,7 +10,6 @@
 import msgspec
 from twisted.internet import defer
 
-from yuccarill.core.gateway import candidates
 from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway import peer_call
@@ -137,7 +136,7 @@
             if record.instance != me
         }
         cores_by_name = {n: r.cores for n, r in records_by_name.items()}
-        ordered = candidates.ordered(cores_by_name, service)
+        ordered = self._state.candidates(service, cores_by_name)
         return [
             records_by_name[name].peer_address
             for name in ordered[: texts.RECEIVERS]
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
@@ -12,7 +12,6 @@
 import msgspec
 from twisted.internet import defer
 
-from yuccarill.core.gateway import candidates
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.jobs.left_text import LeftText
@@ -273,7 +272,7 @@
             for record in self._state.serving_instances()
             if record.instance != me
         }
-        ordered = candidates.ordered(self._state.cores_by_name(), service)
+        ordered = self._state.candidates(service)
         found = [
             records_by_name[name]
             for name in ordered
