--- a/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
@@ -27,10 +27,10 @@
 from yuccarill.core.jobs.text import StreamEvent
 from yuccarill.daemon.gateway.flow import desk
 from yuccarill.daemon.gateway.quarantine import guard
-from yuccarill.daemon.gateway.requests import forwarding
 from yuccarill.daemon.gateway.requests import pools
 from yuccarill.daemon.gateway.requests import sender
 from yuccarill.daemon.gateway.requests import streams
+from yuccarill.daemon.gateway.requests import usage_sink
 from yuccarill.platform import calls
 from yuccarill.platform import ports
 from yuccarill.platform import server
@@ -185,7 +185,7 @@
             self.clock,
         )
         forwarder = streams.StreamForwarder(
-            state, sending, self.targets, forwarding.NoUsage(), self.clock
+            state, sending, self.targets, usage_sink.NoUsage(), self.clock
         )
         route = msgspec.structs.replace(
             world.batch_route(),
