Name a module of text copies, and one of unlisted runs, by what they do

standby was a module of jobs beside a folder of that name, and runner two modules: jobs/text_copier.py sends copies, standby/unlisted_runs.py runs what its instance may not list.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/service_work.py
@@ -15,7 +15,7 @@
 from yuccarill.daemon.gateway.jobs import progress
 from yuccarill.daemon.gateway.jobs import runner
 from yuccarill.daemon.gateway.jobs import scoring
-from yuccarill.daemon.gateway.jobs import standby
+from yuccarill.daemon.gateway.jobs import text_copier
 from yuccarill.daemon.gateway.standby import copier
 
 if TYPE_CHECKING:
@@ -79,7 +79,9 @@
         self._division = division.Division(state, store, self.update, clock)
         self.duties_by_service: dict[ServiceName, duties.Duty] = {}
         self.runners_by_service: dict[ServiceName, runner.Runner] = {}
-        self._copies_by_service: dict[ServiceName, standby.StandbyCopy] = {}
+        self._copies_by_service: dict[
+            ServiceName, text_copier.StandbyCopy
+        ] = {}
         self._copiers_by_service: dict[ServiceName, copier.JobCopier] = {}
         self._writers_by_service: dict[
             ServiceName, progress.ProgressWriter
@@ -157,7 +159,7 @@
         )
         self.runners_by_service[service] = started
         started.start()
-        copying = standby.StandbyCopy(
+        copying = text_copier.StandbyCopy(
             service, started.open_texts, self._text_sender, self._clock
         )
         self._copies_by_service[service] = copying
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -42,7 +42,7 @@
 from yuccarill.daemon.gateway.requests import usage_sink
 from yuccarill.daemon.gateway.scaling import parts as scaling_parts
 from yuccarill.daemon.gateway.standby import desk
-from yuccarill.daemon.gateway.standby import runner
+from yuccarill.daemon.gateway.standby import unlisted_runs
 from yuccarill.daemon.gateway.standby import witness
 from yuccarill.daemon.gateway import state as state_module
 from yuccarill.daemon.gateway.store import feed
@@ -277,8 +277,10 @@
         self._way.expect_return()
         self._update()
 
-    def _standby_runner(self, service: ServiceName) -> runner.StandbyRunner:
-        return runner.StandbyRunner(
+    def _standby_runner(
+        self, service: ServiceName
+    ) -> unlisted_runs.StandbyRunner:
+        return unlisted_runs.StandbyRunner(
             service,
             self._state,
             generation.Generator(self._calls, self._clock),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/desk.py
@@ -29,7 +29,7 @@
     from yuccarill.core.jobs.job import JobId
     from yuccarill.daemon.adapters.small_server import SmallRequest
     from yuccarill.daemon.gateway.jobs.texts import TextDepot
-    from yuccarill.daemon.gateway.standby.runner import StandbyRunner
+    from yuccarill.daemon.gateway.standby.unlisted_runs import StandbyRunner
     from yuccarill.daemon.gateway.standby.witness import Witnesses
     from yuccarill.daemon.gateway.state import GatewayState
 
--- a/packages/yuccarill-daemon/tests/gateway/test_standby.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_standby.py
@@ -15,7 +15,7 @@
 from yuccarill.daemon.adapters import http_exchange
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway.jobs import generation
-from yuccarill.daemon.gateway.jobs import standby as standby_copy
+from yuccarill.daemon.gateway.jobs import text_copier
 from yuccarill.daemon.gateway.jobs import text_fetch
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway import peer_call
@@ -24,7 +24,7 @@
 from yuccarill.daemon.gateway.quarantine import watched_calls
 from yuccarill.daemon.gateway.standby import copier
 from yuccarill.daemon.gateway.standby import desk
-from yuccarill.daemon.gateway.standby import runner
+from yuccarill.daemon.gateway.standby import unlisted_runs
 from yuccarill.daemon.gateway.standby import witness
 from yuccarill.daemon.gateway import state as state_module
 
@@ -62,7 +62,7 @@
             lambda: self.store_age,
             self.depot,
             witness.Witnesses(self.state, self.peers, lambda: self.store_age),
-            lambda service: runner.StandbyRunner(
+            lambda service: unlisted_runs.StandbyRunner(
                 service,
                 self.state,
                 generation.Generator(self.calls, found.clock),
@@ -104,7 +104,7 @@
         sender = texts.TextSender(
             holder.state, Links(self, HOLDER), self.clock
         )
-        self.copying = standby_copy.StandbyCopy(
+        self.copying = text_copier.StandbyCopy(
             world.SERVICE, self.running.open_texts, sender, self.clock
         )
         self.telling = copier.JobCopier(
--- a/packages/yuccarill-daemon/tests/gateway/test_texts.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_texts.py
@@ -21,7 +21,7 @@
 from yuccarill.daemon.gateway.duty import departure
 from yuccarill.daemon.gateway.duty import session as session_module
 from yuccarill.daemon.gateway.jobs import runner as runner_module
-from yuccarill.daemon.gateway.jobs import standby
+from yuccarill.daemon.gateway.jobs import text_copier
 from yuccarill.daemon.gateway.jobs import text_fetch
 from yuccarill.daemon.gateway.jobs import texts
 
@@ -392,8 +392,10 @@
         self.sender = texts.TextSender(self.me, self.links, self.clock)
         self.fetcher = text_fetch.TextFetcher(self.me, self.links, self.clock)
 
-    def copy_from(self, runner: runner_module.Runner) -> standby.StandbyCopy:
-        found = standby.StandbyCopy(
+    def copy_from(
+        self, runner: runner_module.Runner
+    ) -> text_copier.StandbyCopy:
+        found = text_copier.StandbyCopy(
             world.SERVICE, runner.open_texts, self.sender, self.clock
         )
         found.start()
