--- a/packages/yuccarill-core/src/yuccarill/core/speeds/book.py
+++ b/packages/yuccarill-core/src/yuccarill/core/speeds/book.py
@@ -85,7 +85,7 @@
 
 
 class LogPaceBook:
-    """Know the speed of the targets of one service, as `SpeedBook` says.
+    """Know the speed of the targets of one service.
 
     A scalar Kalman filter on the logarithm of each pace, whose measurements
     are gated by their normalised innovation, and a second one on the slope
--- a/packages/yuccarill-core/src/yuccarill/core/speeds/estimate.py
+++ b/packages/yuccarill-core/src/yuccarill/core/speeds/estimate.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import enum
-from typing import Protocol
 
 import msgspec
 
 from yuccarill.core.gateway.targets import TargetStart
-from yuccarill.core.ids import Instant
 from yuccarill.core.ids import TargetId
 
 
@@ -40,43 +38,3 @@
     variance: float
     # Seconds since it was last seen at work.
     age: float
-
-
-class SpeedBook(Protocol):
-    """Know the speed of the targets of one service."""
-
-    def follow(self, target: TargetId, start: TargetStart) -> None:
-        """Forget what is known of an earlier start of a target."""
-        ...
-
-    def saw(
-        self,
-        target: TargetId,
-        seconds: float,
-        beside: int,
-        now: Instant,
-    ) -> None:
-        """Learn how long a unit of work took with so many others beside."""
-        ...
-
-    def pace(
-        self, target: TargetId, beside: int, now: Instant
-    ) -> PaceEstimate:
-        """Return the pace of one more unit of work with so many beside."""
-        ...
-
-    def state(self, target: TargetId, now: Instant) -> SpeedState:
-        """Tell a lasting pace from a fault."""
-        ...
-
-    def forget(self, target: TargetId) -> None:
-        """Forget a target that has started again or is gone."""
-        ...
-
-    def records(self, now: Instant) -> list[SpeedRecord]:
-        """Return what a successor has to know."""
-        ...
-
-    def restore(self, record: SpeedRecord, now: Instant) -> None:
-        """Take what another instance knew."""
-        ...
