--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,10 @@
-"""A machine stands still while a route is added and its first job comes.
+"""A machine is cut off from the store while a route is added and used.
 
 Most gateways learn of configurations from another gateway that watches the
-store. One such gateway is frozen. Meanwhile the operator adds a route for
-batch jobs; a gateway that already knows it accepts a job on it. The holder of
-the service still follows the frozen gateway, and knows no such route.
+store. One such gateway is partitioned from the store. Meanwhile the operator
+adds a route for batch jobs; a gateway that already knows it accepts a job on
+it. The holder of the service still follows the one that is cut off, and knows
+no such route, but it gets the job from the store.
 The check is MIXED: no result may be `down` before an item had a 422, or
 `maxAttempts` answers of 500, or `retentionS`, or the end of its batch job or
 of its route.
@@ -12,7 +13,6 @@
 import asyncio
 import os
 import pathlib
-import signal
 import sys
 import uuid
 
@@ -33,7 +33,7 @@
 SLOTS = 12
 # The sheet's deadline of a step, from its submission.
 STEP_SECONDS = 12.0
-FREEZE_SECONDS = 3.0
+CUT_SECONDS = 4.0
 CONFIG_AFTER_SECONDS = 0.1
 SUBMIT_AFTER_SECONDS = 0.25
 
@@ -72,17 +72,17 @@
     holder = fleet.holder('drafter')
     watching = [n for n in fleet.names if watches(store, fleet, n)]
     record(f'holder {holder}; watching the store: {watching}')
-    frozen = next(
+    cut_off = next(
         (n for n in watching if fleet.zone(n) == fleet.zone(holder)), None
     )
-    front = next((n for n in watching if n != frozen), None)
-    if holder in watching or frozen is None or front is None:
+    front = next((n for n in watching if n != cut_off), None)
+    if holder in watching or cut_off is None or front is None:
         raise fleet_module.CannotRun('the roles fell otherwise')
     if TROUBLE:
-        fleet.send_signal(frozen, signal.SIGSTOP)
-        loop.call_later(
-            FREEZE_SECONDS, fleet.send_signal, frozen, signal.SIGCONT
-        )
+        address = fleet.store_addresses[cut_off]
+        record(f'{cut_off} is partitioned from the store')
+        store.cut(address)
+        loop.call_later(CUT_SECONDS, store.heal, address)
     await asyncio.sleep(CONFIG_AFTER_SECONDS)
     routes.append(sitefile.rollout_route('second', PREFIX, 'drafter'))
     sitefile.put_config(store, 2, routes, services, record)
@@ -93,7 +93,7 @@
     ids = [item['id'] for item in submission['items']]
     job_id = uuid.uuid4().hex[:16]
     # A refused submission comes again, at another node.
-    for name in (front, *(n for n in fleet.names if n != frozen)):
+    for name in (front, *(n for n in fleet.names if n != cut_off)):
         answer = await trainer.submit(
             fleet.address(name), sitefile.HOST, PREFIX, job_id, submission
         )
@@ -102,7 +102,7 @@
             break
     else:
         return 2
-    addresses = [fleet.address(n) for n in fleet.names if n != frozen]
+    addresses = [fleet.address(n) for n in fleet.names if n != cut_off]
     results = await trainer.read_until(
         addresses,
         sitefile.HOST,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -30,6 +30,9 @@
         self.after_txn = lambda body, reply: None
         self.items = {}
         self.revision = 100
+        # Addresses of this store that are cut off: they accept connections
+        # and answer nothing, as behind a silent partition.
+        self._healed_by_address = {}
         # Open watches: (address of this store that was called, prefix).
         self.watches = []
         self._history = []
@@ -45,7 +48,12 @@
         address = []
 
         async def handle(request):
-            return await self._answer(address[0], request)
+            await self._wait_for_path(address[0])
+            if request.writer.is_closing() or request.reader.at_eof():
+                return ABORT
+            reply = await self._answer(address[0], request)
+            await self._wait_for_path(address[0])
+            return reply
 
         server = Server(handle)
         port = await server.start(host, 0)
@@ -55,6 +63,18 @@
             self._expiring = asyncio.create_task(self._expire_repeatedly())
         return address[0]
 
+    def cut(self, address):
+        """Partition the callers of one address from the store."""
+        self._healed_by_address[address] = asyncio.Event()
+
+    def heal(self, address):
+        """End the partition of one address."""
+        self._healed_by_address.pop(address).set()
+
+    async def _wait_for_path(self, address):
+        while (healed := self._healed_by_address.get(address)) is not None:
+            await healed.wait()
+
     def put(self, key, value):
         """Write a key as an operator, a trainer or a worker does."""
         self.revision += 1
