--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -233,13 +234,25 @@
         await asyncio.sleep(0.05)
 
 
+async def _run_until_stopped(main, seconds):
+    # A stopped case ends its processes too: `main` does so when cancelled.
+    loop = asyncio.get_running_loop()
+    task = asyncio.ensure_future(asyncio.wait_for(main(), seconds))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await task
+
+
 def run_case(main, seconds=115.0):
     """Run a case within its time; exit with its verdict."""
-    import sys
-
     try:
-        verdict = asyncio.run(asyncio.wait_for(main(), seconds))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        verdict = asyncio.run(_run_until_stopped(main, seconds))
+    except (
+        CannotRun,
+        asyncio.CancelledError,
+        asyncio.TimeoutError,
+        OSError,
+    ) as error:
         print(f'could not run: {error!r}')
         verdict = 2
     sys.stdout.flush()
