Conclude nothing about a job from an older configuration

Callers saw: a batch job was accepted with 202 on a route that had just been added, and all its items were listed as failed at once. No engine was given one.

Cause: instances follow the configuration through two watchers. Readers of a watcher that is cut off from the store keep its last copy for up to 2.2 s, while the holder learns of jobs from the store itself. The holder looked the items' route up in a copy that was older than the one under which the job was accepted, took the missing route for a removed one, and listed the items as failed.

Change: a job records the version of the configuration that accepted it, and core/jobs/item_routes.py decides nothing by an older one. The items wait, which is logged once a job. Score requests looked their route up in the same way and wait too. Jobs stored before have version 0 and are judged as they were.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/job.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/job.py
@@ -67,6 +67,8 @@
     wanted_groups: int = 0
     is_single_version: bool = False
     max_attempts: int = 1
+    # Version of the configuration under which the job was accepted.
+    accepted_version: int = 0
     submitted_at: WallTime
     due_at: WallTime
     # Unfinished items fail after this time.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
@@ -153,6 +153,7 @@
             model=job.model,
             min_version=job.min_version,
             items=len(job.items),
+            configuration=job.accepted_version,
         )
         # A job stored earlier can have results, which its runner reads.
         if is_new:
@@ -291,6 +292,7 @@
         )
         if not route.services:
             raise errors.NoTarget('The route has no service.', RETRY_AFTER)
+        table = self._state.route_table
         now = WallTime(time.time())
         due_after = route.due_after or DEFAULT_DUE
         retention = route.retention or DEFAULT_RETENTION
@@ -306,6 +308,7 @@
             wanted_groups=submitted.wanted_groups,
             is_single_version=route.is_single_version,
             max_attempts=route.max_attempts,
+            accepted_version=0 if table is None else table.version,
             submitted_at=now,
             due_at=WallTime(now + due_after),
             retained_until=WallTime(now + retention),
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import math
 from typing import Any
 from typing import Protocol
@@ -14,6 +13,7 @@
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import engine_assignment
 from yuccarill.core.jobs import engines as engines_module
+from yuccarill.core.jobs import item_routes
 from yuccarill.core.jobs import job_queue
 from yuccarill.core.jobs.placement import Placement
 from yuccarill.core.jobs import planning
@@ -32,6 +32,7 @@
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.ids import WeightVersion
     from yuccarill.core.jobs.job import ItemResult
+    from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
     from yuccarill.daemon.gateway.jobs.generation import Generator
     from yuccarill.daemon.gateway.jobs.scoring import Scorer
@@ -73,16 +74,6 @@
     )
 
 
-class Permission(enum.Enum):
-    """Describe whether the configuration lets an item run here."""
-
-    GRANTED = 'granted'
-    # No route matches the item any more.
-    REVOKED = 'revoked'
-    # The route of the item names another service.
-    ELSEWHERE = 'elsewhere'
-
-
 class ItemRuns:
     """Run the waiting items of a job queue."""
 
@@ -111,6 +102,8 @@
         if fleet.speeds is not None:
             self._plan = planning.FinishPlan(queue, fleet)
         self.run_mover = run_moves.RunMoves(queue, fleet, self._plan, clock)
+        # Jobs for which the wait for a configuration was logged.
+        self._undecided_jobs: set[JobId] = set()
         self._is_stopped = False
         self._is_pumping = False
         self._is_pump_requested = False
@@ -180,19 +173,21 @@
             needs = (run.job.model, run.job.min_version)
             if needs in full_needs or self._holds.is_held_back(run):
                 continue
-            match self._permission(run):
-                case Permission.GRANTED:
+            match self._decide_route(run):
+                case item_routes.Granted():
                     engine = self._holds.choose_engine(run, assigner)
                     if engine is not None:
                         self._start(run, engine)
                     elif not self._holds.is_suspect(run):
                         full_needs.add(needs)
-                case Permission.REVOKED:
+                case item_routes.Revoked():
                     self._results.finish(
                         run, run.failed_result(), 'its route was removed'
                     )
-                case Permission.ELSEWHERE:
+                case item_routes.Elsewhere():
                     continue
+                case item_routes.Undecided():
+                    self._log_undecided(run.job)
 
     def _ordered_runs(
         self, pace: float, now: Instant
@@ -212,16 +207,26 @@
             log.info(event, service=self._service, put_off=put_off)
         return found
 
-    def _permission(self, run: job_queue.ItemRun) -> Permission:
-        # An item must not reach a service that its route no longer names.
+    def _decide_route(self, run: job_queue.ItemRun) -> item_routes.Decision:
+        return item_routes.decide(
+            self._state.route_table,
+            run.job,
+            run.item,
+            partitions.service_of_part(self._service),
+        )
+
+    def _log_undecided(self, job: Job) -> None:
+        if job.id in self._undecided_jobs:
+            return
+        self._undecided_jobs &= self._queue.jobs_by_id.keys()
+        self._undecided_jobs.add(job.id)
         table = self._state.route_table
-        path = run.item.path.partition('?')[0]
-        route = table.find(run.job.host, path) if table else None
-        if route is None:
-            return Permission.REVOKED
-        if partitions.service_of_part(self._service) in route.services:
-            return Permission.GRANTED
-        return Permission.ELSEWHERE
+        log.info(
+            'Job waits for a newer configuration.',
+            job=job.id,
+            accepted_under=job.accepted_version,
+            configuration=None if table is None else table.version,
+        )
 
     def _start(
         self, run: job_queue.ItemRun, engine: engines_module.EngineState
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -11,6 +11,7 @@
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
 from yuccarill.core.ids import Instant
+from yuccarill.core.jobs import item_routes
 from yuccarill.daemon.gateway.capacity import requests as capacity_requests
 from yuccarill.daemon.gateway.requests import hedged_request
 from yuccarill.daemon import logs
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import ScoreRequest
     from yuccarill.core.jobs.job_queue import ItemRun
     from yuccarill.daemon.gateway.requests.sender import Sender
@@ -55,7 +57,7 @@
             return ''
         while True:
             pause = RETRY_SECONDS
-            route = self._route(request)
+            route = self._route(run.job, request)
             if route is None:
                 log.warning('No route for a score request.', item=run.item.id)
             else:
@@ -74,8 +76,8 @@
                     return None
             await task.deferLater(self._clock, pause)
 
-    def _route(self, request: ScoreRequest) -> Route | None:
-        table = self._state.route_table
+    def _route(self, job: Job, request: ScoreRequest) -> Route | None:
+        table = item_routes.table_for(self._state.route_table, job)
         path = request.path.partition('?')[0]
         return table.find(request.host, path) if table else None
 
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -300,6 +300,7 @@
         groups: int = 2,
         min_version: int = 1,
         others: Collection[str] = (),
+        accepted_version: int = 0,
     ) -> Job:
         """Submit a job; the items in `others` have a different body."""
         now = self.clock.seconds()
@@ -311,6 +312,7 @@
             model=world.MODEL,
             min_version=WeightVersion(min_version),
             max_attempts=3,
+            accepted_version=accepted_version,
             submitted_at=WallTime(now),
             due_at=WallTime(now + 7.5),
             retained_until=WallTime(now + 40.0),
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -12,6 +12,7 @@
 from yuccarill.core.gateway import partitions
 from yuccarill.core.gateway.requests import ClientRequest
 from yuccarill.core.gateway.requests import TargetAnswer
+from yuccarill.core.gateway import routes
 from yuccarill.core.ids import AccountName
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
@@ -131,6 +132,19 @@
         self.assertNotEqual(world.SERVICE, part)
         self.assertIn(keys.work(part, JobId('j')), self.keys.entries_by_key)
 
+    def test_a_job_names_the_configuration_that_accepted_it(self) -> None:
+        """Guard against holders that judge a job by an older configuration."""
+        state = self.state('a')
+        state.route_table = routes.RouteTable(
+            7, [world.batch_route()], [], routes.ClientLimits()
+        )
+        jobs = job_store.JobStore(self.memory, self.clock)
+        self.intake = intake.Intake(state, jobs, self.peers, {}, self.clock)
+        self.submit()
+        key = keys.job_spec(JobId('j'))
+        job = job_store.decode_job(self.keys.entries_by_key[key].value)
+        self.assertEqual(7, job.accepted_version)
+
     def test_a_job_waits_until_its_partition_is_known(self) -> None:
         """Guard against a job stored for a partition without a holder."""
         state = self.state('a')
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -166,6 +166,24 @@
         self.assertEqual(before, len(self.engines.runs))
         self.assertEqual(16, len(self.results()))
 
+    def test_a_route_unknown_to_an_older_configuration_is_awaited(
+        self,
+    ) -> None:
+        """Guard against items that fail since the holder's copy is old."""
+        runner = self.hold('a')
+        runner._state.route_table = routes.RouteTable(
+            1, [], [], routes.ClientLimits()
+        )
+        self.submit(accepted_version=2)
+        self.run_for(2.0)
+        self.assertEqual([], self.results())
+        self.assertEqual([], self.engines.runs)
+        runner._state.route_table = routes.RouteTable(
+            2, [world.batch_route()], [], routes.ClientLimits()
+        )
+        self.run_for(2.0)
+        self.assert_whole()
+
     def test_ended_jobs_are_removed_after_their_retention(self) -> None:
         self.hold('a')
         job = self.submit()
--- a/packages/yuccarill-daemon/tests/gateway/test_scoring.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_scoring.py
@@ -57,6 +57,7 @@
         run.item.score_request.host = 's.example'
         run.item.score_request.path = '/score'
         run.fail_scores.return_value = False
+        run.job.accepted_version = 0
         ended: list[object] = []
         for _ in range(TEXTS):
             defer.ensureDeferred(scorer.score(run)).addBoth(ended.append)
@@ -101,8 +102,35 @@
         )
         run = mock.Mock()
         run.item.score_request = request
+        run.job.accepted_version = 0
         for _ in range(200):
             scoring_one = defer.Deferred.fromCoroutine(scorer.score(run))
             scoring_one.addErrback(lambda f: f.trap(defer.CancelledError))
             self.addCleanup(scoring_one.cancel)
         self.assertEqual(slots, sender.calls)
+
+
+class OlderConfigurationTest(world.WorldTest):
+    # Version of the configuration under which the job was accepted, and the
+    # calls that are sent under version 1.
+    @params((1, 1), (2, 0))
+    def test_no_score_is_requested_under_an_older_configuration(
+        self, accepted_version: int, calls: int
+    ) -> None:
+        """Guard against scores that fail by the routes of an old copy."""
+        state = self.state('a')
+        state.route_table = routes.RouteTable(
+            1, [world.batch_route()], [], routes.ClientLimits()
+        )
+        sender = Sender()
+        run = mock.Mock()
+        run.item.score_request = ScoreRequest(
+            id=RequestId('r'), host='t.example', path='/train/1', body=b''
+        )
+        run.job.accepted_version = accepted_version
+        scorer = scoring.Scorer(state, sender, self.clock)
+        scored = defer.Deferred.fromCoroutine(scorer.score(run))
+        scored.addErrback(lambda f: f.trap(defer.CancelledError))
+        self.addCleanup(scored.cancel)
+        self.run_for(1.0)
+        self.assertEqual(calls, sender.calls)
