Run items at the service that their route names after a change

Callers saw: an operator moved a route to another service of engines while a batch job on it was open. The items that had not begun reached no engine of either service, with all of them idle, until the job's retention was over.

Cause: a job is queued at the holder of the service that its route named when it was accepted. The holder rightly keeps items from a service that their route no longer names, but then left them in its queue, which no other holder reads.

The logs had no line for a skipped item.

Change: item_routes.decide names the service at which an item may run. The job's holder sends the item to the engines of that service (service_engines.py) and logs it. The job, its texts and its listing stay where they are. It works for an item, so a longer prefix or a share of weight 0 needs nothing of its own.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_holds.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_holds.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from yuccarill.core.gateway import partitions
 from yuccarill.core.gateway.suspicion import Verdict
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon import logs
@@ -24,15 +23,12 @@
 class ItemHolds:
     """Decide which items can run now, and at which engines."""
 
-    def __init__(
-        self, service: ServiceName, queue: JobQueue, guard: ContentGuard
-    ) -> None:
-        self._service = partitions.service_of_part(service)
+    def __init__(self, queue: JobQueue, guard: ContentGuard) -> None:
         self._queue = queue
         self._guard = guard
         self.quarantined_runs: list[ItemRun] = []
 
-    def is_held_back(self, run: ItemRun) -> bool:
+    def is_held_back(self, run: ItemRun, service: ServiceName) -> bool:
         """Return whether an item must not run now because of engine crashes.
 
         A held item waits until its job expires; the job can complete without
@@ -46,7 +42,7 @@
         ):
             return False
         content = _ensure_content(run)
-        if self._guard.is_admitted(content, self._service):
+        if self._guard.is_admitted(content, service):
             return False
         if self._guard.ledger.verdict(content) is Verdict.QUARANTINED:
             # The group cannot complete, so groups that can complete go first.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -4,6 +4,7 @@
 
 import math
 from typing import Any
+from typing import NamedTuple
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -11,16 +12,18 @@
 
 from yuccarill.core.gateway import partitions
 from yuccarill.core.ids import Instant
+from yuccarill.core.ids import ModelName
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import WeightVersion
 from yuccarill.core.jobs import engine_assignment
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import item_routes
 from yuccarill.core.jobs import job_queue
-from yuccarill.core.jobs.placement import Placement
 from yuccarill.core.jobs import planning
-from yuccarill.core.speeds import pace_estimator
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.jobs import item_holds
 from yuccarill.daemon.gateway.jobs import run_moves
+from yuccarill.daemon.gateway.jobs import service_engines
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
 
@@ -28,9 +31,6 @@
     from collections.abc import Coroutine
     from collections.abc import Iterable
 
-    from yuccarill.core.ids import ModelName
-    from yuccarill.core.ids import ServiceName
-    from yuccarill.core.ids import WeightVersion
     from yuccarill.core.jobs.job import ItemResult
     from yuccarill.core.jobs.job import Job
     from yuccarill.core.jobs.job import JobId
@@ -63,15 +63,12 @@
         ...
 
 
-def create_pace_estimator(
-    placement: Placement,
-) -> pace_estimator.PaceEstimator | None:
-    """Return an estimator of engine paces if the placement uses one."""
-    return (
-        pace_estimator.PaceEstimator()
-        if placement is Placement.FINISH
-        else None
-    )
+class _Needs(NamedTuple):
+    """Name the engines and weights that an item can use."""
+
+    service: ServiceName
+    model: ModelName | None
+    min_version: WeightVersion
 
 
 class ItemRuns:
@@ -90,6 +87,7 @@
         clock: Any,
     ) -> None:
         self._service = service
+        self._own_service = partitions.service_of_part(service)
         self._state = state
         self._queue = queue
         self._fleet = fleet
@@ -97,11 +95,19 @@
         self._scorer = scorer
         self._results = result_sink
         self._clock = clock
-        self._holds = item_holds.ItemHolds(service, queue, guard)
+        self._holds = item_holds.ItemHolds(queue, guard)
         self._plan: planning.FinishPlan | None = None
         if fleet.speeds is not None:
             self._plan = planning.FinishPlan(queue, fleet)
-        self.run_mover = run_moves.RunMoves(queue, fleet, self._plan, clock)
+        self._own_engines = service_engines.ServiceEngines(
+            self._own_service,
+            fleet,
+            run_moves.RunMoves(queue, fleet, self._plan, clock),
+        )
+        self._others = service_engines.OtherServices(
+            service, state, queue, clock
+        )
+        self._job_services = item_routes.JobServices(self._own_service)
         # Jobs for which the wait for a configuration was logged.
         self._undecided_jobs: set[JobId] = set()
         self._is_stopped = False
@@ -118,6 +124,15 @@
         if self._next_pump is not None and self._next_pump.active():
             self._next_pump.cancel()
 
+    def mark_urgent_models(self) -> None:
+        """Mark the own engines that run items without slack."""
+        self._own_engines.run_mover.mark_urgent_models()
+
+    def move_runs(self) -> None:
+        """Move the runs that are better off at another engine."""
+        self._own_engines.run_mover.move_runs()
+        self._others.move_runs()
+
     def _pump_soon(self) -> None:
         """Pump now, or as soon as the time fraction of pumps allows.
 
@@ -155,40 +170,84 @@
 
     def _start_waiting(self) -> None:
         now = self._now()
+        all_needs = self._needs()
         # Avoids ordering all waiting items when none can start.
-        if not self._fleet.has_free_slots(now):
+        if not self._has_free_slots(now):
             return
-        # Items of one model and minimum version can use the same engines.
-        full_needs: set[tuple[ModelName | None, WeightVersion]] = set()
-        all_needs = {
-            (state.job.model, state.job.min_version)
-            for state in self._queue.jobs_by_id.values()
-        }
+        full_needs: set[_Needs] = set()
         pace = self._fleet.usual_pace(now) or job_queue.DEFAULT_PACE
-        assigner = engine_assignment.EngineAssigner(self._fleet, now)
+        assigners_by_service: dict[
+            ServiceName, engine_assignment.EngineAssigner
+        ] = {}
         self._holds.resume()
         for run in self._ordered_runs(pace, now):
-            if len(full_needs) == len(all_needs):
+            if all_needs and len(full_needs) == len(all_needs):
                 break
-            needs = (run.job.model, run.job.min_version)
-            if needs in full_needs or self._holds.is_held_back(run):
-                continue
             match self._decide_route(run):
-                case item_routes.Granted():
-                    engine = self._holds.choose_engine(run, assigner)
-                    if engine is not None:
-                        self._start(run, engine)
-                    elif not self._holds.is_suspect(run):
+                case item_routes.RunAt(service):
+                    needs = _Needs(service, run.job.model, run.job.min_version)
+                    if needs in full_needs:
+                        continue
+                    engines = self._engines(service)
+                    assigner = assigners_by_service.get(service)
+                    if assigner is None:
+                        assigner = engine_assignment.EngineAssigner(
+                            engines.fleet, now
+                        )
+                        assigners_by_service[service] = assigner
+                    if not self._start_if_possible(run, engines, assigner):
                         full_needs.add(needs)
                 case item_routes.Revoked():
                     self._results.finish(
                         run, run.failed_result(), 'its route was removed'
                     )
-                case item_routes.Elsewhere():
-                    continue
                 case item_routes.Undecided():
                     self._log_undecided(run.job)
 
+    def _start_if_possible(
+        self,
+        run: job_queue.ItemRun,
+        engines: service_engines.ServiceEngines,
+        assigner: engine_assignment.EngineAssigner,
+    ) -> bool:
+        """Start an item unless held; return False if the engines are full."""
+        if self._holds.is_held_back(run, engines.service):
+            return True
+        engine = self._holds.choose_engine(run, assigner)
+        if engine is None:
+            return self._holds.is_suspect(run)
+        self._start(run, engines, engine)
+        return True
+
+    def _needs(self) -> set[_Needs]:
+        """Return the engines and weights that the open jobs need.
+
+        Items of one service, model and minimum version can use the same
+        engines.
+        """
+        jobs_by_id = self._queue.jobs_by_id
+        self._job_services.update(self._state.route_table, jobs_by_id)
+        needs = {
+            _Needs(service, state.job.model, state.job.min_version)
+            for state in jobs_by_id.values()
+            for service in self._job_services.of(state.job)
+        }
+        others = {need.service for need in needs} - {self._own_service}
+        self._others.keep(others)
+        for service in others:
+            self._others.get(service)
+        return needs
+
+    def _engines(self, service: ServiceName) -> service_engines.ServiceEngines:
+        if service == self._own_service:
+            return self._own_engines
+        return self._others.get(service)
+
+    def _has_free_slots(self, now: Instant) -> bool:
+        return self._fleet.has_free_slots(now) or self._others.has_free_slots(
+            now
+        )
+
     def _ordered_runs(
         self, pace: float, now: Instant
     ) -> Iterable[job_queue.ItemRun]:
@@ -209,10 +268,7 @@
 
     def _decide_route(self, run: job_queue.ItemRun) -> item_routes.Decision:
         return item_routes.decide(
-            self._state.route_table,
-            run.job,
-            run.item,
-            partitions.service_of_part(self._service),
+            self._state.route_table, run.job, run.item, self._own_service
         )
 
     def _log_undecided(self, job: Job) -> None:
@@ -229,25 +285,37 @@
         )
 
     def _start(
-        self, run: job_queue.ItemRun, engine: engines_module.EngineState
+        self,
+        run: job_queue.ItemRun,
+        engines: service_engines.ServiceEngines,
+        engine: engines_module.EngineState,
     ) -> None:
         run.state = job_queue.RunState.RUNNING
         self._queue.jobs_by_id[run.job.id].begin(run)
         engine.runs_by_model[run.job.model] += 1
         if self._plan is not None:
-            self._log_start(self._plan, run, engine)
-        work = self._results.track(run.job.id, self._run(run, engine))
+            self._log_start(self._plan, run, engines.fleet, engine)
+        if engines is not self._own_engines:
+            log.info(
+                'Item sent to the service that its route names now.',
+                item=run.item.id,
+                job=run.job.id,
+                service=engines.service,
+                engine=engine.target.id,
+            )
+        work = self._results.track(run.job.id, self._run(run, engines, engine))
         work.addBoth(lambda _: self._pump_soon())
 
     def _log_start(
         self,
         plan: planning.FinishPlan,
         run: job_queue.ItemRun,
+        fleet: engines_module.EngineFleet,
         engine: engines_module.EngineState,
     ) -> None:
         now = self._now()
         concurrent = engine.running - 1
-        estimate = self._fleet.estimate(engine, concurrent, now)
+        estimate = fleet.estimate(engine, concurrent, now)
         log.info(
             'Run placed.',
             item=run.item.id,
@@ -262,15 +330,17 @@
     async def _run(
         self,
         run: job_queue.ItemRun,
+        engines: service_engines.ServiceEngines,
         engine: engines_module.EngineState,
     ) -> None:
         active_run = run_moves.ActiveRun(
-            engine, self._now(), self._fleet.speeds
+            engine, self._now(), engines.fleet.speeds
         )
         active_run.work = defer.Deferred.fromCoroutine(
             self._generator.run(run, engine, active_run.record_event)
         )
-        self.run_mover.active_runs_by_item[run] = active_run
+        active_runs_by_item = engines.run_mover.active_runs_by_item
+        active_runs_by_item[run] = active_run
         try:
             outcome = await active_run.work
         except defer.CancelledError:
@@ -278,7 +348,7 @@
                 raise
             outcome = generation.Outcome.BROKEN
         finally:
-            del self.run_mover.active_runs_by_item[run]
+            del active_runs_by_item[run]
             engine.runs_by_model[run.job.model] -= 1
             active_run.work.cancel()
         match outcome:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/run_moves.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/run_moves.py
@@ -70,6 +70,10 @@
         self._clock = clock
         self.active_runs_by_item: dict[job_queue.ItemRun, ActiveRun] = {}
 
+    @property
+    def has_runs(self) -> bool:
+        return bool(self.active_runs_by_item)
+
     def mark_urgent_models(self) -> None:
         """Mark the engines that run items without slack to their deadline."""
         now = self._now()
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -21,6 +21,7 @@
 from yuccarill.daemon.gateway.jobs import job_store as job_store_module
 from yuccarill.daemon.gateway.jobs import listing
 from yuccarill.daemon.gateway.jobs import paced_work
+from yuccarill.daemon.gateway.jobs import service_engines
 from yuccarill.daemon.gateway.jobs import shared_results
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway.store import follower
@@ -86,7 +87,7 @@
         self._reader = job_reader.JobReader(jobs, clock)
         self._clock = clock
         self._queue = job_queue.JobQueue()
-        self._speeds = item_runs.create_pace_estimator(state.placement)
+        self._speeds = service_engines.create_pace_estimator(state.placement)
         self._fleet = engines_module.EngineFleet(self._speeds)
         self._paced_survey = paced_work.PacedWork(self._run_survey, clock)
         self._requests = engine_requests.EngineRequests(
@@ -239,9 +240,9 @@
         if self._is_stopped:
             return
         self._fleet.update(self._state.engines(self._duty.service))
-        self._runs.run_mover.mark_urgent_models()
+        self._runs.mark_urgent_models()
         self._switcher.update()
-        self._runs.run_mover.move_runs()
+        self._runs.move_runs()
         self._runs.start_waiting_items()
 
     def _tick(self) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/standby_runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/standby_runner.py
@@ -12,6 +12,7 @@
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import job_queue as queue_module
 from yuccarill.daemon.gateway.jobs import item_runs
+from yuccarill.daemon.gateway.jobs import service_engines
 from yuccarill.daemon import logs
 
 if TYPE_CHECKING:
@@ -53,7 +54,7 @@
         self._clock = clock
         self._queue = queue_module.JobQueue()
         self._fleet = engines_module.EngineFleet(
-            item_runs.create_pace_estimator(state.placement)
+            service_engines.create_pace_estimator(state.placement)
         )
         self._tasks: set[defer.Deferred[None]] = set()
         self._runs = item_runs.ItemRuns(
@@ -96,7 +97,7 @@
     def schedule_runs(self) -> None:
         """Update the engines, move runs and start those that fit."""
         self._fleet.update(self._state.engines(self._service))
-        self._runs.run_mover.move_runs()
+        self._runs.move_runs()
         self._runs.start_waiting_items()
 
     def stop(self) -> None:
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -85,6 +85,8 @@
     engines_by_id: dict[TargetId, Engine]
     # Started runs: the item and the event after which the run started.
     runs: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    # Engines of the started runs.
+    places: list[TargetId] = dataclasses.field(default_factory=list)
     named_version: int = 99
     # Items that crash their engine.
     crashing: set[str] = dataclasses.field(default_factory=set)
@@ -107,6 +109,7 @@
                 calls.CallEnd.NOT_SENT, 'refused', is_connection_refused=True
             )
         self.runs.append((call.id, first))
+        self.places.append(engine.id)
         if call.id in self.crashing:
             await self._sleep(CRASH_SECONDS)
             self._end(found)
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -6,14 +6,19 @@
 from unittest import mock
 
 import msgspec
+from nose2.tools import params
 from twisted.internet import defer
 
 from yuccarill.core.gateway import routes
+from yuccarill.core.gateway.targets import ListedTarget
 from yuccarill.core.ids import InstanceId
+from yuccarill.core.ids import ServiceName
+from yuccarill.core.ids import TargetId
 from yuccarill.core.jobs.job import Job
 from yuccarill.core.jobs.job import JobId
 from yuccarill.core.jobs.job import ResultState
 from yuccarill.daemon.gateway.jobs import job_store
+from yuccarill.daemon.gateway.jobs import runner as runner_module
 from yuccarill.platform import keys
 from yuccarill.platform import operators
 from yuccarill.platform import ports
@@ -211,6 +216,140 @@
     return msgspec.structs.replace(job, id=name)
 
 
+OTHER = ServiceName('other')
+
+
+def route(service: ServiceName, **changes: object) -> routes.Route:
+    """Return the batch route with another service."""
+    return msgspec.structs.replace(
+        world.batch_route(), shares=(routes.Share(service, 1.0),), **changes
+    )
+
+
+def split_route(*shares: tuple[ServiceName, float]) -> routes.Route:
+    """Return the batch route with weighted shares."""
+    return msgspec.structs.replace(
+        world.batch_route(), shares=tuple(routes.Share(*s) for s in shares)
+    )
+
+
+class MovedRouteTest(runner_world.RunnerTest):
+    """The operator changes routes after a job was accepted."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.add_other_engine('o1')
+
+    def add_other_engine(self, name: str) -> ListedTarget:
+        target = msgspec.structs.replace(world.engine(name), service=OTHER)
+        self.engines.engines_by_id[target.id] = runner_world.Engine(target)
+        return target
+
+    def change_routes(
+        self, runner: runner_module.Runner, *found: routes.Route
+    ) -> None:
+        version = runner._state.route_table.version + 1
+        runner._state.route_table = routes.RouteTable(
+            version, found, [], routes.ClientLimits()
+        )
+
+    def assert_whole(self, count: int) -> None:
+        found = self.results()
+        self.assertEqual(
+            [runner_world.whole_text()] * count, [each.text for each in found]
+        )
+
+    def engines_since(self, first: int) -> set[str]:
+        return {str(engine) for engine in self.engines.places[first:]}
+
+    # The new routes, and the engines of the runs that start after the change.
+    @params(
+        ((route(OTHER),), {'o1'}),
+        # A longer prefix sends the paths of some items to another service.
+        (
+            (route(world.SERVICE), route(OTHER, prefix='/train/9/', name='o')),
+            {'e1', 'e2', 'o1'},
+        ),
+        # The share of the own service has no weight any more.
+        ((split_route((world.SERVICE, 0.0), (OTHER, 1.0)),), {'o1'}),
+        # The own service keeps a share.
+        ((split_route((OTHER, 0.5), (world.SERVICE, 0.5)),), {'e1', 'e2'}),
+    )
+    def test_items_run_at_the_service_that_their_route_names(
+        self, found: tuple[routes.Route, ...], engines: set[str]
+    ) -> None:
+        """Guard against items left behind when their route moves."""
+        runner = self.hold('a')
+        self.submit(groups=12)
+        self.run_for(0.2)
+        before = len(self.engines.places)
+        self.assertEqual({'e1', 'e2'}, self.engines_since(0))
+        self.change_routes(runner, *found)
+        self.run_for(7.0)
+        self.assertEqual(engines, self.engines_since(before))
+        self.assert_whole(24)
+        self.assertEqual({1}, set(self.runs_by_item().values()))
+
+    def test_items_run_where_the_own_service_has_no_engine(self) -> None:
+        """Guard against a queue that waits for engines of its service."""
+        for name in ('e1', 'e2'):
+            del self.engines.engines_by_id[TargetId(name)]
+        runner = self.hold('a')
+        runner._state.targets.remove(TargetId('e1'))
+        self.submit()
+        self.change_routes(runner, route(OTHER))
+        self.run_for(4.0)
+        self.assert_whole(4)
+
+    def test_a_broken_run_continues_at_the_service_that_is_named(self) -> None:
+        """Guard against a text that is lost when its route moves."""
+        self.engine('e1').breaks_after = self.engine('e2').breaks_after = 3
+        runner = self.hold('a')
+        self.submit(groups=1)
+        self.run_for(0.1)
+        self.change_routes(runner, route(OTHER))
+        self.run_for(4.0)
+        self.assert_whole(2)
+        self.assertEqual([0, 3], self.runs_of('j-0-0'))
+
+    def test_a_route_can_move_back(self) -> None:
+        """Guard against items that stay with another service for good."""
+        runner = self.hold('a')
+        self.submit(groups=20)
+        self.run_for(0.1)
+        self.change_routes(runner, route(OTHER))
+        self.run_for(1.0)
+        before = len(self.engines.places)
+        self.change_routes(runner, route(world.SERVICE))
+        self.run_for(7.0)
+        self.assertEqual({'e1', 'e2'}, self.engines_since(before))
+        self.assert_whole(40)
+
+    def test_engines_of_the_other_service_are_updated(self) -> None:
+        """Guard against items that wait for engines that are gone."""
+        self.engine('o1').is_silent = True
+        runner = self.hold('a')
+        self.submit(groups=1)
+        self.change_routes(runner, route(OTHER))
+        self.run_for(0.2)
+        runner._state.targets.remove(TargetId('o1'))
+        runner._state.targets.put(self.add_other_engine('o2'))
+        self.run_for(4.0)
+        self.assert_whole(2)
+
+    def test_a_new_holder_sends_items_to_the_service_that_is_named(
+        self,
+    ) -> None:
+        """Guard against items that are lost with the holder of their job."""
+        self.hold('a').stop()
+        self.submit()
+        runner = self.hold('b')
+        self.change_routes(runner, route(OTHER))
+        self.run_for(4.0)
+        self.assert_whole(4)
+        self.assertEqual({'o1'}, self.engines_since(0))
+
+
 class ClockStepTest(runner_world.RunnerTest):
     def test_a_clock_that_is_ahead_expires_nothing(self) -> None:
         """Guard against items that fail since the holder's clock is ahead."""
