Do not end a cut stream as a complete one

Callers saw: status 200, 7 of 20 events and the regular end of the body, where a target had crashed in the middle of a stream.

Cause: the answer of the target at which a stream was resumed was taken as the outcome whatever its status, and ending an answer whose head has been sent writes the regular end of its body.

Attempts of streams had no line of their own; they have one now.

Change: once the client has a part of the stream, a failure is a failed attempt; the next target resumes, or the answer is aborted. The head goes out with the first event, so a failure before it is answered as it is. A stop aborts answers to HTTP/1.0 clients, whose end is the end of the connection.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -366,6 +366,7 @@
     async def _end(self) -> None:
         for background_task in self._background_tasks:
             background_task.cancel()
+        self._clients.abort_unframed()
         revoking = defer.Deferred.fromCoroutine(self._session.end())
         revoking.addTimeout(END_CALL_SECONDS, self._clock)
         try:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -20,6 +20,7 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.requests import TargetAnswer
     from yuccarill.core.gateway.routes import Route
+    from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ServiceName
     from yuccarill.core.jobs.text import StreamEvent
     from yuccarill.daemon.gateway.quarantine.watched_calls import WatchedCalls
@@ -107,6 +108,7 @@
             except calls_module.CallFailed as error:
                 cause = str(error)
                 run.detach()
+                run.log_failed_attempt(target, cause)
                 if error.end is calls_module.CallEnd.NOT_SENT:
                     selector.record_unreached(target)
                     continue
@@ -125,6 +127,13 @@
             run.detach()
             if answer.not_run:
                 cause = f'refused with status {answer.status}'
+                run.log_failed_attempt(target, cause)
+                continue
+            if run.has_begun and not answer.is_success:
+                # The client already has a part of the stream, so another
+                # target has to complete it.
+                cause = f'not resumed: status {answer.status}'
+                run.log_failed_attempt(target, cause)
                 continue
             return run.end(answer)
         return run.give_up(cause)
@@ -146,7 +155,10 @@
         self.began_at: Instant | None = None
         self._request = request
         self._answerer = answerer
-        self._has_begun = False
+        # Head of the current attempt's answer.
+        self._head: TargetAnswer | None = None
+        # Whether the client has a head and at least one event.
+        self.has_begun = False
         # An attempt failed after it was sent.
         self.may_have_run = False
         # The client was slow to read during the current attempt.
@@ -202,15 +214,24 @@
             self._resumed = defer.Deferred()
             await self._resumed
 
+    def log_failed_attempt(self, target: ListedTarget, cause: str) -> None:
+        """Log why an attempt did not complete the stream."""
+        log.info(
+            'Stream attempt failed.',
+            request=self._request.id,
+            target=target.id,
+            after=self._last,
+            has_begun=self.has_begun,
+            cause=cause,
+        )
+
     def record_start(self) -> None:
         """Record when the request began, or may have begun, to run."""
         if self.began_at is None:
             self.began_at = Instant(self._clock.seconds())
 
     def begin(self, answer: TargetAnswer, version: int | None) -> None:
-        if not self._has_begun:
-            self._has_begun = True
-            self._answerer.begin(answer)
+        self._head = answer
 
     def event(self, event: StreamEvent) -> None:
         expected = (self._last or 0) + 1
@@ -220,11 +241,17 @@
             )
         self._last = expected
         self.record_start()
+        if not self.has_begun:
+            # A head without an event would bind the client to an attempt that
+            # can still fail.
+            assert self._head is not None
+            self.has_begun = True
+            self._answerer.begin(self._head)
         self._answerer.write(event.raw)
 
     def end(self, answer: TargetAnswer) -> str:
         """Complete the client's response and return the outcome."""
-        if self._has_begun:
+        if self.has_begun:
             self._answerer.finish()
         else:
             self._answerer.answer(answer)
@@ -232,13 +259,13 @@
 
     def refuse(self, error: errors.RequestQuarantined) -> str:
         """End a stream whose request is quarantined."""
-        if not self._has_begun and not self.may_have_run:
+        if not self.has_begun and not self.may_have_run:
             raise error
         return self.give_up(error.message)
 
     def give_up(self, cause: str) -> str:
         """End a stream that no target completed."""
-        if self._has_begun:
+        if self.has_begun:
             # The client must not mistake a partial answer for a complete one.
             self._answerer.abort()
             return 'cut'
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import msgspec
+from nose2.tools import params
 
 from yuccarill.core import errors
 from yuccarill.core.gateway.requests import ClientRequest
@@ -61,8 +62,9 @@
 class Targets:
     """Interrupt each attempt after a planned number of events."""
 
-    # Number of events of each attempt; None for a refused attempt.
-    plan: list[int | None]
+    # Number of events of each attempt, a failure that the target answers
+    # instead, or None for a refused attempt.
+    plan: list[int | TargetAnswer | None]
     begun_after: list[int | None] = dataclasses.field(default_factory=list)
     deadlines: list[Instant | None] = dataclasses.field(default_factory=list)
 
@@ -84,6 +86,8 @@
             return TargetAnswer(
                 status=503, headers=(), body=b'', signature=None, not_run=True
             )
+        if isinstance(count, TargetAnswer):
+            return count
         answer = TargetAnswer(status=200, headers=(), body=b'', signature='s')
         try:
             sink.begin(answer, 1)
@@ -104,9 +108,14 @@
         return answer
 
 
+def failed(status: int) -> TargetAnswer:
+    """Return a failure that a target answers after it ran the request."""
+    return TargetAnswer(status=status, headers=(), body=b'no', signature='s')
+
+
 class StreamTest(world.WorldTest):
     def serve(
-        self, *plan: int | None, is_resumable: bool = True
+        self, *plan: int | TargetAnswer | None, is_resumable: bool = True
     ) -> tuple[Client, Targets, str]:
         state = self.state('a')
         for name in ('e2', 'e3'):
@@ -151,6 +160,43 @@
         self.assertEqual([None, 2], targets.begun_after)
         self.assertTrue(client.is_finished)
 
+    @params(500, 503, 504, 400, 404, 302)
+    def test_a_failure_after_the_head_is_tried_elsewhere(
+        self, status: int
+    ) -> None:
+        """Guard against a cut stream that ends as a complete one."""
+        client, targets, end = self.serve(2, failed(status), 9)
+        self.assertEqual([None, 2, 2], targets.begun_after)
+        self.assertEqual(b'1;2;3;4;5;', client.data)
+        self.assertTrue(client.is_finished)
+        self.assertEqual('status 200', end)
+
+    # The last attempts of a stream whose client has two of five events.
+    @params((500, 500), (503, 404), (500, None), (None, 500))
+    def test_a_stream_that_no_target_resumes_is_aborted(
+        self, *statuses: int | None
+    ) -> None:
+        """Guard against a partial answer that looks complete."""
+        plan = [None if each is None else failed(each) for each in statuses]
+        client, _, end = self.serve(2, *plan)
+        self.assertEqual(b'1;2;', client.data)
+        self.assertTrue(client.is_aborted)
+        self.assertFalse(client.is_finished)
+        self.assertIsNone(client.answer_status)
+        self.assertEqual('cut', end)
+
+    def test_a_failure_before_the_head_is_answered(self) -> None:
+        client, _, end = self.serve(failed(500), 9)
+        self.assertEqual(500, client.answer_status)
+        self.assertEqual('status 500', end)
+
+    def test_a_failure_before_the_first_event_is_answered(self) -> None:
+        """Guard against a closed connection in place of a target's answer."""
+        client, _, end = self.serve(0, failed(500))
+        self.assertFalse(client.has_begun)
+        self.assertEqual(500, client.answer_status)
+        self.assertEqual('status 500', end)
+
     def test_each_target_gets_the_deadline(self) -> None:
         """Guard against targets that work past the client's deadline."""
         _, targets, _ = self.serve(2, 9)
