Bound the answers of targets in bytes and in time

Bodies, events that never end and interim responses were taken in without limit, and each byte restarted the timer of a generation without progress, which then had 600 s as a stream.

Only a head and whole events are progress. Past a bound the attempt has failed and may have run.

--- a/packages/yuccarill-core/src/yuccarill/core/jobs/text.py
+++ b/packages/yuccarill-core/src/yuccarill/core/jobs/text.py
@@ -12,6 +12,12 @@
     from collections.abc import Iterable
 
 
+# Bytes of a text; a longer one fits into no value of the store.
+MAX_TEXT_BYTES = 900_000
+# Added for each event, since an engine can send empty events without end.
+EVENT_BYTES = 32
+
+
 class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one event of an engine's stream."""
 
@@ -28,6 +34,10 @@
     """Report an event that does not continue the text."""
 
 
+class TextTooLong(TextSequenceError):
+    """Report a text that an engine continues beyond its maximum length."""
+
+
 class ItemText:
     """Collect an item's events in order.
 
@@ -37,6 +47,7 @@
 
     def __init__(self) -> None:
         self._parts: list[str] = []
+        self._bytes = 0
         self._versions: set[WeightVersion] = set()
         self._current_version: WeightVersion | None = None
         # Set once an engine has sent the last event.
@@ -52,6 +63,7 @@
         """Return the text of an earlier run."""
         text = cls()
         text._parts = list(parts)
+        text._bytes = sum(map(_size, text._parts))
         text._versions = set(versions)
         text.is_whole = is_whole
         return text
@@ -81,7 +93,7 @@
         """Append one event.
 
         Raises TextSequenceError if the event is out of order or has no known
-        version.
+        version, TextTooLong if the text is too long.
         """
         if event.version is not None:
             self._current_version = event.version
@@ -93,6 +105,10 @@
         # text to weights that did not generate it.
         if self._current_version is None:
             raise TextSequenceError('The engine reports no weight version.')
+        size = self._bytes + _size(event.data)
+        if size > MAX_TEXT_BYTES:
+            raise TextTooLong(f'The text is longer than {MAX_TEXT_BYTES}.')
+        self._bytes = size
         self._parts.append(event.data)
         self._versions.add(self._current_version)
 
@@ -105,6 +121,11 @@
     def clear(self) -> None:
         """Discard the text, so that the next run starts over."""
         self._parts.clear()
+        self._bytes = 0
         self._versions.clear()
         self._current_version = None
         self.is_whole = False
+
+
+def _size(part: str) -> int:
+    return len(part.encode()) + EVENT_BYTES
--- a/packages/yuccarill-core/tests/jobs/test_text.py
+++ b/packages/yuccarill-core/tests/jobs/test_text.py
@@ -84,3 +84,18 @@
                 for number in range(found.events + 1, last + 1):
                     found.add_event(event(number))
             self.assertEqual(naive, found.text)
+
+    # Characters of each event.
+    @params(0, 1000)
+    def test_a_text_that_never_ends(self, count: int) -> None:
+        """Guard against a text that takes all memory."""
+        found = text_module.ItemText()
+        found.begin_run(WeightVersion(1))
+        with self.assertRaises(text_module.TextTooLong):
+            for number in range(1, text_module.MAX_TEXT_BYTES):
+                found.add_event(StreamEvent(number=number, data='a' * count))
+        self.assertLess(len(found.text), text_module.MAX_TEXT_BYTES)
+        found.clear()
+        found.begin_run(WeightVersion(1))
+        found.add_event(StreamEvent(number=1, data='a'))
+        self.assertEqual('a', found.text)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
@@ -25,6 +25,9 @@
 # Seconds for which a probe connection must stay open: a process that exits
 # can still accept a connection and close it at once.
 SETTLE_SECONDS = 0.02
+# Bytes of all incomplete responses together; bounds the memory that servers
+# can take up by sending bytes without end.
+MAX_PENDING_BYTES = 32 << 20
 # Idle connections per address; as many as an engine has request slots.
 MAX_IDLE_PER_ADDRESS = 16
 
@@ -38,6 +41,11 @@
         self._idle_by_address: dict[
             str, collections.deque[http_exchange.Connection]
         ] = collections.defaultdict(collections.deque)
+        # Sinks of the responses that are being received.
+        self._sinks_by_connection: dict[
+            http_exchange.Connection, http_exchange.ResponseSink
+        ] = {}
+        self._pending_bytes = 0
 
     async def exchange(
         self,
@@ -63,15 +71,35 @@
             connection.fail,
             http_exchange.ExchangeFailed('no whole answer in time'),
         )
+        connection.on_buffered = self._count_pending
+        self._sinks_by_connection[connection] = sink
         try:
             await connection.send(request, sink, progress_seconds)
         finally:
+            del self._sinks_by_connection[connection]
+            self._pending_bytes -= sink.buffered
             if timer.active():
                 timer.cancel()
             self._release(address, connection)
         assert sink.head is not None
         return http_exchange.Reply(head=sink.head, body=sink.body)
 
+    def _count_pending(self, count: int) -> None:
+        """Count buffered bytes; fail the longest response above the limit."""
+        self._pending_bytes += count
+        if self._pending_bytes <= MAX_PENDING_BYTES:
+            return
+        longest, sink = max(
+            self._sinks_by_connection.items(),
+            key=lambda pending: pending[1].buffered,
+        )
+        longest.fail(
+            http_exchange.ExchangeFailed(
+                'the body was dropped to free memory after '
+                f'{sink.buffered} bytes'
+            )
+        )
+
     async def is_refused(self, address: str) -> bool:
         """Return whether no process listens at an address.
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/event_stream.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/event_stream.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+# Bytes of one event; a server can send bytes that never complete one.
+MAX_EVENT_BYTES = 1 << 20
+
 
 class RawEvent(msgspec.Struct, frozen=True, kw_only=True):
     """A server-sent event with its fields as received."""
@@ -31,11 +34,17 @@
         return '\n'.join(values)
 
 
+class EventTooLong(Exception):
+    """Raised if an event exceeds its maximum length."""
+
+
 class EventParser:
     """Split a byte stream into complete events."""
 
     def __init__(self) -> None:
         self._partial_line = b''
+        # Bytes since the last complete event, comments included.
+        self._event_bytes = 0
         self._fields: list[tuple[str, str]] = []
 
     @property
@@ -46,8 +55,10 @@
     def receive(self, data: bytes) -> list[RawEvent]:
         """Return the events that `data` completes.
 
-        Raises UnicodeDecodeError for bytes that are not UTF-8.
+        Raises UnicodeDecodeError for bytes that are not UTF-8, EventTooLong
+        for too many bytes without a complete event.
         """
+        self._event_bytes += len(data)
         *lines, self._partial_line = (self._partial_line + data).split(b'\n')
         found = []
         for line in lines:
@@ -57,6 +68,12 @@
             elif self._fields:
                 found.append(RawEvent(fields=tuple(self._fields)))
                 self._fields = []
+        if found:
+            self._event_bytes = len(self._partial_line)
+        elif self._event_bytes > MAX_EVENT_BYTES:
+            raise EventTooLong(
+                f'{self._event_bytes} bytes without a complete event'
+            )
         return found
 
     def _add_field(self, line: str) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -9,6 +9,7 @@
 
 from typing import Any
 from typing import Protocol
+from typing import TYPE_CHECKING
 
 import h11
 import msgspec
@@ -19,12 +20,19 @@
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import keepalive
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Seconds to keep an idle connection if its server sends no Keep-Alive timeout.
 IDLE_SECONDS = 8.0
 # Fraction of the server's idle timeout after which a connection is not reused,
 # to avoid a request racing with the server's close.
 IDLE_FRACTION = 0.7
 _MAX_HEAD_BYTES = 64 * 1024
+# Bytes of a body that a sink buffers; a server can send bytes without end.
+MAX_BODY_BYTES = 16 << 20
+# Interim responses (1xx) per request; they can come without end as well.
+MAX_INTERIM_RESPONSES = 16
 
 
 class NotConnected(Exception):
@@ -82,9 +90,12 @@
 class ResponseSink:
     """Receive a response in parts; this base class buffers the body."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.head: ReplyHead | None = None
+        self._max_body_bytes = max_body_bytes
         self._parts: list[bytes] = []
+        # Bytes of the body that are buffered here.
+        self.buffered = 0
 
     @property
     def body(self) -> bytes:
@@ -103,9 +114,18 @@
         """
         self.head = head
 
-    def receive(self, data: bytes) -> None:
-        """Accept a part of the body."""
+    def receive(self, data: bytes) -> bool:
+        """Accept a part of the body; return whether it is progress.
+
+        A server that makes no progress is abandoned after a time.
+        """
+        self.buffered += len(data)
+        if self.buffered > self._max_body_bytes:
+            raise ResponseRejected(
+                f'the body is longer than {self._max_body_bytes} bytes'
+            )
         self._parts.append(data)
+        return True
 
 
 class ReadControl(Protocol):
@@ -129,9 +149,12 @@
         self._finished: defer.Deferred[None] | None = None
         self._progress_seconds: float | None = None
         self._progress_timer: Any = None
+        self._interim_responses = 0
         self._is_open = False
         self._is_reusable = True
         self._is_paused = False
+        # Called with the number of bytes that a sink has just buffered.
+        self.on_buffered: Callable[[int], None] = lambda count: None
         self._usable_until = Instant(0.0)
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -160,6 +183,7 @@
     ) -> defer.Deferred[None]:
         """Send a request; the Deferred fires when the response is complete."""
         self._sink = sink
+        self._interim_responses = 0
         self._progress_seconds = progress_seconds
         self._finished = defer.Deferred(self._on_cancel)
         finished = self._finished
@@ -200,7 +224,6 @@
             # request.
             self.close()
             return
-        self._restart_progress_timer()
         self._decode(data)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -263,10 +286,19 @@
     def _handle_event(self, event: Any) -> None:
         assert self._sink is not None
         match event:
+            case h11.InformationalResponse():
+                self._interim_responses += 1
+                if self._interim_responses > MAX_INTERIM_RESPONSES:
+                    raise ResponseRejected('too many interim responses')
             case h11.Response():
                 self._sink.receive_head(_reply_head(event))
+                self._restart_progress_timer()
             case h11.Data():
-                self._sink.receive(bytes(event.data))
+                before = self._sink.buffered
+                if self._sink.receive(bytes(event.data)):
+                    self._restart_progress_timer()
+                if self._sink.buffered > before:
+                    self.on_buffered(self._sink.buffered - before)
             case h11.EndOfMessage():
                 self._on_message_end()
             case h11.ConnectionClosed():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
@@ -31,6 +31,9 @@
 SILENCE_SECONDS = 2.0
 # Deadline of one run.
 RUN_SECONDS = 60.0
+# Events of a text beyond the tokens of its item. An event has at least one
+# token, but an engine can send events without end.
+SPARE_EVENTS = 1000
 
 
 class Outcome(enum.Enum):
@@ -145,7 +148,14 @@
         try:
             self._run.text.add_event(event)
         except text_module.TextSequenceError as error:
+            # No run can complete a text that is already too long.
+            self.must_restart = isinstance(error, text_module.TextTooLong)
             raise http_exchange.ResponseRejected(str(error)) from error
+        if self._run.text.events > self._run.item.tokens + SPARE_EVENTS:
+            self.must_restart = True
+            raise http_exchange.ResponseRejected(
+                'more events than the item has tokens'
+            )
         job = self._run.job
         if not self._run.text.fits(job.min_version, job.is_single_version):
             self.must_restart = True
