Name the end of a quarantine by a trial as a release

Reading the change as a newcomer: "acquit" is a figure of speech; the code calls the end of a quarantine a release. The assigners of a pass are cached in place of a dictionary that is filled by hand. No change of behaviour; the 113 tests of runner, quarantine, items that crash, scoring and placement pass.

--- a/packages/yuccarill-core/src/yuccarill/core/gateway/trials.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/trials.py
@@ -1,9 +1,9 @@
-"""Decide when an owed content is tried again after crashes of its targets.
+"""Decide when contents that must be completed are tried again.
 
-Items of batch jobs and their score requests must be completed, so a quarantine
-only makes them wait. A sound one that ran at several crashes is completed by
-its first trial. One that crashes its targets costs one target per trial, and
-its trials become rare.
+Targets crashed under these contents, so they are quarantined. Items of batch
+jobs and their score requests must be completed all the same. A harmless one
+that ran at several crashes is completed by its first trial. One that crashes
+its targets costs one target per trial, and its trials become rare.
 """
 
 from __future__ import annotations
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from typing import Any
 from typing import NamedTuple
@@ -176,9 +177,15 @@
             return
         full_needs: set[_Needs] = set()
         pace = self._fleet.usual_pace(now) or job_queue.DEFAULT_PACE
-        assigners_by_service: dict[
-            ServiceName, engine_assignment.EngineAssigner
-        ] = {}
+
+        @functools.cache
+        def assigner_of(
+            service: ServiceName,
+        ) -> engine_assignment.EngineAssigner:
+            return engine_assignment.EngineAssigner(
+                self._engines(service).fleet, now
+            )
+
         self._holds.resume()
         self._start_trials()
         for run in self._ordered_runs(pace, now):
@@ -187,16 +194,9 @@
             match self._decide_route(run):
                 case item_routes.RunAt(service):
                     needs = _Needs(service, run.job.model, run.job.min_version)
-                    if needs in full_needs:
-                        continue
-                    engines = self._engines(service)
-                    assigner = assigners_by_service.get(service)
-                    if assigner is None:
-                        assigner = engine_assignment.EngineAssigner(
-                            engines.fleet, now
-                        )
-                        assigners_by_service[service] = assigner
-                    if not self._start_if_possible(run, engines, assigner):
+                    if needs not in full_needs and not self._start_if_possible(
+                        run, self._engines(service), assigner_of(service)
+                    ):
                         full_needs.add(needs)
                 case item_routes.Revoked():
                     self._finish_revoked(run)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/content_trials.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/content_trials.py
@@ -62,7 +62,7 @@
             crashes=self._trials.crashes(content),
         )
         if is_completed:
-            self._guard.acquit(content)
+            self._guard.release_completed(content)
 
     def forget_released(self) -> None:
         """Forget the contents that are not quarantined any more."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/guard.py
@@ -64,7 +64,8 @@
         self.on_completed: Callable[[ContentDigest], None] = lambda c: None
         self.on_trial: Callable[[ContentDigest], None] = lambda c: None
         self.on_quarantined: Callable[[ContentDigest], None] = lambda c: None
-        self.on_acquitted: Callable[[ContentDigest], None] = lambda c: None
+        # Called after a completed trial.
+        self.on_released: Callable[[ContentDigest], None] = lambda c: None
         # Callbacks for events that peers report.
         self.on_peer_verdict: Callable[[ContentDigest], None] = lambda c: None
         self.on_peer_crash: Callable[[CrashReport], None] = lambda report: None
@@ -137,11 +138,11 @@
         times = self.ledger.end_times(content)
         return len(times), max(times, default=self.now())
 
-    def acquit(self, content: ContentDigest) -> None:
-        """Release a content that a trial has shown to be harmless."""
+    def release_completed(self, content: ContentDigest) -> None:
+        """Release a quarantined content whose trial was completed."""
         if self.ledger.verdict(content) is Verdict.QUARANTINED:
             self.release(content)
-            self.on_acquitted(content)
+            self.on_released(content)
 
     def targets_to_avoid(self, content: ContentDigest) -> frozenset[TargetId]:
         """Return the targets that a content avoids where others are free.
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/parts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/parts.py
@@ -54,7 +54,7 @@
     def start(self) -> None:
         """Start the exchange of crash reports with the other instances."""
         self.guard.on_quarantined = self._publish_quarantine
-        self.guard.on_acquitted = self._publish_acquittal
+        self.guard.on_released = self._publish_release
         self.guard.on_peer_verdict = self.records.write_later
         self._reports.start()
 
@@ -68,7 +68,7 @@
             return await self._reports.handle(request)
         return await self._operator_api.handle(request)
 
-    def _publish_acquittal(self, content: ContentDigest) -> None:
+    def _publish_release(self, content: ContentDigest) -> None:
         self._reports.send(end_messages.EndMessage(released=(content,)))
         self.records.remove_later(content)
 
--- a/packages/yuccarill-daemon/tests/gateway/test_quarantine.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_quarantine.py
@@ -356,14 +356,14 @@
         self.records.update()
         self.assertEqual(Verdict.CLEAR, self.guard.ledger.verdict(X))
 
-    def test_a_record_is_removed_after_an_acquittal(self) -> None:
+    def test_a_record_is_removed_after_a_completed_trial(self) -> None:
         """Guard against a record that quarantines a harmless content again."""
         self.end_targets()
         self.run_for(0.5)
         self.known.quarantined_by_content[X] = self.record(1060.0)
-        self.guard.on_acquitted = self.records.remove_later
+        self.guard.on_released = self.records.remove_later
         self.memory.rejects_calls = True
-        self.guard.acquit(X)
+        self.guard.release_completed(X)
         self.assertEqual(Verdict.CLEAR, self.guard.ledger.verdict(X))
         self.run_for(3.0)
         self.assertIn(keys.quarantine(X), self.keys.entries_by_key)
@@ -371,12 +371,12 @@
         self.run_for(2.0)
         self.assertNotIn(keys.quarantine(X), self.keys.entries_by_key)
 
-    def test_an_acquitted_content_is_not_recorded_later(self) -> None:
+    def test_a_released_content_is_not_recorded_later(self) -> None:
         """Guard against a delayed write that quarantines a content again."""
         self.memory.rejects_calls = True
         self.end_targets()
         self.run_for(2.0)
-        self.guard.acquit(X)
+        self.guard.release_completed(X)
         self.memory.rejects_calls = False
         self.run_for(2.0)
         self.assertNotIn(keys.quarantine(X), self.keys.entries_by_key)
