--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
@@ -44,7 +44,7 @@
 # Seconds for which a new holder waits for the counts of all instances.
 GATHER_SECONDS = 1.5
 # Seconds between writes of open counts; newer counts are lost if all instances
-# are killed at once. A fifth of a window of 5 s.
+# are killed at once, a fifth of a window of 5 s.
 SAVE_SECONDS = 1.0
 # Seconds before a failed report is sent again.
 RETRY_SECONDS = 0.5
