--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -121,15 +121,19 @@
         self.count = gateways
         self._record = (self.folder / 'record.txt').open('w', buffering=1)
         self._site_log = pathlib.Path(self.temporary) / 'site.log'
-        for index, worker in enumerate(workers):
-            worker['address'] = '%s.%d:8080' % (self.net, 101 + index)
         self.spec = {
-            'store': self.store, 'control': self.control, 'workers': workers,
+            'store': self.store, 'control': self.control,
             'log': str(self._site_log), 'seconds': 115,
             'config': {'version': 1, 'routes': routes, 'services': services,
                        'limits': CONFIG_LIMITS}}
+        self.set_workers(workers)
         self.record('trouble: %s' % self.trouble)
 
+    def set_workers(self, workers):
+        for index, worker in enumerate(workers):
+            worker['address'] = '%s.%d:8080' % (self.net, 101 + index)
+        self.spec['workers'] = workers
+
     def record(self, text):
         self._record.write('%.3f %s\n' % (time.time(), text))
 
--- a/review/standins-2/site.py
+++ b/review/standins-2/site.py
@@ -254,6 +254,15 @@
         # it has preempted the run and reads its prompt in again.
         self.pause_before = spec.get('pauseBefore')
         self.pause_ms = spec.get('pauseMs', 0)
+        # Every so many requests, the worker is full and rejects one.
+        self.reject_each = spec.get('rejectEach')
+        # Numbers of the rejections that are followed by a second answer, late:
+        # at the point where the next answer on that connection is expected.
+        self.extra_after = set(spec.get('extraAfter', ()))
+        self.requests = 0
+        self.rejections = 0
+        # Connections on which a second answer is still to come.
+        self.extra_on = set()
         self.versions = {name: 1 for name in self.models}
         self.orders = 0
         self.record = record
@@ -286,13 +295,33 @@
         elif request.path == '/api/order':
             self.orders += 1
             writer.write(encode(202))
-        elif self.models:
-            return await self.generate(request, writer)
         else:
-            return await self.run(request, writer)
+            return await self.serve_request(request, writer)
         await writer.drain()
         return True
 
+    async def serve_request(self, request, writer):
+        number = request.headers.get('request-id', '')
+        if writer in self.extra_on:
+            self.extra_on.discard(writer)
+            writer.write(encode(503, b'', [('Not-Run', '1')]))
+            await writer.drain()
+            self.record('worker %s: sends a second answer, to an earlier '
+                        'request, as %s has arrived' % (self.id, number))
+        self.requests += 1
+        if self.reject_each and self.requests % self.reject_each == 0:
+            self.rejections += 1
+            if self.rejections in self.extra_after:
+                self.extra_on.add(writer)
+            writer.write(encode(503, b'', [('Not-Run', '1')]))
+            await writer.drain()
+            self.record('worker %s: rejects %s, it is full'
+                        % (self.id, number))
+            return True
+        if self.models:
+            return await self.generate(request, writer)
+        return await self.run(request, writer)
+
     def begin(self, request):
         number = request.headers.get('request-id', '')
         self.runs[number] = self.runs.get(number, 0) + 1
@@ -311,7 +340,7 @@
         return [('Request-Id', number), ('Response-Stamp', 'stamp.' + number)]
 
     async def generate(self, request, writer):
-        number = self.begin(request)
+        number = request.headers.get('request-id', '')
         first = int(request.headers.get('last-event-id') or 0) + 1
         version = self.versions[self.models[0]]
         head = self.head(number) + [
@@ -319,7 +348,7 @@
             ('Content-Type', 'text/event-stream'),
             ('Transfer-Encoding', 'chunked')]
         lines = ['HTTP/1.1 200 OK'] + ['%s: %s' % each for each in head]
-        writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
+        data = '\r\n'.join(lines) + '\r\n\r\n'
         for event in range(first, self.events + 1):
             await asyncio.sleep(self.event_ms / 1000.0)
             if event == self.pause_before:
@@ -329,9 +358,14 @@
                             'event %d of %d'
                             % (self.id, number, event, self.events))
                 return False
-            data = 'id: %d\ndata: %s piece %d\n\n' % (event, number, event)
-            writer.write(b'%x\r\n' % len(data) + data.encode() + b'\r\n')
+            if event == first:
+                # A request begins to run with its first token.
+                self.begin(request)
+            piece = 'id: %d\ndata: %s piece %d\n\n' % (event, number, event)
+            data += '%x\r\n%s\r\n' % (len(piece), piece)
+            writer.write(data.encode())
             await writer.drain()
+            data = ''
         writer.write(b'0\r\n\r\n')
         await writer.drain()
         self.record('worker %s: run of %s is complete' % (self.id, number))
