--- a/review/standins-2/site.py
+++ b/review/standins-2/site.py
@@ -400,6 +400,12 @@
             await store.notify()
         elif request.path == '/put':
             await store.write_as_operator(body['key'], body['value'])
+        elif request.path == '/put-bytes':
+            # Another writer's value, not necessarily JSON.
+            store.revision += 1
+            store.put(body['key'], base64.b64decode(body['base64']))
+            await store.notify()
+            record('store: another writer puts %s' % body['key'])
         runs = {worker.id: worker.runs for worker in workers}
         answer = {'runs': runs, 'mode': store.mode}
         writer.write(encode(200, json.dumps(answer).encode()))
