--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,9 @@
-"""A batch job is refused with 503 at every client attempt, and runs."""
+"""An entry of another writer ends the service for good."""
 
 import base64
-import json
+import http.client
 import pathlib
+import signal
 import sys
 import time
 
@@ -11,100 +12,85 @@
 
 import kit  # noqa: E402
 
-MODEL = 'daka510000'
-JOB = '7c41e09b52d6a3f8'
-ITEMS = ['e5b2907c14da6f3%d' % number for number in range(4)]
-PROMISES = (429, 503, 408, 421)
-# Seconds for which the store is down, from the write whose answer is lost.
-OUTAGE_S = 4.9
-# Seconds for which a trainer waits for the 202, and its retries.
-DEADLINE_S = 12.0
-RETRIES = 1
-# The gateways that the trainer happens to choose.
-NODES = (3, 1)
+# An array in an array and so on: a value of 4 kB that can't be read.
+DEPTH = 2000
+FOREIGN = b'{"note":' + b'[' * DEPTH + b']' * DEPTH + b'}'
+RECOVERY_S = 12.0
+REQUESTS = 30
+GATEWAYS = (1, 2, 3)
 ROUTES = [
-    {'name': 'train', 'host': kit.HOST, 'prefix': '/pule252/',
-     'routeType': 'rollout', 'timeoutMs': 1200, 'targetLatencyMs': 400,
-     'priority': 1, 'service': 'engines', 'maxAttempts': 3, 'dueMs': 7500,
-     'retentionS': 60},
-    {'name': 'score', 'host': kit.HOST, 'prefix': '/pufi791/',
-     'routeType': 'safe', 'timeoutMs': 3000, 'targetLatencyMs': 800,
+    {'name': 'ask', 'host': kit.HOST, 'prefix': '/lohu930/',
+     'routeType': 'safe', 'timeoutMs': 1500, 'targetLatencyMs': 159,
      'priority': 2, 'service': 'plain', 'maxAttempts': 3},
 ]
-SERVICES = [
-    {'name': 'engines', 'healthPath': '/health', 'maxConns': 130,
-     'engine': {'slots': 8, 'kvTokens': 69777, 'models': [{'name': MODEL}]}},
-    {'name': 'plain', 'healthPath': '/health', 'maxConns': 96},
-]
-WORKERS = [
-    {'id': 'i-model-1', 'service': 'engines', 'models': [MODEL]},
-    {'id': 'i-model-2', 'service': 'engines', 'models': [MODEL]},
-    {'id': 'i-plain-1', 'service': 'plain'},
-]
+SERVICES = [{'name': 'plain', 'healthPath': '/health', 'maxConns': 96}]
+WORKERS = [{'id': 'i-plain-%d' % number, 'service': 'plain'}
+           for number in (1, 2, 3)]
 
 
-def job_body():
-    items = [
-        {'id': item, 'path': '/pule252/3/91c4', 'group': 'g%d' % (place // 2),
-         'headers': {'Model': MODEL, 'Token-Usage': '540,400',
-                     'Prompt-Prefix': '9c2e41:300,5d07b8:240'},
-         'body': base64.b64encode(item.encode() * 30).decode(), 'tokens': 940,
-         'scorer': {'id': '40c8f1a7b3e9265%d' % place, 'host': kit.HOST,
-                    'path': '/pufi791/5e07',
-                    'body': base64.b64encode(b'score').decode()}}
-        for place, item in enumerate(ITEMS)]
-    return json.dumps({'step': 0, 'model': MODEL, 'minVersion': 1,
-                       'targetGroups': 2, 'items': items}).encode()
+def ask(site, name):
+    """Send requests, with the sheets' one retry; return how many succeed."""
+    served = 0
+    answers = {}
+    for number in range(REQUESTS):
+        for attempt in (0, 1):
+            gateway = GATEWAYS[(number + attempt) % len(GATEWAYS)]
+            headers = {'Host': kit.HOST, 'Deadline-Ms': '1500', 'Request-Id':
+                       '%s%014x%d' % (name, number, attempt)}
+            try:
+                status, _, _ = kit.call(site.front(gateway), 'POST',
+                                        '/lohu930/2f', b'hello', headers, 1.5)
+            except (OSError, http.client.HTTPException) as error:
+                status = type(error).__name__
+            answers[status] = answers.get(status, 0) + 1
+            if status == 200:
+                served += 1
+                break
+        time.sleep(0.05)
+    site.record('%s: %d of %d requests were served; answers: %s'
+                % (name, served, REQUESTS, answers))
+    return served
 
 
-def submit(site, body):
-    """Send the job as a trainer does; return the statuses of its attempts."""
-    give_up_at = time.monotonic() + DEADLINE_S
-    statuses = []
-    for attempt in range(1 + RETRIES):
-        node = NODES[attempt]
-        headers = {'Host': kit.HOST, 'Request-Id': JOB,
-                   'Content-Type': 'application/json'}
-        site.record('attempt %d: the job is sent to gateway %d'
-                    % (attempt + 1, node))
-        try:
-            status, answer_headers, answer = kit.call(
-                site.front(node), 'POST', '/pule252/7c41e0', body, headers)
-        except OSError as error:
-            site.record('no answer: %r' % error)
-            statuses.append(None)
-            continue
-        statuses.append(status)
-        site.record('gateway %d answers %d: %s' % (node, status, answer))
-        if status == 202 or attempt == RETRIES:
-            break
-        left = give_up_at - time.monotonic()
-        pause = float(answer_headers.get('Retry-After', 0))
-        time.sleep(max(0.0, min(pause, left / 3)))
-    return statuses
+def is_ready(site, gateway):
+    try:
+        return kit.call(site.ip(gateway) + ':8141', 'GET', '/api/ready',
+                        seconds=1.0)[0] == 200
+    except OSError:
+        return False
 
 
 def run(site):
-    # The service has its holder, and the gateways know each other.
-    time.sleep(6.0)
-    body = job_body()
+    time.sleep(5.0)
+    if ask(site, 'a') < REQUESTS:
+        raise kit.NotRunnable('not served at the start')
     if site.trouble:
-        site.command('/outage-after-write', bytes=len(body) // 2,
-                     seconds=OUTAGE_S)
-    statuses = submit(site, body)
-    time.sleep(OUTAGE_S + 10.0)
-    runs = site.runs()
-    began = {item: runs.get(item, 0) for item in ITEMS}
-    site.record('runs by item: %s' % began)
-    reply = kit.call(site.front(2), 'GET', '/api/lots/%s?after=0' % JOB,
-                     headers={'Host': kit.HOST})
-    site.record('the job is read: %d %s' % (reply[0], reply[2][:300]))
-    is_refused = all(status in PROMISES for status in statuses)
-    is_broken = is_refused and any(began.values())
-    site.record('statuses %s; rule REFUSED is %s'
-                % (statuses, 'broken' if is_broken else 'kept'))
-    if not site.trouble and (statuses != [202] or not all(began.values())):
-        raise kit.NotRunnable('the job was not served without trouble')
+        site.command('/put-bytes', key='servers/a-7f3a91c2',
+                     base64=base64.b64encode(FOREIGN).decode())
+    time.sleep(4.0)
+    before = ask(site, 'b')
+    # The final fault: all processes are killed, and back within a second.
+    for gateway in GATEWAYS:
+        site.signal(gateway, signal.SIGKILL)
+    for gateway in GATEWAYS:
+        site.processes['gateway-%d' % gateway].wait()
+        site.start_gateway(gateway)
+    back_at = time.monotonic()
+    time.sleep(RECOVERY_S + 1.0 - (time.monotonic() - back_at))
+    after = ask(site, 'c')
+    ready = [gateway for gateway in GATEWAYS if is_ready(site, gateway)]
+    site.record('ready %.0f s after the fault: %s'
+                % (time.monotonic() - back_at, ready))
+    is_broken = before >= REQUESTS / 4 and after < REQUESTS / 4
+    for gateway in GATEWAYS:
+        for line in site.log_of(gateway).splitlines():
+            if 'Background task failed' in line:
+                site.record('gateway %d logs: ...%s'
+                            % (gateway, line[line.index('Recursion'):][:90]
+                               if 'Recursion' in line else line[-200:]))
+    site.record('rule RECOVER is %s' % ('broken' if is_broken else 'kept'))
+    if not site.trouble and after < REQUESTS:
+        raise kit.NotRunnable('not served after the fault without trouble')
     return is_broken
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,11 @@
-"""An entry of another writer ends the service for good."""
+"""Requests taken later than 3 s after SIGTERM are cut without an answer."""
 
-import base64
-import http.client
+import json
 import pathlib
 import signal
+import socket
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -12,86 +13,124 @@
 
 import kit  # noqa: E402
 
-# An array in an array and so on: a value of 4 kB that can't be read.
-DEPTH = 2000
-FOREIGN = b'{"note":' + b'[' * DEPTH + b']' * DEPTH + b'}'
-RECOVERY_S = 12.0
-REQUESTS = 30
-GATEWAYS = (1, 2, 3)
+MODEL = 'daka510000'
+GRACE_S = 8.0
+DEADLINE_MS = 12000
+# A stream of 60 pieces, one each 60 ms: 3.6 s.
+EVENTS = 60
+EVENT_MS = 60
+# Seconds after SIGTERM at which requests are sent. Clients keep the answer of
+# the directory, of 2 s, three times as long; the answer comes 0.1 s before.
+SENT_AT = (3.2, 3.6, 4.0, 4.4, 4.8, 5.2, 5.6)
 ROUTES = [
-    {'name': 'ask', 'host': kit.HOST, 'prefix': '/lohu930/',
-     'routeType': 'safe', 'timeoutMs': 1500, 'targetLatencyMs': 159,
-     'priority': 2, 'service': 'plain', 'maxAttempts': 3},
+    {'name': 'talk', 'host': kit.HOST, 'prefix': '/lohu930/',
+     'routeType': 'stream', 'timeoutMs': 10000, 'targetLatencyMs': 400,
+     'priority': 1, 'service': 'engines', 'maxAttempts': 3},
 ]
-SERVICES = [{'name': 'plain', 'healthPath': '/health', 'maxConns': 96}]
-WORKERS = [{'id': 'i-plain-%d' % number, 'service': 'plain'}
-           for number in (1, 2, 3)]
+SERVICES = [
+    {'name': 'engines', 'healthPath': '/health', 'maxConns': 130,
+     'engine': {'slots': 8, 'kvTokens': 69777, 'models': [{'name': MODEL}]}},
+]
+WORKERS = [
+    {'id': 'i-model-%d' % number, 'service': 'engines', 'models': [MODEL],
+     'events': EVENTS, 'eventMs': EVENT_MS} for number in (1, 2)
+]
+
 
+class Client(threading.Thread):
+    """Send one request over a new connection and read the whole stream."""
 
-def ask(site, name):
-    """Send requests, with the sheets' one retry; return how many succeed."""
-    served = 0
-    answers = {}
-    for number in range(REQUESTS):
-        for attempt in (0, 1):
-            gateway = GATEWAYS[(number + attempt) % len(GATEWAYS)]
-            headers = {'Host': kit.HOST, 'Deadline-Ms': '1500', 'Request-Id':
-                       '%s%014x%d' % (name, number, attempt)}
-            try:
-                status, _, _ = kit.call(site.front(gateway), 'POST',
-                                        '/lohu930/2f', b'hello', headers, 1.5)
-            except (OSError, http.client.HTTPException) as error:
-                status = type(error).__name__
-            answers[status] = answers.get(status, 0) + 1
-            if status == 200:
-                served += 1
-                break
-        time.sleep(0.05)
-    site.record('%s: %d of %d requests were served; answers: %s'
-                % (name, served, REQUESTS, answers))
-    return served
+    def __init__(self, address, number):
+        super().__init__(daemon=True)
+        self.address = address
+        self.id = '9c41d07be2a35f%02x' % number
+        self.sent_at = time.monotonic()
+        self.data = b''
+        self.end = 'no end'
 
+    def run(self):
+        host, _, port = self.address.rpartition(':')
+        request = ('POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n'
+                   'Deadline-Ms: %d\r\nModel: %s\r\nToken-Usage: 540,400\r\n'
+                   'Content-Length: 5\r\nConnection: close\r\n\r\nhello'
+                   % (kit.HOST, self.id, DEADLINE_MS, MODEL))
+        try:
+            with socket.create_connection((host, int(port)), 1.0) as link:
+                link.settimeout(DEADLINE_MS / 1000.0)
+                link.sendall(request.encode())
+                while part := link.recv(65536):
+                    self.data += part
+            self.end = 'closed'
+        except OSError as error:
+            self.end = repr(error)
 
-def is_ready(site, gateway):
-    try:
-        return kit.call(site.ip(gateway) + ':8141', 'GET', '/api/ready',
-                        seconds=1.0)[0] == 200
-    except OSError:
+    @property
+    def status(self):
+        return int(self.data.split(b' ', 2)[1]) if self.data else None
+
+    @property
+    def is_complete(self):
+        """Return whether the answer has its own end (last chunk, length)."""
+        head, separator, body = self.data.partition(b'\r\n\r\n')
+        if not separator:
+            return False
+        if b'transfer-encoding: chunked' in head.lower():
+            return body.endswith(b'0\r\n\r\n')
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                return len(body) >= int(line.partition(b':')[2])
         return False
 
+    @property
+    def pieces(self):
+        return self.data.count(b'piece ')
+
 
 def run(site):
     time.sleep(5.0)
-    if ask(site, 'a') < REQUESTS:
-        raise kit.NotRunnable('not served at the start')
+    status, _, answer = kit.call(
+        site.ip(1) + ':8143', 'GET',
+        '/api/resolve?name=%s&region=r1&zone=z1' % kit.HOST)
+    site.record('the directory answers %d %s' % (status, answer))
+    found = json.loads(answer)
+    if site.front(1) not in found['addresses']:
+        raise kit.NotRunnable('the directory does not name gateway 1')
+    keeps_for = 3 * found['ttlS']
+    time.sleep(0.1)
+    stopped_at = time.monotonic()
     if site.trouble:
-        site.command('/put-bytes', key='servers/a-7f3a91c2',
-                     base64=base64.b64encode(FOREIGN).decode())
-    time.sleep(4.0)
-    before = ask(site, 'b')
-    # The final fault: all processes are killed, and back within a second.
-    for gateway in GATEWAYS:
-        site.signal(gateway, signal.SIGKILL)
-    for gateway in GATEWAYS:
-        site.processes['gateway-%d' % gateway].wait()
-        site.start_gateway(gateway)
-    back_at = time.monotonic()
-    time.sleep(RECOVERY_S + 1.0 - (time.monotonic() - back_at))
-    after = ask(site, 'c')
-    ready = [gateway for gateway in GATEWAYS if is_ready(site, gateway)]
-    site.record('ready %.0f s after the fault: %s'
-                % (time.monotonic() - back_at, ready))
-    is_broken = before >= REQUESTS / 4 and after < REQUESTS / 4
-    for gateway in GATEWAYS:
-        for line in site.log_of(gateway).splitlines():
-            if 'Background task failed' in line:
-                site.record('gateway %d logs: ...%s'
-                            % (gateway, line[line.index('Recursion'):][:90]
-                               if 'Recursion' in line else line[-200:]))
-    site.record('rule RECOVER is %s' % ('broken' if is_broken else 'kept'))
-    if not site.trouble and after < REQUESTS:
-        raise kit.NotRunnable('not served after the fault without trouble')
-    return is_broken
+        site.signal(1, signal.SIGTERM)
+    clients = []
+    for number, at in enumerate(SENT_AT):
+        assert at + 0.1 < keeps_for
+        time.sleep(max(0.0, stopped_at + at - time.monotonic()))
+        client = Client(site.front(1), number)
+        client.start()
+        clients.append(client)
+        site.record('request %s is sent %.1f s after' % (client.id, at))
+    time.sleep(max(0.0, stopped_at + GRACE_S - time.monotonic()))
+    process = site.processes['gateway-1']
+    if site.trouble and process.poll() is None:
+        site.signal(1, signal.SIGKILL)
+    for client in clients:
+        client.join(DEADLINE_MS / 1000.0)
+    runs = site.runs()
+    lost = 0
+    for client in clients:
+        is_lost = not client.is_complete and runs.get(client.id, 0) > 0
+        lost += is_lost
+        site.record('request %s: status %s, %d of %d pieces, complete %s, '
+                    'runs %d, end %s%s'
+                    % (client.id, client.status, client.pieces, EVENTS,
+                       client.is_complete, runs.get(client.id, 0), client.end,
+                       ': LOST' if is_lost else ''))
+    served = sum(c.is_complete and c.pieces == EVENTS for c in clients)
+    if not site.trouble and served < len(clients):
+        raise kit.NotRunnable('not every request was served without trouble')
+    site.record('%d of %d requests were passed on to a worker and ended '
+                'without a complete answer; rule LOST is %s'
+                % (lost, len(clients), 'broken' if lost else 'kept'))
+    return lost > 0
 
 
 if __name__ == '__main__':
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.."
-exec python3 review/7/case.py
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.."
+exec python3 "$here/case.py"
