--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,7 +15,7 @@
 ROUTES = [
     {'name': 'talk', 'host': kit.HOST, 'prefix': '/lohu930/',
      'routeType': 'stream', 'timeoutMs': 10000, 'targetLatencyMs': 400,
-     'priority': 1, 'service': 'engines', 'maxAttempts': 3},
+     'priority': 1, 'service': 'engines', 'maxAttempts': 4},
 ]
 SERVICES = [
     {'name': 'engines', 'healthPath': '/health', 'maxConns': 130,
@@ -24,13 +24,13 @@
 
 
 def workers(is_faulty):
-    """Return three workers, of which one hands out second answers."""
+    """Return two workers, of which one hands out second answers."""
     found = [{'id': 'i-model-%d' % number, 'service': 'engines',
               'models': [MODEL], 'events': EVENTS, 'eventMs': 20,
-              'rejectEach': 8} for number in (1, 2, 3)]
+              'rejectEach': 6} for number in (1, 2)]
     if is_faulty:
-        # One of its about 40 answers is followed by a second one.
-        found[0]['extraAfter'] = [2]
+        # Two of its about 80 answers are followed by a second one.
+        found[0]['extraAfter'] = [2, 12]
     return found
 
 
--- a/review/standins-2/site.py
+++ b/review/standins-2/site.py
@@ -254,15 +254,15 @@
         # it has preempted the run and reads its prompt in again.
         self.pause_before = spec.get('pauseBefore')
         self.pause_ms = spec.get('pauseMs', 0)
-        # Every so many requests, the worker is full and rejects one.
+        # One in so many requests is rejected as it comes for the first time,
+        # since the worker is full, and taken when it comes again.
         self.reject_each = spec.get('rejectEach')
         # Numbers of the rejections that are followed by a second answer, late:
         # at the point where the next answer on that connection is expected.
         self.extra_after = set(spec.get('extraAfter', ()))
-        self.requests = 0
-        self.rejections = 0
-        # Connections on which a second answer is still to come.
-        self.extra_on = set()
+        self.rejected = set()
+        # The second answer that is still to come, by connection.
+        self.extra_by_connection = {}
         self.versions = {name: 1 for name in self.models}
         self.orders = 0
         self.record = record
@@ -302,18 +302,20 @@
 
     async def serve_request(self, request, writer):
         number = request.headers.get('request-id', '')
-        if writer in self.extra_on:
-            self.extra_on.discard(writer)
-            writer.write(encode(503, b'', [('Not-Run', '1')]))
+        extra = self.extra_by_connection.pop(writer, None)
+        if extra is not None:
+            writer.write(extra)
             await writer.drain()
-            self.record('worker %s: sends a second answer, to an earlier '
-                        'request, as %s has arrived' % (self.id, number))
-        self.requests += 1
-        if self.reject_each and self.requests % self.reject_each == 0:
-            self.rejections += 1
-            if self.rejections in self.extra_after:
-                self.extra_on.add(writer)
-            writer.write(encode(503, b'', [('Not-Run', '1')]))
+            self.record('worker %s: sends its second answer as %s has arrived'
+                        % (self.id, number))
+        if (self.reject_each and number not in self.rejected
+                and int(number[-2:], 16) % self.reject_each == 0):
+            self.rejected.add(number)
+            answer = encode(503, b'', [('Request-Id', number),
+                                       ('Not-Run', '1')])
+            if len(self.rejected) in self.extra_after:
+                self.extra_by_connection[writer] = answer
+            writer.write(answer)
             await writer.drain()
             self.record('worker %s: rejects %s, it is full'
                         % (self.id, number))
