--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,9 +15,13 @@
 # An array in an array and so on: a value of 4 kB that can't be read.
 DEPTH = 2000
 FOREIGN = b'{"note":' + b'[' * DEPTH + b']' * DEPTH + b'}'
-RECOVERY_S = 12.0
+RECOVERY_S = 15.0
 REQUESTS = 30
 GATEWAYS = (1, 2, 3)
+# The bounds of the site that the claim names.
+BOUNDS = {'contactMs': 4000, 'ackMs': 6000, 'catchUpS': 6, 'drainMs': 3000,
+          'configApplyMs': 3000, 'maxStretchMs': 6000, 'recoveryS': 15,
+          'passMs': 200}
 ROUTES = [
     {'name': 'ask', 'host': kit.HOST, 'prefix': '/lohu930/',
      'routeType': 'safe', 'timeoutMs': 1500, 'targetLatencyMs': 159,
@@ -95,4 +99,4 @@
 
 
 if __name__ == '__main__':
-    kit.main(kit.Site(HERE, WORKERS, ROUTES, SERVICES), run)
+    kit.main(kit.Site(HERE, WORKERS, ROUTES, SERVICES, bounds=BOUNDS), run)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 ITEMS = ['e5b2907c14da6f3%d' % number for number in range(4)]
 PROMISES = (429, 503, 408, 421)
 # Seconds for which the store is down, from the write whose answer is lost.
-OUTAGE_S = 4.9
+OUTAGE_S = 4.8
 # Seconds for which a trainer waits for the 202, and its retries.
 DEADLINE_S = 12.0
 RETRIES = 1
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -109,7 +109,8 @@
 class Site:
     """The stand-ins and the gateways of one case, each its own process."""
 
-    def __init__(self, folder, workers, routes, services, gateways=3):
+    def __init__(self, folder, workers, routes, services, gateways=3,
+                 bounds=None):
         self.folder = pathlib.Path(folder)
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.net = free_net()
@@ -119,6 +120,7 @@
         self.processes = {}
         self.outputs = []
         self.count = gateways
+        self.bounds = bounds or {}
         self._record = (self.folder / 'record.txt').open('w', buffering=1)
         self._site_log = pathlib.Path(self.temporary) / 'site.log'
         self.spec = {
@@ -156,8 +158,12 @@
 
     def start_gateway(self, number):
         path = pathlib.Path(self.temporary) / ('gateway-%d.conf' % number)
-        path.write_text(SETTINGS.format(
-            number=number, ip=self.ip(number), store=self.store))
+        text = SETTINGS.format(
+            number=number, ip=self.ip(number), store=self.store)
+        # A later line of the same name holds.
+        text += ''.join('bounds.%s=%s\n' % bound
+                        for bound in self.bounds.items())
+        path.write_text(text)
         self._spawn('gateway-%d' % number, GATEWAY, dict(
             VARIABLES, YUCCARILL_NODE_FILE=str(path),
             PYTHONPATH=str(ROOT / 'target' / 'deps')))
