--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,12 +2,17 @@
 
 import base64
 import http.client
+import os
 import pathlib
 import signal
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / 'record.txt'
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 sys.path.insert(0, str(HERE.parents[1] / 'target/review/standins-2'))
 
 import kit  # noqa: E402
@@ -99,4 +104,5 @@
 
 
 if __name__ == '__main__':
-    kit.main(kit.Site(HERE, WORKERS, ROUTES, SERVICES, bounds=BOUNDS), run)
+    case = kit.Site(RECORD, TROUBLE, WORKERS, ROUTES, SERVICES, bounds=BOUNDS)
+    kit.main(case, run)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,15 @@
 """A stream that must not be repeated runs at two workers."""
 
+import os
 import pathlib
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / 'record.txt'
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 sys.path.insert(0, str(HERE.parents[1] / 'target/review/standins-2'))
 
 import kit  # noqa: E402
@@ -59,6 +64,6 @@
 
 
 if __name__ == '__main__':
-    case = kit.Site(HERE, [], ROUTES, SERVICES)
+    case = kit.Site(RECORD, TROUBLE, [], ROUTES, SERVICES)
     case.set_workers(workers(case.trouble))
     kit.main(case, run)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,11 +2,16 @@
 
 import base64
 import json
+import os
 import pathlib
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / 'record.txt'
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 sys.path.insert(0, str(HERE.parents[1] / 'target/review/standins-2'))
 
 import kit  # noqa: E402
@@ -109,4 +114,4 @@
 
 
 if __name__ == '__main__':
-    kit.main(kit.Site(HERE, WORKERS, ROUTES, SERVICES), run)
+    kit.main(kit.Site(RECORD, TROUBLE, WORKERS, ROUTES, SERVICES), run)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """Requests taken later than 3 s after SIGTERM are cut without an answer."""
 
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -9,6 +10,10 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+# What was sent, answered and run.
+RECORD = HERE / 'record.txt'
+# With TROUBLE=0 the case does the same without the disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 sys.path.insert(0, str(HERE.parents[1] / 'target/review/standins-2'))
 
 import kit  # noqa: E402
@@ -134,4 +139,4 @@
 
 
 if __name__ == '__main__':
-    kit.main(kit.Site(HERE, WORKERS, ROUTES, SERVICES), run)
+    kit.main(kit.Site(RECORD, TROUBLE, WORKERS, ROUTES, SERVICES), run)
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -109,10 +109,9 @@
 class Site:
     """The stand-ins and the gateways of one case, each its own process."""
 
-    def __init__(self, folder, workers, routes, services, gateways=3,
-                 bounds=None):
-        self.folder = pathlib.Path(folder)
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
+    def __init__(self, record, trouble, workers, routes, services,
+                 gateways=3, bounds=None):
+        self.trouble = trouble
         self.net = free_net()
         self.store = self.net + '.2:8142'
         self.control = self.net + '.3:9000'
@@ -121,7 +120,7 @@
         self.outputs = []
         self.count = gateways
         self.bounds = bounds or {}
-        self._record = (self.folder / 'record.txt').open('w', buffering=1)
+        self._record = pathlib.Path(record).open('w', buffering=1)
         self._site_log = pathlib.Path(self.temporary) / 'site.log'
         self.spec = {
             'store': self.store, 'control': self.control,
