Decode values of other processes with one kind of error

Cause: listed_target caught MsgspecError and UnicodeDecodeError; msgspec raises RecursionError for deep documents. It ended PrefixFollower.follow, which nothing starts again.

Evidence: the log has "Background task failed." with that error once an instance.

Change: core/decoding.py raises MsgspecError alone and bounds integers; numbers in headers and events have at most 18 digits; a header that is no Latin-1 is a call that was not sent. A change that cannot be applied is logged and skipped; followers, registration, leases, saving of texts and all periodic steps go on after unexpected errors.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -17,6 +17,7 @@
 from twisted.internet import error as net_error
 from twisted.internet import protocol
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import keepalive
 
@@ -189,7 +190,7 @@
         finished = self._finished
         try:
             parts = self._encode(request)
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             self._is_reusable = False
             self._finish(NotConnected(f'invalid request: {error}'))
             return finished
@@ -323,8 +324,9 @@
         text = head.header('keep-alive') if head else None
         for part in (text or '').split(','):
             name, _, value = part.strip().partition('=')
-            if name.lower() == 'timeout' and value.isdecimal():
-                seconds = IDLE_FRACTION * int(value)
+            timeout = decoding.parse_decimal(value)
+            if name.lower() == 'timeout' and timeout is not None:
+                seconds = IDLE_FRACTION * timeout
         return Instant(self._clock.seconds() + seconds)
 
     def _finish(self, error: Exception | None) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/broker_server.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/broker_server.py
@@ -10,6 +10,7 @@
 
 from yuccarill.core.capacity import broker
 from yuccarill.core.capacity.messages import DemandReport
+from yuccarill.core import decoding
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 from yuccarill.daemon.adapters.small_server import SmallResponse
@@ -86,7 +87,7 @@
         if self._state.is_leaving:
             return SmallResponse(status=409)
         try:
-            report = msgspec.msgpack.decode(request.body, type=DemandReport)
+            report = decoding.from_msgpack(request.body, DemandReport)
         except msgspec.MsgspecError as error:
             log.warning('Demand report is malformed.', cause=str(error))
             return SmallResponse(status=400)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/capacity/control.py
@@ -12,6 +12,7 @@
 from yuccarill.core.capacity import gate_policy
 from yuccarill.core.capacity.overview import ServiceOverview
 from yuccarill.core.capacity import service_gate
+from yuccarill.core import decoding
 from yuccarill.core import errors
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Instant
@@ -123,8 +124,8 @@
 
     def _handle_notice(self, request: SmallRequest) -> SmallResponse:
         try:
-            notice = msgspec.msgpack.decode(
-                request.body, type=broker_server.CapacityNotice
+            notice = decoding.from_msgpack(
+                request.body, broker_server.CapacityNotice
             )
         except msgspec.MsgspecError as error:
             log.warning('Congestion notice is malformed.', cause=str(error))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/division.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/division.py
@@ -118,9 +118,13 @@
 
     def _write_failed(self, failure: Any) -> None:
         # Another instance wrote the division, or the store is unavailable.
-        failure.trap(
+        if failure.check(
             store_module.StoreConflict,
             store_module.StoreRefused,
             store_module.StoreOutcomeUnknown,
+        ):
+            log.info('Division was not written.', cause=str(failure.value))
+            return
+        log.error(
+            'Unexpected error in a division.', cause=failure.getTraceback()
         )
-        log.info('Division was not written.', cause=str(failure.value))
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/duty/duties.py
@@ -18,6 +18,7 @@
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway.duty import duty_keys
 from yuccarill.daemon.gateway.duty import holder_calls
 from yuccarill.daemon.gateway.duty import lease as lease_module
@@ -306,7 +307,11 @@
         )
         self._is_observed = False
         self._confirmed_at = self._lease.renewed_at
-        self._renewing = defer.Deferred.fromCoroutine(self._lease.keep())
+        self._renewing = defer.Deferred.fromCoroutine(
+            background.keep_running(
+                self._lease.keep, f'lease of {self.service}', self._clock
+            )
+        )
         self._renewing.addErrback(self._failed)
         if wait > 0.0:
             self._clock.callLater(wait, self._handover_wait_ended, revision)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/cleaner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/cleaner.py
@@ -68,11 +68,19 @@
         log.info('Job removed.', job=job)
 
     def _log_failure(self, failure: Any, job: JobId) -> None:
-        failure.trap(
-            store_module.StoreRefused, store_module.StoreOutcomeUnknown
-        )
         # The index entry is removed last, so this or the next holder retries.
-        log.info('Job removal failed.', job=job, cause=str(failure.value))
+        if failure.check(
+            store_module.StoreRefused,
+            store_module.StoreOutcomeUnknown,
+            defer.CancelledError,
+        ):
+            log.info('Job removal failed.', job=job, cause=str(failure.value))
+            return
+        log.error(
+            'Unexpected error in a job removal.',
+            job=job,
+            cause=failure.getTraceback(),
+        )
 
     def _finish_removal(self, _: object) -> None:
         self._removing = None
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_reader.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_reader.py
@@ -20,6 +20,9 @@
 
 log = logs.for_part('runner')
 
+# Seconds before results that cannot be decoded are read again.
+INVALID_RETRY_SECONDS = 5.0
+
 
 class JobReader:
     """Read the jobs that a runner takes over, without a deadline."""
@@ -55,6 +58,14 @@
             ):
                 await self._pause()
                 continue
+            except msgspec.MsgspecError as error:
+                log.error(
+                    'Invalid stored results; reading them again.',
+                    job=job.id,
+                    cause=str(error),
+                )
+                await task.deferLater(self._clock, INVALID_RETRY_SECONDS)
+                continue
             chunks = sorted(found.chunks_by_position.items())
             return [
                 result
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_store.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/job_store.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import AccountName
 from yuccarill.core.ids import Revision
 from yuccarill.core.ids import ServiceName
@@ -142,7 +143,7 @@
         entry = await self._store.get(keys.summary(job))
         if entry is None:
             return None
-        summary = msgspec.msgpack.decode(entry.value, type=Summary)
+        summary = decoding.from_msgpack(entry.value, Summary)
         items: list[Item] = []
         for _, share_id in summary.shares:
             share = await self.read_job(share_id)
@@ -266,9 +267,9 @@
         found.last_key = entry.key
         position = keys.position_of(job, entry.key)
         if position is None:
-            found.summary = msgspec.msgpack.decode(entry.value, type=Summary)
+            found.summary = decoding.from_msgpack(entry.value, Summary)
         else:
-            chunk = msgspec.msgpack.decode(entry.value, type=Chunk)
+            chunk = decoding.from_msgpack(entry.value, Chunk)
             found.chunks_by_position[position] = chunk
 
 
@@ -291,9 +292,9 @@
 
 def decode_work(value: bytes) -> WorkRecord:
     """Decode the work record of a job; raises MsgspecError."""
-    return msgspec.msgpack.decode(value, type=WorkRecord)
+    return decoding.from_msgpack(value, WorkRecord)
 
 
 def decode_job(value: bytes) -> Job:
     """Decode a job; raises MsgspecError."""
-    return msgspec.msgpack.decode(value, type=Job)
+    return decoding.from_msgpack(value, Job)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/progress.py
@@ -9,7 +9,9 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.core.jobs import text_copies
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon import logs
 from yuccarill.platform import keys
 from yuccarill.platform import store as store_module
@@ -147,7 +149,11 @@
 
     def start(self) -> None:
         """Start the periodic writes."""
-        self._writing = defer.Deferred.fromCoroutine(self._keep_writing())
+        self._writing = defer.Deferred.fromCoroutine(
+            background.keep_running(
+                self._keep_writing, 'saving of texts', self._clock
+            )
+        )
         self._writing.addErrback(self._log_failure)
 
     def stop(self) -> None:
@@ -215,7 +221,7 @@
 
 def _decode(entry: store_module.Entry) -> list[ProgressRecord]:
     try:
-        return [msgspec.msgpack.decode(entry.value, type=ProgressRecord)]
+        return [decoding.from_msgpack(entry.value, ProgressRecord)]
     except msgspec.MsgspecError as error:
         log.error('Invalid text record.', key=entry.key, cause=str(error))
         return []
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/runner.py
@@ -9,11 +9,11 @@
 
 import msgspec
 from twisted.internet import defer
-from twisted.internet import task
 
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import engines as engines_module
 from yuccarill.core.jobs import job_queue
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway.jobs import cleaner
 from yuccarill.daemon.gateway.jobs import item_runs
 from yuccarill.daemon.gateway.jobs import job_cache as job_cache_module
@@ -127,8 +127,7 @@
         self._cleaner = cleaner.Cleaner(
             duty.service, jobs, state.settings.job_retention, clock
         )
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = background.ticker(self._tick, 'runner', clock)
         self._background_tasks: list[defer.Deferred[None]] = []
         # Unfinished texts of the previous holder.
         self._handed_texts = handed_texts
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/shared_results.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/shared_results.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.daemon.gateway.jobs import job_store as job_store_module
 from yuccarill.platform import keys
 from yuccarill.platform import store as store_module
@@ -140,7 +141,7 @@
         if entry is None:
             self._listed, self._revision = Listed(), store_module.ABSENT
             return
-        self._listed = msgspec.msgpack.decode(entry.value, type=Listed)
+        self._listed = decoding.from_msgpack(entry.value, Listed)
         self._revision = entry.revision
 
     async def _pause(self) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_copier.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
-from twisted.internet import task
 
 from yuccarill.core.jobs import text_copies
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon import logs
 
@@ -47,8 +47,7 @@
         # The text changes that the peer has acknowledged.
         self._acknowledged = text_copies.CopiedTexts()
         self._copying: defer.Deferred[None] | None = None
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = background.ticker(self._tick, 'text copies', clock)
 
     def start(self) -> None:
         """Start the periodic copies."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/text_fetch.py
@@ -10,6 +10,7 @@
 import msgspec
 from twisted.internet import defer
 
+from yuccarill.core import decoding
 from yuccarill.core.jobs import text_copies
 from yuccarill.daemon.gateway.jobs import texts
 from yuccarill.daemon.gateway import peer_call
@@ -171,6 +172,6 @@
             PART_SECONDS if first else FETCH_SECONDS,
         )
         try:
-            return msgspec.msgpack.decode(body, type=texts.KeptTexts)
+            return decoding.from_msgpack(body, texts.KeptTexts)
         except msgspec.MsgspecError as error:
             raise peer_call.PeerFailed(str(error)) from error
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/texts.py
@@ -12,6 +12,7 @@
 import msgspec
 from twisted.internet import defer
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.jobs.partial_text import PartialText
@@ -116,12 +117,14 @@
     def _send_part(self, request: SmallRequest) -> SmallResponse:
         query = urllib.parse.parse_qs(request.query)
         service = ServiceName(query.get('service', [''])[0])
-        first = query.get('first', ['0'])[0]
-        max_bytes = query.get('bytes', [str(PART_BYTES)])[0]
-        if not first.isdecimal() or not max_bytes.isdecimal():
+        first = decoding.parse_decimal(query.get('first', ['0'])[0])
+        max_bytes = decoding.parse_decimal(
+            query.get('bytes', [str(PART_BYTES)])[0]
+        )
+        if first is None or max_bytes is None:
             return SmallResponse(status=400)
         self.on_read(service)
-        part = self._part(service, int(first), int(max_bytes))
+        part = self._part(service, first, max_bytes)
         body = msgspec.msgpack.encode(part)
         return SmallResponse(
             status=200, content_type='application/msgpack', body=body
@@ -149,7 +152,7 @@
 
     def _receive(self, request: SmallRequest) -> SmallResponse:
         try:
-            message = msgspec.msgpack.decode(request.body, type=HandedTexts)
+            message = decoding.from_msgpack(request.body, HandedTexts)
         except msgspec.MsgspecError as error:
             log.warning('Received invalid texts.', cause=str(error))
             return SmallResponse(status=400)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_call.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/peer_call.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import http_exchange
 
@@ -89,6 +90,6 @@
         body = b'' if message is None else msgspec.msgpack.encode(message)
         answer = await self.call(peer, method, target, seconds, body)
         try:
-            return msgspec.msgpack.decode(answer, type=kind)
+            return decoding.from_msgpack(answer, kind)
         except msgspec.MsgspecError as error:
             raise PeerFailed(str(error)) from error
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -15,6 +15,7 @@
 from yuccarill.daemon.adapters import small_server
 from yuccarill.daemon.gateway.accounts import admission
 from yuccarill.daemon.gateway.accounts import lookup
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway.capacity import control
 from yuccarill.daemon.gateway.capacity import port
 from yuccarill.daemon.gateway.duty import graceful_shutdown
@@ -279,7 +280,9 @@
         self._holder_calls.on_duty_free = self._on_duty_query
         for work in (
             *self._observer.follow_coroutines(),
-            self._session.keep_registered(),
+            background.keep_running(
+                self._session.keep_registered, 'registration', self._clock
+            ),
         ):
             background_task = defer.ensureDeferred(work)
             background_task.addErrback(self._log_crash)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/exchange.py
@@ -10,10 +10,12 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.core.gateway.crash_ledger import CrashReport
 from yuccarill.core.ids import ContentDigest
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters.small_server import SmallResponse
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon.gateway.quarantine import end_messages
 from yuccarill.daemon.gateway.quarantine.end_messages import EndMessage
@@ -75,8 +77,9 @@
         self._clock = clock
         self._outboxes_by_peer: dict[InstanceId, _Outbox] = {}
         self._call_slots = defer.DeferredSemaphore(MAX_CONCURRENT_CALLS)
-        self._expiry_loop = task.LoopingCall(guard.expire)
-        self._expiry_loop.clock = clock
+        self._expiry_loop = background.ticker(
+            guard.expire, 'quarantine expiry', clock
+        )
 
     def start(self) -> None:
         """Start the exchange and fetch earlier reports from a peer."""
@@ -120,7 +123,7 @@
         if request.method == 'GET':
             return _page(self._snapshot())
         try:
-            message = msgspec.msgpack.decode(request.body, type=EndMessage)
+            message = decoding.from_msgpack(request.body, EndMessage)
         except msgspec.MsgspecError as error:
             log.warning('Invalid peer message rejected.', cause=str(error))
             return SmallResponse(status=400)
@@ -210,7 +213,7 @@
             )
         finally:
             self._call_slots.release()
-        return msgspec.msgpack.decode(reply, type=EndMessage)
+        return decoding.from_msgpack(reply, EndMessage)
 
     async def _fetch_earlier(self) -> None:
         """Fetch reports sent before this instance started."""
@@ -231,7 +234,7 @@
                     PATH,
                     ANSWER_SECONDS,
                 )
-                self._apply(msgspec.msgpack.decode(body, type=EndMessage))
+                self._apply(decoding.from_msgpack(body, EndMessage))
             except (peer_call.PeerFailed, msgspec.MsgspecError) as error:
                 log.info('Crash reports not fetched.', cause=str(error))
                 continue
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scaling/scaler.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/scaling/scaler.py
@@ -8,11 +8,11 @@
 
 import msgspec
 from twisted.internet import defer
-from twisted.internet import task
 
 from yuccarill.core.ids import Instant
 from yuccarill.core.scaling import measure as measure_module
 from yuccarill.core.scaling import scaling as scaling_module
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon import logs
 
@@ -62,8 +62,7 @@
         )
         self._scaling = scaling_module.Scaling(duty.service, policy)
         self._sending: defer.Deferred[None] | None = None
-        self._sampler = task.LoopingCall(self._sample_load)
-        self._sampler.clock = clock
+        self._sampler = background.ticker(self._sample_load, 'scaling', clock)
 
     def start(self) -> None:
         """Start measuring load and ordering targets."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/copier.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
-from twisted.internet import task
 
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon.gateway.standby import messages
 from yuccarill.daemon import logs
@@ -65,8 +65,7 @@
         # Ended items of each job the standby has; other jobs are sent whole.
         self._ended_by_job: dict[JobId, frozenset[ItemId]] = {}
         self._sending: defer.Deferred[None] | None = None
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = background.ticker(self._tick, 'job copies', clock)
 
     def start(self) -> None:
         """Start sending at regular intervals."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/service.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/standby/service.py
@@ -8,11 +8,12 @@
 
 import msgspec
 from twisted.internet import defer
-from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs.standby import StandbyWatch
 from yuccarill.daemon.adapters.small_server import SmallResponse
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway.standby import messages
 from yuccarill.daemon.gateway.standby import witness
 from yuccarill.daemon import logs
@@ -91,8 +92,7 @@
         self._retry_store = retry_store
         self._clock = clock
         self._holders_by_service: dict[ServiceName, _HolderState] = {}
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = background.ticker(self._tick, 'standby', clock)
         depot.on_read = self._hand_over
 
     def start(self) -> None:
@@ -108,9 +108,7 @@
         if request.path == messages.SIGHTING_PATH:
             return await self._witnesses.handle(request)
         try:
-            message = msgspec.msgpack.decode(
-                request.body, type=messages.OpenJobs
-            )
+            message = decoding.from_msgpack(request.body, messages.OpenJobs)
         except msgspec.MsgspecError as error:
             log.warning('Open jobs could not be decoded.', cause=str(error))
             return SmallResponse(status=400)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/feed.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.core.gateway import watchers
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import Revision
@@ -298,7 +299,7 @@
             f'the watcher answered with status {reply.head.status}'
         )
     try:
-        feed = msgspec.msgpack.decode(reply.body, type=Feed)
+        feed = decoding.from_msgpack(reply.body, Feed)
     except msgspec.MsgspecError as error:
         raise WatcherUnusable(str(error)) from error
     if feed.age > MAX_AGE_SECONDS:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 from twisted.internet import task
 
 from yuccarill.core.ids import Revision
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway.store import history
 from yuccarill.daemon import logs
 from yuccarill.platform import store as store_module
@@ -104,14 +106,23 @@
 
     async def follow(self) -> None:
         """Read, then watch and check, until cancelled."""
-        checking = defer.Deferred.fromCoroutine(self._check_repeatedly())
+        checking = defer.Deferred.fromCoroutine(
+            background.keep_running(
+                self._check_repeatedly, f'check {self._prefix}', self._clock
+            )
+        )
         checking.addErrback(lambda f: f.trap(defer.CancelledError))
         try:
-            while True:
-                await self._step()
+            await background.keep_running(
+                self._step_repeatedly, f'follow {self._prefix}', self._clock
+            )
         finally:
             checking.cancel()
 
+    async def _step_repeatedly(self) -> None:
+        while True:
+            await self._step()
+
     def apply(self, entry: Entry) -> None:
         """Apply an entry that was read outside this follower."""
         self._apply_change(entry)
@@ -334,7 +345,17 @@
         if isinstance(change, store_module.Removal):
             self._remember_removal(change)
         self._history.apply(change)
-        self._on_change(change)
+        try:
+            self._on_change(change)
+        except Exception:
+            # The next watch would return the same change and fail again, so
+            # one entry would stop all later changes.
+            log.error(
+                'Change of a key was not applied.',
+                key=change.key,
+                revision=change.revision,
+                cause=traceback.format_exc(),
+            )
 
     def _remember_removal(self, removal: Removal) -> None:
         self._removals_by_key[removal.key] = removal.revision
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/history.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/history.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import defer
 
+from yuccarill.core import decoding
 from yuccarill.platform import store as store_module
 
 if TYPE_CHECKING:
@@ -53,10 +54,11 @@
 
     def changes_since(self, cursor: str) -> list[Entry | Removal] | None:
         """Return the changes after a cursor; None if any were dropped."""
-        copy_id, _, count = cursor.partition('.')
-        if copy_id != self._copy_id or not count.isdecimal():
+        copy_id, _, text = cursor.partition('.')
+        count = decoding.parse_decimal(text)
+        if copy_id != self._copy_id or count is None:
             return None
-        first = int(count) - self._dropped_count
+        first = count - self._dropped_count
         if not 0 <= first <= len(self._changes):
             return None
         found = itertools.islice(self._changes, first, None)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/observer.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from yuccarill.core import decoding
 from yuccarill.core import errors
 from yuccarill.core.gateway.leadership import LastHolder
 from yuccarill.core.gateway import partitions
@@ -202,8 +204,8 @@
                     )
                 log.info('Instance no longer listed.', instance=instance)
                 return
-            state.instances_by_id[instance] = msgspec.msgpack.decode(
-                change.value, type=state_module.InstanceRecord
+            state.instances_by_id[instance] = decoding.from_msgpack(
+                change.value, state_module.InstanceRecord
             )
         elif key.startswith(keys.DUTY_PREFIX):
             service = ServiceName(key[len(keys.DUTY_PREFIX) :])
@@ -211,16 +213,14 @@
                 state.duties_by_service.pop(service, None)
                 log.info('Service has no holder.', service=service)
                 return
-            duty = msgspec.msgpack.decode(
-                change.value, type=state_module.DutyRecord
-            )
+            duty = decoding.from_msgpack(change.value, state_module.DutyRecord)
             state.duties_by_service[service] = msgspec.structs.replace(
                 duty, revision=change.revision
             )
         elif key.startswith(keys.LAST_HOLDER_PREFIX):
             service = ServiceName(key[len(keys.LAST_HOLDER_PREFIX) :])
             if not isinstance(change, store_module.Removal):
-                record = msgspec.msgpack.decode(change.value, type=LastHolder)
+                record = decoding.from_msgpack(change.value, LastHolder)
                 state.last_holders_by_service[service] = (
                     msgspec.structs.replace(record, revision=change.revision)
                 )
@@ -236,8 +236,8 @@
             if isinstance(change, store_module.Removal):
                 state.quarantined_by_content.pop(content, None)
                 return
-            state.quarantined_by_content[content] = msgspec.msgpack.decode(
-                change.value, type=state_module.QuarantineRecord
+            state.quarantined_by_content[content] = decoding.from_msgpack(
+                change.value, state_module.QuarantineRecord
             )
 
     def _on_read(self) -> None:
@@ -249,7 +249,14 @@
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
-            listener()
+            try:
+                listener()
+            except Exception:
+                # The other listeners must learn of the changes as well.
+                log.error(
+                    'Listener to the store failed.',
+                    cause=traceback.format_exc(),
+                )
 
 
 def _remember_gone(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/counter.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/counter.py
@@ -7,12 +7,12 @@
 import uuid
 
 from twisted.internet import defer
-from twisted.internet import task
 
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import WallTime
 from yuccarill.core.usage import counts as counts_module
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway import peer_call
 from yuccarill.daemon.gateway.usage import messages
@@ -66,8 +66,7 @@
         self._sent_at = -MIN_IDLE_SECONDS
         self._sent_to = ''
         self._sending: defer.Deferred[None] | None = None
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = background.ticker(self._tick, 'usage counts', clock)
 
     def start(self) -> None:
         """Start sending counts."""
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/records.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import Incarnation
 from yuccarill.core.ids import InstanceId
 from yuccarill.core.ids import Revision
@@ -129,9 +130,9 @@
 
 def _add_entry(stored: StoredUsage, entry: store_module.Entry) -> None:
     if entry.key == keys.USAGE_OPEN:
-        stored.open = msgspec.msgpack.decode(entry.value, type=OpenUsage)
+        stored.open = decoding.from_msgpack(entry.value, OpenUsage)
         return
     window = keys.window_of(entry.key)
-    stored.reports_by_window[window] = msgspec.msgpack.decode(
-        entry.value, type=UsageReport
+    stored.reports_by_window[window] = decoding.from_msgpack(
+        entry.value, UsageReport
     )
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/usage/reporter.py
@@ -7,13 +7,14 @@
 
 import msgspec
 from twisted.internet import defer
-from twisted.internet import task
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import ServiceName
 from yuccarill.core.ids import WindowNumber
 from yuccarill.core.usage import counts as counts_module
 from yuccarill.core.usage import reports
 from yuccarill.daemon.adapters.small_server import SmallResponse
+from yuccarill.daemon.gateway import background
 from yuccarill.daemon.gateway import meters
 from yuccarill.daemon.gateway.usage import messages
 from yuccarill.daemon.gateway.usage import records as records_module
@@ -88,8 +89,7 @@
         self._save_at = 0.0
         self._send_at = 0.0
         self._running_step: defer.Deferred[None] | None = None
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = clock
+        self._ticker = background.ticker(self._tick, 'usage reports', clock)
 
     def start(self) -> None:
         """Start to report while this instance holds the duty."""
@@ -136,8 +136,8 @@
                 status=200, body=msgspec.json.encode(self.status())
             )
         try:
-            message = msgspec.msgpack.decode(
-                request.body, type=messages.CountMessage
+            message = decoding.from_msgpack(
+                request.body, messages.CountMessage
             )
         except msgspec.MsgspecError as error:
             log.warning('Invalid usage message rejected.', cause=str(error))
--- a/packages/yuccarill-daemon/tests/gateway/test_observer.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_observer.py
@@ -55,6 +55,9 @@
         b'{}',
         msgspec.json.encode({**ENTRY, 'state': 'unknown'}),
         msgspec.json.encode({**ENTRY, 'slots': 'four'}),
+        # Nested more deeply than the decoder goes.
+        b'{"note":' + b'[' * 2000 + b']' * 2000 + b'}',
+        msgspec.json.encode({**ENTRY, 'seq': 0})[:-2] + b'9' * 400 + b'}',
     )
     def test_an_invalid_entry_removes_one_target_only(
         self, value: bytes
@@ -70,6 +73,32 @@
         self.write('t0', msgspec.json.encode(ENTRY))
         self.assertEqual(['t0', 't1'], self.ready())
 
+    def test_a_failed_change_does_not_end_the_following(self) -> None:
+        """Guard against an instance that misses all later changes."""
+
+        def fail(_: object) -> None:
+            raise KeyError('x')
+
+        self.observer.on_start = fail
+        self.write('t0', msgspec.json.encode(ENTRY))
+        self.observer.on_start = lambda _: None
+        self.write('t1', msgspec.json.encode(ENTRY))
+        self.assertEqual(['t0', 't1'], self.ready())
+
+    def test_a_failed_listener_does_not_end_the_following(self) -> None:
+        """Guard against an instance that misses all later changes."""
+        heard: list[int] = []
+
+        def fail() -> None:
+            raise KeyError('x')
+
+        self.observer.add_listener(fail)
+        self.observer.add_listener(lambda: heard.append(1))
+        self.write('t0', msgspec.json.encode(ENTRY))
+        self.write('t1', msgspec.json.encode(ENTRY))
+        self.assertEqual(['t0', 't1'], self.ready())
+        self.assertGreaterEqual(len(heard), 2)
+
     def test_a_restart_under_the_same_id_is_reported(self) -> None:
         self.write('t0', msgspec.json.encode(ENTRY))
         known = self.observed.targets.targets_by_id[TargetId('t0')]
