Try owed items again within seven seconds of a crash

Cause: each crash in a trial multiplied the pause by 4, up to 30 s, for all held items of all services of the holder; and a trial that an engine rejected (421) cost 3 s.

Change: 7 s after a crash in a trial, no pause after a run that was not begun, limits by service, and an item that has waited for 7 s no longer waits for others; such items share an engine.

Tests: test_an_item_never_lies_long_after_crashes_in_its_trials (rows 2 to 4 failed before: 12.08 s), test_a_trial_that_an_engine_rejects_is_repeated (failed before) and three tests of trials.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/generation.py
@@ -47,6 +47,8 @@
     IMPOSSIBLE = 'impossible'
     # Another run continues the text after its last whole event.
     BROKEN = 'broken'
+    # The engine did not begin the run.
+    NOT_RUN = 'not run'
 
 
 class Generator:
@@ -78,6 +80,8 @@
             outcome, cause = self._outcome_of(answer, engine, run)
         except calls_module.CallFailed as error:
             cause = str(error)
+            if error.end is calls_module.CallEnd.NOT_SENT:
+                outcome = Outcome.NOT_RUN
             engine.fail(self._now())
             if sink.must_restart:
                 run.text.clear()
@@ -105,7 +109,7 @@
         cause = f'status {answer.status}'
         if answer.not_run:
             engine.fail(self._now())
-            return Outcome.BROKEN, cause
+            return Outcome.NOT_RUN, cause
         if answer.status == 422:
             return Outcome.IMPOSSIBLE, cause
         if answer.status == 500:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_holds.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_holds.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from yuccarill.core.gateway.suspicion import Verdict
+from yuccarill.core.gateway import trials
 from yuccarill.core.jobs.job_queue import RunState
 from yuccarill.daemon.gateway.jobs import generation
 from yuccarill.daemon.gateway.quarantine import content_trials
@@ -23,6 +25,14 @@
 log = logs.for_part('runner')
 
 
+@dataclasses.dataclass(frozen=True)
+class _Trial:
+    """Hold the content of a trial and the service that runs it."""
+
+    content: ContentDigest
+    service: ServiceName
+
+
 class ItemHolds:
     """Decide which items can run now, and at which engines."""
 
@@ -30,8 +40,10 @@
         self._queue = queue
         self._guard = guard
         self._trials = content_trials.ContentTrials(guard)
-        self._trial_contents_by_run: dict[ItemRun, ContentDigest] = {}
+        self._trials_by_run: dict[ItemRun, _Trial] = {}
         self.quarantined_runs: list[ItemRun] = []
+        # Service of each quarantined run.
+        self._services_by_run: dict[ItemRun, ServiceName] = {}
 
     def is_held_back(self, run: ItemRun, service: ServiceName) -> bool:
         """Return whether an item must not run now because of engine crashes.
@@ -50,20 +62,23 @@
         if self._guard.is_admitted(content, service):
             return False
         if self._guard.ledger.verdict(content) is Verdict.QUARANTINED:
-            self._hold(run, content)
+            self._hold(run, content, service)
         return True
 
-    def _hold(self, run: ItemRun, content: ContentDigest) -> None:
+    def _hold(
+        self, run: ItemRun, content: ContentDigest, service: ServiceName
+    ) -> None:
         # The group cannot complete, so groups that can complete go first.
         self._queue.jobs_by_id[run.job.id].hold(run)
         self.quarantined_runs.append(run)
-        self._trials.update(content)
+        self._trials.update(content, service)
+        self._services_by_run[run] = service
         log.info(
             'Item held back: its content is quarantined.',
             item=run.item.id,
             job=run.job.id,
             content=content,
-            trial_crashes=self._trials.crashes(content),
+            trial_crashes=self._trials.crashes(content, service),
         )
 
     def resume(self) -> None:
@@ -79,7 +94,7 @@
             verdict = ledger.verdict(_ensure_content(run))
             if is_current and verdict is Verdict.QUARANTINED:
                 continue
-            self.quarantined_runs.remove(run)
+            self._remove_held(run)
             if state is not None and is_current:
                 state.resume(run)
         self._trials.forget_released()
@@ -88,7 +103,9 @@
         """Return the held items, those with the fewest crashes first."""
         return sorted(
             self.quarantined_runs,
-            key=lambda run: self._trials.crashes(_ensure_content(run)),
+            key=lambda run: self._trials.crashes(
+                _ensure_content(run), self._services_by_run[run]
+            ),
         )
 
     def may_try(
@@ -98,35 +115,56 @@
         return self._trials.may_start(_ensure_content(run), service, targets)
 
     def choose_trial_engine(
-        self, run: ItemRun, fleet: EngineFleet
+        self, run: ItemRun, service: ServiceName, fleet: EngineFleet
     ) -> EngineState | None:
         """Choose the engine with the fewest runs that a crash would end."""
         now = self._guard.now()
-        forbidden = self._guard.forbidden_targets(_ensure_content(run))
+        content = _ensure_content(run)
+        shared = self._guard.forbidden_targets(content)
+        usable = [
+            engine
+            for engine in fleet.engines_by_id.values()
+            if fleet.can_run(engine, run.job, now)
+        ]
+        if self._trials.is_overdue(content, service):
+            # Overdue items share an engine, so that a crash ends only one.
+            at_risk = [each for each in usable if each.target.id in shared]
+            usable = at_risk or usable
+        else:
+            usable = [each for each in usable if each.target.id not in shared]
         return min(
-            (
-                engine
-                for engine in fleet.engines_by_id.values()
-                if engine.target.id not in forbidden
-                and fleet.can_run(engine, run.job, now)
-            ),
+            usable,
             key=lambda engine: (engine.running, fleet.cost(engine, now)),
             default=None,
         )
 
-    def start_trial(self, run: ItemRun) -> None:
+    def start_trial(self, run: ItemRun, service: ServiceName) -> None:
         """Record the start of a trial of a held item."""
         content = _ensure_content(run)
-        self.quarantined_runs.remove(run)
+        self._remove_held(run)
         self._queue.jobs_by_id[run.job.id].resume(run)
-        self._trials.start(content)
-        self._trial_contents_by_run[run] = content
+        self._trials.start(content, service)
+        self._trials_by_run[run] = _Trial(content, service)
 
-    def finish_run(self, run: ItemRun, is_completed: bool) -> None:
+    def finish_run(
+        self, run: ItemRun, outcome: generation.Outcome | None
+    ) -> None:
         """Record the end of a run, which may be a trial."""
-        content = self._trial_contents_by_run.pop(run, None)
-        if content is not None:
-            self._trials.finish(content, is_completed)
+        trial = self._trials_by_run.pop(run, None)
+        if trial is None:
+            return
+        match outcome:
+            case generation.Outcome.WHOLE:
+                end = trials.TrialEnd.COMPLETED
+            case generation.Outcome.NOT_RUN:
+                end = trials.TrialEnd.NOT_RUN
+            case _:
+                end = trials.TrialEnd.BROKEN
+        self._trials.finish(trial.content, trial.service, end)
+
+    def _remove_held(self, run: ItemRun) -> None:
+        self.quarantined_runs.remove(run)
+        del self._services_by_run[run]
 
     def choose_engine(
         self, run: ItemRun, assigner: EngineAssigner
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -222,9 +222,11 @@
         count = len(engines.fleet.engines_by_id)
         if not self._holds.may_try(run, engines.service, count):
             return
-        engine = self._holds.choose_trial_engine(run, engines.fleet)
+        engine = self._holds.choose_trial_engine(
+            run, engines.service, engines.fleet
+        )
         if engine is not None:
-            self._holds.start_trial(run)
+            self._holds.start_trial(run, engines.service)
             self._start(run, engines, engine)
 
     def _finish_revoked(self, run: job_queue.ItemRun) -> None:
@@ -378,7 +380,7 @@
             del active_runs_by_item[run]
             engine.runs_by_model[run.job.model] -= 1
             active_run.work.cancel()
-            self._holds.finish_run(run, outcome is generation.Outcome.WHOLE)
+            self._holds.finish_run(run, outcome)
         match outcome:
             case generation.Outcome.WHOLE:
                 run.text.is_whole = True
@@ -390,7 +392,7 @@
                 self._handle_failure(run, run.fail())
             case generation.Outcome.IMPOSSIBLE:
                 self._results.finish(run, run.failed_result(), 'impossible')
-            case generation.Outcome.BROKEN:
+            case generation.Outcome.BROKEN | generation.Outcome.NOT_RUN:
                 run.state = job_queue.RunState.WAITING
                 self._holds.ensure_content(run)
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -10,6 +10,7 @@
 
 from yuccarill.core import errors
 from yuccarill.core.gateway import attempts
+from yuccarill.core.gateway import trials
 from yuccarill.core.ids import Instant
 from yuccarill.core.jobs import item_routes
 from yuccarill.daemon.gateway.capacity import port
@@ -168,16 +169,20 @@
         if not self._trials.may_start(call.content, service, targets):
             return await self._sender.send(service, call, plan, record, permit)
         plan.max_attempts = 1
-        self._trials.start(call.content)
-        is_completed = False
+        self._trials.start(call.content, service)
+        end = trials.TrialEnd.BROKEN
         try:
             answer = await self._sender.send(
                 service, call, plan, record, permit, is_trial=True
             )
-            is_completed = answer.is_success
+            if answer.is_success:
+                end = trials.TrialEnd.COMPLETED
             return answer
+        except errors.NotRun:
+            end = trials.TrialEnd.NOT_RUN
+            raise
         finally:
-            self._trials.finish(call.content, is_completed)
+            self._trials.finish(call.content, service, end)
 
     async def _acquire_slot(self, route: Route) -> None:
         while self._running >= self._slot_limit(route):
