Keep the outcome of an unanswered call unknown

Cause: a store call without an answer was repeated through peers, and their "not reached" replaced the unknown outcome of the first call.

Change: a refused repetition leaves the outcome unknown.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
@@ -66,7 +66,6 @@
 DEFAULT_DUE = 30.0
 DEFAULT_RETENTION = 60.0
 _ACCEPTED = TargetAnswer(status=202, headers=(), body=b'', signature=None)
-_REFUSED = TargetAnswer(status=503, headers=(), body=b'', signature=None)
 
 
 @dataclasses.dataclass
@@ -130,6 +129,7 @@
         await self._wait_for_partitions(route, request)
         job = self._job_from_request(route, request)
         runner = self._runners_by_service.get(job.service)
+        may_be_stored = False
         if runner is None and not relay_module.is_relayed(request):
             # The holder gets a relayed job without reading the store.
             holder = self._relay.holder_of_part(job.service)
@@ -137,6 +137,7 @@
                 answer = await self._relay.send(holder, request, RELAY_SECONDS)
                 if answer is not None and answer.status == 202:
                     return _ACCEPTED
+                may_be_stored = relay_module.may_have_run(answer)
         give_up_at = requests.time_limit(route, request)
         remaining = give_up_at - self._clock.seconds()
         retry_seconds = ACCEPT_TIME_FRACTION * remaining
@@ -144,7 +145,9 @@
             retry_seconds = RELAYED_RETRY_SECONDS
         retry_until = Instant(self._clock.seconds() + retry_seconds)
         shares = self._shares(job)
-        is_new = await self._store_job(job, shares, request, retry_until)
+        is_new = await self._store_job(
+            job, shares, request, retry_until, may_be_stored
+        )
         log.info(
             'Job accepted.',
             request=request.id,
@@ -247,25 +250,37 @@
         """End a job, looking up its service if none is given.
 
         Raises UnknownStep if there is no such job, StoreUnavailable if the
-        end was possibly not written.
+        end was not written, OutcomeUnknown if it may have been.
         """
+        service, shares = await self._find_holders(job_id, service, account)
         try:
-            shares: tuple[tuple[ServiceName, JobId], ...] = ()
-            if service is None:
-                view = self._views_by_id.get(job_id)
-                view = view or await self._load(job_id)
-                _check_owner(view.summary.account, account)
-                service = view.summary.service
-                shares = view.summary.shares
             await self._store.end(service, job_id, shares)
+        except store_module.StoreRefused as error:
+            raise _end_failed(error) from error
+        except store_module.StoreOutcomeUnknown as error:
+            raise errors.OutcomeUnknown(
+                f'The job may have been ended: {error}.'
+            ) from error
+        log.info('Job ended by its trainer.', job=job_id)
+
+    async def _find_holders(
+        self,
+        job_id: JobId,
+        service: ServiceName | None,
+        account: AccountName | None,
+    ) -> tuple[ServiceName, tuple[tuple[ServiceName, JobId], ...]]:
+        """Return the service and the shares of a job."""
+        if service is not None:
+            return service, ()
+        try:
+            view = self._views_by_id.get(job_id) or await self._load(job_id)
         except (
             store_module.StoreRefused,
             store_module.StoreOutcomeUnknown,
         ) as error:
-            raise errors.StoreUnavailable(
-                f'Ending the job failed: {error}.', RETRY_AFTER
-            ) from error
-        log.info('Job ended by its trainer.', job=job_id)
+            raise _end_failed(error) from error
+        _check_owner(view.summary.account, account)
+        return view.summary.service, view.summary.shares
 
     async def _wait_for_partitions(
         self, route: Route, request: ClientRequest
@@ -321,9 +336,12 @@
         shares: tuple[Job, ...],
         request: ClientRequest,
         retry_until: Instant,
+        may_be_stored: bool,
     ) -> bool:
-        """Store a job and return whether this call created it."""
-        may_be_stored = False
+        """Store a job and return whether this call created it.
+
+        `may_be_stored` tells whether an earlier call may have stored it.
+        """
         while True:
             try:
                 return await self._store.accept(job, shares)
@@ -336,7 +354,8 @@
                 answer = await self._submit_by_peer(request)
                 if answer is not None and answer.status == 202:
                     return False
-                may_be_stored = may_be_stored or answer is None
+                if relay_module.may_have_run(answer):
+                    may_be_stored = True
             if self._clock.seconds() >= retry_until:
                 break
             await task.deferLater(self._clock, RETRY_SECONDS)
@@ -351,14 +370,11 @@
     async def _submit_by_peer(
         self, request: ClientRequest
     ) -> TargetAnswer | None:
-        """Submit through a peer; return None if the outcome is unknown."""
+        """Submit through a peer; return None if it gave no answer."""
         peer = self._relay.peer()
         if peer is None:
-            return _REFUSED
-        answer = await self._relay.send(peer, request, RELAY_SECONDS)
-        if answer is not None and answer.status not in (202, 503):
-            return None
-        return answer
+            return relay_module.NOT_SENT
+        return await self._relay.send(peer, request, RELAY_SECONDS)
 
     async def _view(self, query: ResultsQuery) -> JobView:
         view = self._views_by_id.get(query.job)
@@ -390,6 +406,12 @@
         view.add_chunks(await self._store.read_results(job_id, view.last_key))
 
 
+def _end_failed(error: Exception) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        f'Ending the job failed: {error}.', RETRY_AFTER
+    )
+
+
 def _check_owner(
     owner: AccountName | None, account: AccountName | None
 ) -> None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/trainers.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/trainers.py
@@ -101,15 +101,20 @@
                 service = runner.service
         try:
             await self._intake.end_job(call.job, service, request.account)
-        except errors.StoreUnavailable:
+        except (errors.StoreUnavailable, errors.OutcomeUnknown) as error:
             peer = self._relay.peer()
             if peer is None or relay_module.is_relayed(request):
                 raise
             answer = await self._relay.send(
                 peer, request, intake_module.RELAY_SECONDS
             )
-            if answer is None or answer.status != 200:
-                raise
+            if answer is not None and answer.status == 200:
+                return _answer(_JSON, b'{}')
+            if relay_module.may_have_run(answer):
+                raise errors.OutcomeUnknown(
+                    f'The job may have been ended: {error.message}'
+                ) from error
+            raise
         return _answer(_JSON, b'{}')
 
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/relay.py
@@ -36,6 +36,8 @@
 SUSPECT_SECONDS = 2.0
 # Headers of the connection to the peer, not of its answer.
 _HOP_BY_HOP = frozenset({'content-length', 'connection', 'transfer-encoding'})
+# Stands for the answer of a peer that did not receive the call.
+NOT_SENT = TargetAnswer(status=503, headers=(), body=b'', signature=None)
 
 
 class Relay:
@@ -102,9 +104,13 @@
     async def send(
         self, peer: InstanceRecord, request: ClientRequest, seconds: float
     ) -> TargetAnswer | None:
-        """Return a peer's answer, none if the peer fails or times out."""
+        """Return a peer's answer.
+
+        Returns NOT_SENT if the peer did not receive the call, and None if it
+        may have carried it out.
+        """
         if self._peers.is_excluded(peer.instance):
-            return None
+            return NOT_SENT
         outgoing = http_exchange.OutgoingRequest(
             method=request.method,
             target=request.target,
@@ -129,7 +135,8 @@
                 peer=peer.instance,
                 cause=str(error),
             )
-            return None
+            is_sent = isinstance(error, http_exchange.ExchangeFailed)
+            return None if is_sent else NOT_SENT
         headers = tuple(
             header
             for header in reply.head.headers
@@ -163,6 +170,13 @@
     )
 
 
+def may_have_run(answer: TargetAnswer | None) -> bool:
+    """Return whether a peer may have carried out a call."""
+    if answer is None:
+        return True
+    return not (400 <= answer.status < 500 or answer.status == 503)
+
+
 def is_relayed(request: ClientRequest) -> bool:
     """Return whether a peer relayed the request."""
     return any(name.lower() == HEADER.lower() for name, _ in request.headers)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_router.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/store/store_router.py
@@ -130,15 +130,20 @@
         """Send a call directly, or through a peer if that fails."""
         try:
             reply = await self._exchange_directly(request, seconds)
-        except (
-            http_exchange.NotConnected,
-            http_exchange.ExchangeFailed,
-        ) as error:
+        except http_exchange.NotConnected as error:
             self._direct.mark_failed(repr(error))
             peer = self._choose_peer()
             if peer is None:
                 raise
             return await self._send_through_peers(peer, request, seconds)
+        except http_exchange.ExchangeFailed as error:
+            self._direct.mark_failed(repr(error))
+            peer = self._choose_peer()
+            if peer is None:
+                raise
+            return await self._repeat_through_peers(
+                peer, request, seconds, error
+            )
         if not store_module.is_rejected(reply.head.status):
             self._direct.mark_working()
             return reply
@@ -240,6 +245,34 @@
                     raise
                 peer = next_peer
 
+    async def _repeat_through_peers(
+        self,
+        peer: InstanceRecord,
+        request: OutgoingRequest,
+        seconds: float,
+        unanswered: http_exchange.ExchangeFailed,
+    ) -> Reply:
+        """Repeat a call that the store may have executed.
+
+        Raises ExchangeFailed unless the store answers the repeated call: that
+        a later call was not executed tells nothing about the first one.
+        """
+        try:
+            reply = await self._send_through_peers(peer, request, seconds)
+        except http_exchange.NotConnected as error:
+            cause = str(error)
+        else:
+            if not store_module.is_rejected(reply.head.status):
+                return reply
+            cause = f'status {reply.head.status}'
+        log.info(
+            'Outcome of a store call is unknown.',
+            method=request.method,
+            cause=str(unanswered),
+            repeated=cause,
+        )
+        raise unanswered
+
     async def _send_through(
         self, peer: InstanceRecord, request: OutgoingRequest, seconds: float
     ) -> Reply:
--- a/packages/yuccarill-daemon/tests/gateway/test_intake.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_intake.py
@@ -229,6 +229,36 @@
         self.run_for(10.0)
         self.assertTrue(results[0].check(errors.OutcomeUnknown))
 
+    # Answer of the holder to a relayed job, and the error of the submission.
+    @params(
+        (None, errors.OutcomeUnknown),
+        (500, errors.OutcomeUnknown),
+        (502, errors.OutcomeUnknown),
+        (999, errors.OutcomeUnknown),
+        (503, errors.NotRun),
+        (404, errors.NotRun),
+    )
+    def test_an_unknown_outcome_at_the_holder_stays_unknown(
+        self, status: int | None, expected: type[Exception]
+    ) -> None:
+        """Guard against a job that is refused as not run and runs."""
+        answer = None
+        if status is not None:
+            answer = TargetAnswer(
+                status=status, headers=(), body=b'', signature=None
+            )
+
+        async def send(*_: object) -> TargetAnswer | None:
+            return answer
+
+        self.memory.rejects_calls = True
+        with (
+            mock.patch.object(self.peers, 'holder_of_part', lambda _: 'h'),
+            mock.patch.object(self.peers, 'send', send),
+            self.assertRaises(expected),
+        ):
+            self.submit()
+
     def test_a_lost_reply_is_resolved_by_a_retry(self) -> None:
         self.memory.loses_replies = True
         submitting = defer.Deferred.fromCoroutine(
@@ -344,6 +374,19 @@
         with self.assertRaises(errors.StoreUnavailable):
             self.read()
 
+    @params(
+        ('rejects_calls', errors.StoreUnavailable),
+        ('loses_replies', errors.OutcomeUnknown),
+    )
+    def test_an_end_without_an_answer_is_not_refused(
+        self, fault: str, expected: type[Exception]
+    ) -> None:
+        """Guard against an end that is refused as not run and takes effect."""
+        self.submit()
+        setattr(self.memory, fault, True)
+        with self.assertRaises(expected):
+            self.finish(self.intake.end_job(JobId('j'), world.SERVICE))
+
     def test_ending_a_job_is_idempotent(self) -> None:
         self.submit()
         for _ in range(2):
--- a/packages/yuccarill-daemon/tests/gateway/test_store_router.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_store_router.py
@@ -166,6 +166,27 @@
         with self.assertRaises(http_exchange.ExchangeFailed):
             self.send()
 
+    # Answers of the store and of both peers.
+    @params(
+        (store_router.STATUS_NOT_REACHED,) * 2,
+        (http_exchange.NotConnected('refused'),) * 2,
+        (503, 503),
+        (429, store_router.STATUS_NOT_REACHED),
+    )
+    def test_a_call_without_an_answer_stays_unclear(
+        self, first: int | Exception, second: int | Exception
+    ) -> None:
+        """Guard against a write that counts as refused and takes effect."""
+        self.connections.statuses_by_address.update(
+            {
+                'store:3': http_exchange.ExchangeFailed('no answer'),
+                'b:2': first,
+                'c:2': second,
+            }
+        )
+        with self.assertRaises(http_exchange.ExchangeFailed):
+            self.send()
+
     def test_loss_of_direct_calls_is_reported_once(self) -> None:
         """Guard against a silent open watch while other calls use a peer."""
         lost_at: list[float] = []
--- a/packages/yuccarill-daemon/tests/gateway/test_trainers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_trainers.py
@@ -4,8 +4,10 @@
 
 import dataclasses
 
+from nose2.tools import params
 from twisted.internet import defer
 
+from yuccarill.core import errors
 from yuccarill.core.gateway.requests import ClientRequest
 from yuccarill.core.gateway.requests import TargetAnswer
 from yuccarill.core.ids import Instant
@@ -58,6 +60,9 @@
     def holder_of_job(self, host: str, job: str) -> object:
         return 'holder' if self.answer else None
 
+    def peer(self) -> object:
+        return 'peer'
+
     async def send(self, *_: object) -> TargetAnswer | None:
         self.calls += 1
         return self.answer
@@ -109,3 +114,39 @@
         )
         found = self.finish(handler.serve(QUERY, request()))
         self.assertEqual(b'store', found.body)
+
+    # Error of the own end, answer of the peer, and the error of the call.
+    @params(
+        (errors.StoreUnavailable, 503, errors.StoreUnavailable),
+        (errors.StoreUnavailable, None, errors.OutcomeUnknown),
+        (errors.StoreUnavailable, 502, errors.OutcomeUnknown),
+        (errors.OutcomeUnknown, 503, errors.OutcomeUnknown),
+        (errors.OutcomeUnknown, 200, None),
+        (errors.StoreUnavailable, 200, None),
+    )
+    def test_an_end_is_refused_only_if_nobody_may_have_written_it(
+        self,
+        own: type[errors.YuccarillError],
+        status: int | None,
+        expected: type[Exception] | None,
+    ) -> None:
+        """Guard against an end that is refused as not run and takes effect."""
+
+        class Ending(Intake):
+            async def end_job(self, *_: object) -> None:
+                raise own('x')
+
+        peers = Peers(
+            None
+            if status is None
+            else TargetAnswer(
+                status=status, headers=(), body=b'', signature=None
+            )
+        )
+        handler = trainers.TrainerCallHandler(Ending(), peers, dict().values)
+        serving = handler.serve(ports.JobEnd(job=JobId('j')), request())
+        if expected is None:
+            self.assertEqual(200, self.finish(serving).status)
+            return
+        with self.assertRaises(expected):
+            self.finish(serving)
