Refuse requests that a stop would cut

Cause: the port stays open until 1.8 s before the kill, and nothing asked whether a request could end by then.

Jobs are taken, readers do not wait, and what still waits at the end is answered with 502 instead of a reset. Refusing everything from the signal on was weighed: it would use up the one retry of clients whose requests mostly end in time.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/intake.py
@@ -139,6 +139,9 @@
                     return _ACCEPTED
                 may_be_stored = relay_module.may_have_run(answer)
         give_up_at = requests.time_limit(route, request)
+        if self._state.stop_window is not None:
+            stopped_at = self._state.stop_window.answers_until
+            give_up_at = min(give_up_at, stopped_at)
         remaining = give_up_at - self._clock.seconds()
         retry_seconds = ACCEPT_TIME_FRACTION * remaining
         if relay_module.is_relayed(request):
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/process.py
@@ -10,6 +10,7 @@
 from twisted.internet import task
 
 from yuccarill.core import errors
+from yuccarill.core.gateway import stop_window
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import connections
 from yuccarill.daemon.adapters import small_server
@@ -71,6 +72,8 @@
 # connections, and when it stops waiting for requests.
 CLOSE_BEFORE_KILL = 1.8
 END_BEFORE_KILL = 0.7
+# Seconds by which an answer may be later than its request's time limit.
+ANSWER_SLACK = 0.3
 # Timeout for revoking the lease, short enough to end before the platform kills
 # the process; an unrevoked lease expires. With a store that falls silent, the
 # call and its retries through peers took 1.8 s.
@@ -348,9 +351,12 @@
         """Hand over duties, serve until clients have moved, and shut down."""
         grace = self._state.settings.stop_grace
         close_at = self._now() + grace - CLOSE_BEFORE_KILL
-        end_at = self._now() + grace - END_BEFORE_KILL
+        end_at = Instant(self._now() + grace - END_BEFORE_KILL)
         log.info('Stopping.', under_way=self._clients.requests_under_way)
         self._state.is_leaving = True
+        self._state.stop_window = stop_window.stop_window(
+            self._now(), Instant(end_at - ANSWER_SLACK)
+        )
         departing = defer.Deferred.fromCoroutine(
             self._graceful_shutdown.leave()
         )
@@ -369,8 +375,10 @@
         while self._clients.requests_under_way and self._now() < end_at:
             await self._pause()
             self._clients.close_idle()
+        unanswered = self._clients.answer_unfinished()
+        cut_off = self._clients.requests_under_way
         await self._end()
-        log.info('Stopped.', cut_off=self._clients.requests_under_way)
+        log.info('Stopped.', cut_off=cut_off, unanswered=unanswered)
 
     async def _end(self) -> None:
         for background_task in self._background_tasks:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/forwarding.py
@@ -35,6 +35,8 @@
 
 # Seconds until a retry; a starting instance reads its configuration sooner.
 NO_CONFIGURATION_RETRY = 0.3
+# Seconds until a retry, which reaches another instance.
+STOPPING_RETRY = 0.05
 
 
 class Forwarder:
@@ -81,6 +83,7 @@
 
         Raises YuccarillError if the request is refused or fails.
         """
+        self._check_can_take(request)
         request = await self._admission.admit(self._match(request), request)
         answerer.set_account(request.account)
         # The route table may have changed during the key lookup.
@@ -104,6 +107,17 @@
                 ms=round(seconds * 1000.0),
             )
 
+    def _check_can_take(self, request: ClientRequest) -> None:
+        window = self._state.stop_window
+        route = self._match(request)
+        now = Instant(self._clock.seconds())
+        if window is not None and not window.can_take(route, request, now):
+            raise errors.NotRun(
+                'The request was not run: this instance stops before it would '
+                'end.',
+                STOPPING_RETRY,
+            )
+
     def _match(self, request: ClientRequest) -> Route:
         table = self._state.route_table
         if table is None:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/front.py
@@ -4,12 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from yuccarill.core import errors
 from yuccarill.core.gateway import directory
 from yuccarill.core.gateway.requests import AddressList
 from yuccarill.core.gateway.routes import ClientLimits
 from yuccarill.core.ids import DataCentreId
 from yuccarill.daemon import logs
+from yuccarill.platform import ports
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -107,6 +110,9 @@
     ) -> TargetAnswer:
         """Serve a trainer's call about one of its jobs."""
         admitted = await self._admission.admit_job_call(request)
+        if self._state.is_leaving and isinstance(call, ports.ResultsQuery):
+            # The reader can wait at another instance.
+            call = msgspec.structs.replace(call, wait=0.0)
         return await self._trainers.serve(call, admitted)
 
     def report_refusal(
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/state.py
@@ -24,6 +24,7 @@
     from yuccarill.core.gateway.leadership import LastHolder
     from yuccarill.core.gateway.partitions import Division
     from yuccarill.core.gateway.routes import RouteTable
+    from yuccarill.core.gateway.stop_window import StopWindow
     from yuccarill.core.gateway.targets import ListedTarget
     from yuccarill.core.ids import ContentDigest
     from yuccarill.core.ids import InstanceId
@@ -109,8 +110,9 @@
     ] = dataclasses.field(default_factory=dict)
     # Whether every section above has been read once.
     is_current: bool = False
-    # Written by the process at shutdown.
+    # Written by the process at shutdown; None before it.
     is_leaving: bool = False
+    stop_window: StopWindow | None = None
 
     def engines(self, part: ServiceName) -> list[ListedTarget]:
         """Return the ready engines of a service's part."""
