Never send two attempts of a request over one connection

Cause: such streams used kept connections. A late second copy of a refusal bears the id of the request, so it answered a later attempt of the same request, which was running.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/connections.py
@@ -64,7 +64,7 @@
         if no byte was sent, else ExchangeFailed.
         """
         sink = sink or http_exchange.ResponseSink()
-        connection = None if is_fresh else self._pop_idle(address)
+        connection = None if is_fresh else self._pop_idle(address, request)
         if connection is None:
             connection = await self._open(address, deadline)
         timer = self._clock.callLater(
@@ -155,15 +155,24 @@
             connector.disconnect()
             raise
 
-    def _pop_idle(self, address: str) -> http_exchange.Connection | None:
+    def _pop_idle(
+        self, address: str, request: http_exchange.OutgoingRequest
+    ) -> http_exchange.Connection | None:
         idle = self._idle_by_address.get(address)
         now = self._clock.seconds()
-        while idle:
+        skipped: list[http_exchange.Connection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            if connection.is_usable(now):
-                return connection
-            connection.close()
-        return None
+            if not connection.is_usable(now):
+                connection.close()
+            elif connection.has_carried(request):
+                skipped.append(connection)
+            else:
+                found = connection
+        if idle is not None:
+            idle.extend(reversed(skipped))
+        return found
 
     def _release(
         self, address: str, connection: http_exchange.Connection
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -32,6 +33,9 @@
 _MAX_HEAD_BYTES = 64 * 1024
 # Bytes of a body that a sink buffers; a server can send bytes without end.
 MAX_BODY_BYTES = 16 << 20
+# Ids of requests that a connection remembers; a late copy of a response comes
+# soon after it.
+MAX_CARRIED_IDS = 64
 # Interim responses (1xx) per request; they can come without end as well.
 MAX_INTERIM_RESPONSES = 16
 
@@ -64,6 +68,8 @@
     target: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    # The same for all attempts of one request; None if answers have no id.
+    id: str | None = None
 
 
 class ReplyHead(msgspec.Struct, frozen=True, kw_only=True):
@@ -97,6 +103,9 @@
         self._parts: list[bytes] = []
         # Bytes of the body that are buffered here.
         self.buffered = 0
+        # The connection has carried other requests, so the response may be a
+        # late copy of an earlier one.
+        self.is_connection_reused = False
 
     @property
     def body(self) -> bytes:
@@ -151,6 +160,10 @@
         self._progress_seconds: float | None = None
         self._progress_timer: Any = None
         self._interim_responses = 0
+        self._carried_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_CARRIED_IDS
+        )
+        self._is_unused = True
         self._is_open = False
         self._is_reusable = True
         self._is_paused = False
@@ -176,6 +189,13 @@
             and now < self._usable_until
         )
 
+    def has_carried(self, request: OutgoingRequest) -> bool:
+        """Return whether an earlier attempt of a request was sent here.
+
+        A late copy of its response would answer the next attempt.
+        """
+        return request.id is not None and request.id in self._carried_ids
+
     def send(
         self,
         request: OutgoingRequest,
@@ -184,6 +204,10 @@
     ) -> defer.Deferred[None]:
         """Send a request; the Deferred fires when the response is complete."""
         self._sink = sink
+        sink.is_connection_reused = not self._is_unused
+        self._is_unused = False
+        if request.id is not None:
+            self._carried_ids.append(request.id)
         self._interim_responses = 0
         self._progress_seconds = progress_seconds
         self._finished = defer.Deferred(self._on_cancel)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/quarantine/watched_calls.py
@@ -73,6 +73,7 @@
         answer_by: Instant,
         progress_seconds: float,
         sink: GenerationSink,
+        is_fresh: bool = False,
     ) -> TargetAnswer:
         """Send a generation call and pass its events to `sink` as they arrive.
 
@@ -82,7 +83,7 @@
         with self._track(engine, call):
             try:
                 answer = await self._calls.generate(
-                    engine, call, answer_by, progress_seconds, sink
+                    engine, call, answer_by, progress_seconds, sink, is_fresh
                 )
             except calls_module.CallFailed as error:
                 await self._record_failure(engine, call, error, started_at)
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/requests/streams.py
@@ -102,7 +102,14 @@
                     self._capacity, target.service, self._clock
                 ) as attempt:
                     answer = await self._calls.generate(
-                        target, run.call(), deadline, SILENCE_SECONDS, run
+                        target,
+                        run.call(),
+                        deadline,
+                        SILENCE_SECONDS,
+                        run,
+                        # On a kept connection, a late copy of a refusal
+                        # would make a running stream run twice.
+                        is_fresh=not route.is_resumable,
                     )
                     attempt.answer = answer
             except calls_module.CallFailed as error:
--- a/packages/yuccarill-daemon/tests/gateway/runner_world.py
+++ b/packages/yuccarill-daemon/tests/gateway/runner_world.py
@@ -101,6 +101,7 @@
         answer_by: Instant,
         progress_seconds: float,
         sink: calls.GenerationSink,
+        is_fresh: bool = False,
     ) -> TargetAnswer:
         found = self.engines_by_id[engine.id]
         first = call.after_event or 0
--- a/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_slow_readers.py
@@ -156,7 +156,11 @@
         return False
 
     async def generate(
-        self, target: object, call: calls.TargetCall, *rest: object
+        self,
+        target: object,
+        call: calls.TargetCall,
+        *rest: object,
+        is_fresh: bool = False,
     ) -> TargetAnswer:
         sink = rest[-1]
         run = Run(call, sink)
--- a/packages/yuccarill-daemon/tests/gateway/test_streams.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_streams.py
@@ -67,6 +67,7 @@
     plan: list[int | TargetAnswer | None]
     begun_after: list[int | None] = dataclasses.field(default_factory=list)
     deadlines: list[Instant | None] = dataclasses.field(default_factory=list)
+    are_fresh: list[bool] = dataclasses.field(default_factory=list)
 
     def is_connected(self, target: object) -> bool:
         return False
@@ -78,7 +79,9 @@
         answer_by: Instant,
         progress: float,
         sink: calls.GenerationSink,
+        is_fresh: bool = False,
     ) -> TargetAnswer:
+        self.are_fresh.append(is_fresh)
         self.begun_after.append(call.after_event)
         self.deadlines.append(call.deadline)
         count = self.plan[len(self.begun_after) - 1]
@@ -202,6 +205,14 @@
         _, targets, _ = self.serve(2, 9)
         self.assertEqual([DEADLINE, DEADLINE], targets.deadlines)
 
+    @params((False, [True, True]), (True, [False, False]))
+    def test_the_connections_of_attempts(
+        self, is_resumable: bool, expected: list[bool]
+    ) -> None:
+        """Guard against a late refusal that makes a stream run twice."""
+        _, targets, _ = self.serve(None, 9, is_resumable=is_resumable)
+        self.assertEqual(expected, targets.are_fresh)
+
     def test_interrupted_unresumable_stream_is_aborted(self) -> None:
         client, targets, end = self.serve(2, 9, is_resumable=False)
         self.assertEqual(1, len(targets.begun_after))
@@ -225,7 +236,7 @@
     def serve_with_failure_before_head(self) -> None:
         broken = calls.CallFailed(calls.CallEnd.BROKEN, 'reset')
 
-        async def generate(*_: object) -> TargetAnswer:
+        async def generate(*_: object, **__: object) -> TargetAnswer:
             raise broken
 
         original = Targets.generate
