Refuse answers of targets whose status is no HTTP status

What callers saw (measured on by the users): with one worker at fault, status 999 reached 39 of 100 requests on unsafe and stream routes; 000 reached none.

Cause: h11 accepts 200 to 999 as a final status, Twisted's client any integer.

Change: a final status is one from 200 to 599; any other number makes the answer invalid, so the outcome of the call is unknown.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/http_exchange.py
@@ -19,6 +19,7 @@
 from twisted.internet import protocol
 
 from yuccarill.core import decoding
+from yuccarill.core import http_status
 from yuccarill.core.ids import Instant
 from yuccarill.daemon.adapters import keepalive
 
@@ -315,7 +316,9 @@
                 self._interim_responses += 1
                 if self._interim_responses > MAX_INTERIM_RESPONSES:
                     raise ResponseRejected('too many interim responses')
-            case h11.Response():
+            case h11.Response(status_code=status):
+                if not http_status.is_final(status):
+                    raise ResponseRejected(f'{status} is no HTTP status')
                 self._sink.receive_head(_reply_head(event))
                 self._restart_progress_timer()
             case h11.Data():
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/target.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/target.py
@@ -20,6 +20,7 @@
 from yuccarill.core.calls.ledger import Answer
 from yuccarill.core.calls import load
 from yuccarill.core import errors
+from yuccarill.core import http_status
 from yuccarill.core.ids import Instant
 from yuccarill.core.ids import RequestId
 from yuccarill.daemon.adapters import http
@@ -89,6 +90,8 @@
             response = await self._limit(
                 self._send(agent, address, request), request.answer_deadline
             )
+            if not http_status.is_final(response.code):
+                raise ValueError(f'{response.code} is no HTTP status')
             on_step(Step.ANSWERING)
             reader = _BodyReader(connection.abort)
             response.deliverBody(reader)
--- a/packages/yuccarill-daemon/tests/adapters/test_target.py
+++ b/packages/yuccarill-daemon/tests/adapters/test_target.py
@@ -31,6 +31,25 @@
         connection.lose()
         self.assertIs(expected, type(result.error))
 
+    @params('000', '099', '600', '999', '20', '2000')
+    def test_a_number_that_is_no_status_is_no_answer(
+        self, status: str
+    ) -> None:
+        """Guard against a number as a status that reaches a caller."""
+        world = call_world.World()
+        adapter = target.TargetAdapter(world.now, world.reactor)
+        calling = adapter.call(
+            '127.0.0.1:81', _request('charges'), lambda _: None
+        )
+        result = call_world.Result(calling)
+        connection = world.connection()
+        assert connection is not None
+        connection.open()
+        connection.reply(
+            f'HTTP/1.1 {status} OK\r\nContent-Length: 2\r\n\r\nok'.encode()
+        )
+        self.assertIs(errors.OutcomeUnknown, type(result.error))
+
 
 class TargetRequestTest(unittest.TestCase):
     @params(
