Go on with items after unexpected errors in their runs

What callers would see: an item that stays at no engine, and a step that is lost, after one unexpected error. Found while a fake raised TypeError in each run of an item: 602 such lines in one module's log, and no item ended.

Cause: the task of a run, or of a score request, ended with the error, and the item kept its state as running or scoring, for which nothing starts it again.

Change: the error is logged, the engine gets no run for a moment, and the item waits for its next run; a score request is repeated after a second.

Tests that failed before: test_an_unexpected_error_does_not_end_an_item, test_an_unexpected_error_does_not_end_a_score.

--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/item_runs.py
@@ -4,6 +4,7 @@
 
 import functools
 import math
+import traceback
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -376,6 +377,17 @@
             if not active_run.is_moved:
                 raise
             outcome = generation.Outcome.BROKEN
+        except Exception:
+            # The item is still owed, and no one else would run it again.
+            log.error(
+                'Run failed unexpectedly.',
+                item=run.item.id,
+                job=run.job.id,
+                engine=engine.target.id,
+                cause=traceback.format_exc(),
+            )
+            engine.fail(self._now())
+            outcome = generation.Outcome.BROKEN
         finally:
             del active_runs_by_item[run]
             engine.runs_by_model[run.job.model] -= 1
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/gateway/jobs/scoring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,8 @@
 # Interval of retries of a score request whose content is quarantined. Longer,
 # because each retry writes a log line.
 QUARANTINE_RETRY_SECONDS = 2.0
+# Interval of retries after an unexpected error, which bounds the log.
+ERROR_RETRY_SECONDS = 1.0
 # Fraction of a scoring target's slots for scores of batch jobs; the rest stays
 # free for interactive requests.
 SLOTS_FRACTION = 0.7
@@ -80,6 +83,16 @@
                         cause=str(error),
                     )
                     answer, pause = None, QUARANTINE_RETRY_SECONDS
+                except defer.CancelledError:
+                    raise
+                except Exception:
+                    # The item is still owed; it would wait forever.
+                    log.error(
+                        'Score request failed unexpectedly.',
+                        item=run.item.id,
+                        cause=traceback.format_exc(),
+                    )
+                    answer, pause = None, ERROR_RETRY_SECONDS
                 if answer is not None and answer.is_success:
                     return answer.signature
                 if run.fail_scores(0, route.max_attempts):
--- a/packages/yuccarill-daemon/tests/gateway/test_runner.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_runner.py
@@ -82,6 +82,21 @@
         self.assertIs(ResultState.FAILED, states.pop('j-0-0'))
         self.assertEqual({ResultState.COMPLETED}, set(states.values()))
 
+    def test_an_unexpected_error_does_not_end_an_item(self) -> None:
+        """Guard against an item that stays at no engine after an error."""
+        original, failures = self.engines.generate, [KeyError('x')] * 3
+
+        async def generate(*args: object) -> object:
+            if failures:
+                raise failures.pop()
+            return await original(*args)
+
+        self.engines.generate = generate  # type: ignore[method-assign]
+        self.hold('a')
+        self.submit()
+        self.run_for(6.0)
+        self.assert_whole()
+
     def test_runs_leave_a_slow_engine(self) -> None:
         """Guard against groups that wait for the runs of a slow engine."""
         self.hold('a')
--- a/packages/yuccarill-daemon/tests/gateway/test_scoring.py
+++ b/packages/yuccarill-daemon/tests/gateway/test_scoring.py
@@ -240,6 +240,20 @@
             self.assertLessEqual(after - before, 9.0)
         self.assertEqual(1, len(self.guard.ledger.quarantined()))
 
+    def test_an_unexpected_error_does_not_end_a_score(self) -> None:
+        """Guard against a whole text that never gets its score."""
+        original, failures = self.targets.send, [KeyError('x')] * 2
+
+        async def send(*args: object, **named: object) -> TargetAnswer:
+            if failures:
+                raise failures.pop()
+            return await original(*args, **named)
+
+        self.targets.send = send  # type: ignore[method-assign]
+        scored = self.score()
+        self.run_for(15.0)
+        self.assertEqual(['signed'], scored)
+
     def test_other_requests_of_the_content_are_refused(self) -> None:
         """Guard against a trial that admits the requests of callers."""
         self.score()
