--- a/packages/yuccarill-core/src/yuccarill/core/gateway/stop_window.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/stop_window.py
@@ -13,7 +13,7 @@
     from yuccarill.core.gateway.requests import ClientRequest
     from yuccarill.core.gateway.routes import Route
 
-# Seconds from the begin of a stop in which every request is taken: clients do
+# Seconds from the start of a stop in which every request is taken: clients do
 # not know of the stop yet, and most requests are short.
 TAKE_ALL_SECONDS = 2.5
 
@@ -22,7 +22,7 @@
     """Hold the times of a stop that has begun."""
 
     take_all_until: Instant
-    # When requests without an answer are answered as unfinished.
+    # Requests that are sure to end by then are taken.
     answers_until: Instant
 
     def can_take(
@@ -36,16 +36,12 @@
             return True
         return self._latest_end(route, request) <= self.answers_until
 
-    def seconds_left(self, now: Instant) -> float:
-        """Return the seconds for which a request may still wait."""
-        return max(0.0, self.answers_until - now)
-
     def _latest_end(self, route: Route, request: ClientRequest) -> float:
         ends = [float('inf')]
         if request.deadline is not None:
             ends.append(request.deadline)
         if route.kind is not RouteKind.STREAM:
-            # Of a stream, the timeout bounds only the time to its begin.
+            # Of a stream, the timeout bounds only the time to its first event.
             ends.append(request.arrived_at + route.timeout)
         return min(ends)
 
