Decode lines, versions and load reports of the own interface alike

What callers would see: a complete answer of a target that fails because its load report is a number of 5,000 digits; a write or read of the key-value service that raises an error which no caller retries.

The gateway on the platform uses none of the three.

--- a/packages/yuccarill-core/src/yuccarill/core/calls/load.py
+++ b/packages/yuccarill-core/src/yuccarill/core/calls/load.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from yuccarill.core import decoding
 from yuccarill.core.ids import Instant
 
 # Half-life in seconds of the weight of a load report.
@@ -26,10 +27,12 @@
 
 def parse(text: str) -> LoadReport | None:
     """Parse the header of a load report; return None if invalid."""
-    in_flight, _, queued = text.partition(',')
-    if not (in_flight.isdecimal() and queued.isdecimal()):
+    first, _, second = text.partition(',')
+    in_flight = decoding.parse_decimal(first)
+    queued = decoding.parse_decimal(second)
+    if in_flight is None or queued is None:
         return None
-    return LoadReport(int(in_flight), int(queued))
+    return LoadReport(in_flight, queued)
 
 
 class TargetLoad:
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/key_value.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from yuccarill.core import decoding
 from yuccarill.core import errors
 from yuccarill.daemon.adapters import http
 from yuccarill.wire.key_value import Entry
@@ -12,6 +13,10 @@
 WATCH_SECONDS = 10.0
 
 
+class _Written(msgspec.Struct):
+    version: decoding.Integer
+
+
 class KeyValueAdapter:
     """Read, compare-and-swap and watch keys."""
 
@@ -58,8 +63,10 @@
             )
         if response.code != 200:
             raise _unavailable(f'status {response.code}')
-        version: int = msgspec.json.decode(content)['version']
-        return version
+        try:
+            return decoding.from_json(content, _Written).version
+        except msgspec.MsgspecError as error:
+            raise _unavailable(f'a malformed answer: {error}') from error
 
     async def _read(self, url: str, seconds: float) -> Entry:
         try:
@@ -69,7 +76,10 @@
             raise _unavailable(http.cause(error)) from error
         if response.code not in (200, 404):
             raise _unavailable(f'status {response.code}')
-        version = int(response.headers.getRawHeaders('X-Version', ['0'])[0])
+        text = response.headers.getRawHeaders('X-Version', ['0'])[0]
+        version = decoding.parse_decimal(text)
+        if version is None:
+            raise _unavailable(f'version {text[:20]!r}')
         return Entry(version, content)
 
 
--- a/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/token_stream.py
+++ b/packages/yuccarill-daemon/src/yuccarill/daemon/adapters/token_stream.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 
+from yuccarill.core import decoding
 from yuccarill.core import errors
 from yuccarill.core.ids import WeightVersion
 
@@ -20,13 +21,10 @@
     """Generated tokens and the weight version that produced them."""
 
     weight_version: WeightVersion | None = None
-    tokens: tuple[int, ...] = ()
+    tokens: tuple[decoding.Integer, ...] = ()
     done: bool = False
 
 
-_decoder = msgspec.json.Decoder(Chunk)
-
-
 class TokenStream(protocol.Protocol):
     """Pass on chunks until the final one."""
 
@@ -67,7 +65,7 @@
         self._finish(None if self._is_done else truncated)
 
     def _handle_line(self, line: bytes) -> None:
-        chunk = _decoder.decode(line)
+        chunk = decoding.from_json(line, Chunk)
         self._is_done = self._is_done or chunk.done
         if chunk.tokens:
             self._on_chunk(chunk)
--- a/packages/yuccarill-daemon/tests/adapters/test_engine.py
+++ b/packages/yuccarill-daemon/tests/adapters/test_engine.py
@@ -57,6 +57,19 @@
         )
         return generating.addBoth(self.outcome.append)
 
+    @params(
+        b'{"note":' + b'[' * 100_000 + b']' * 100_000 + b'}\n',
+        b'{"tokens": [%s]}\n' % (b'9' * 400),
+    )
+    def test_a_line_that_cannot_be_decoded(self, line: bytes) -> None:
+        """Guard against an unexpected error of the decoder."""
+        response = _Response()
+        self._generate(response)
+        response.reader.dataReceived(line)
+        response.reader.connectionLost(None)
+        self.assertFalse(response.transport.is_open)
+        self.assertEqual([], self.chunks)
+
     def test_whole_stream(self) -> None:
         response = _Response()
         self._generate(response)
