--- a/packages/yuccarill-core/src/yuccarill/core/gateway/trials.py
+++ b/packages/yuccarill-core/src/yuccarill/core/gateway/trials.py
@@ -3,8 +3,8 @@
 Targets crashed under these contents, so they are quarantined. Items of batch
 jobs and their score requests must be completed all the same. A harmless one
 that ran at several crashes is completed by its first trial. One that crashes
-its targets costs one target per trial, so trials are limited, but no content
-waits for longer than a trainer bears.
+its targets costs one target per trial, so trials are limited, but each content
+is tried again within MAX_WAIT_SECONDS.
 """
 
 from __future__ import annotations
